Set up the build, the core types and the design page

Cause: the repository was empty; every later change needs one build, one style and one page of decisions. Ruled out: a single module (it can't show that the decision code does no I/O) and running Maven under Java 17 (the formatter fails there). Before: nothing. Conclusion: the frame stands; the modules can be filled.

--- /dev/null
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package dev.kumquatweir.agreement;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bench/src/main/java/dev/kumquatweir/bench/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package dev.kumquatweir.bench;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/dev/kumquatweir/core/configuration/ConfigurationDocument.java
@@ -0,0 +1,100 @@
+package dev.kumquatweir.core.configuration;
+
+import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.InvalidIdentifierException;
+import dev.kumquatweir.core.identity.ModelName;
+import dev.kumquatweir.core.identity.ProfileName;
+import dev.kumquatweir.core.identity.ServiceName;
+import dev.kumquatweir.core.identity.TeamName;
+import dev.kumquatweir.core.identity.UpstreamId;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * Everything that operators configure and that all instances agree on. Its version is kept beside
+ * it, by the replicated state machine. Immutable.
+ *
+ * @param profiles profiles by name
+ * @param teams teams by name
+ * @param services services by name
+ * @param domainsOut failure domains that get no new work
+ * @param retiredUpstreams upstreams that get no new work
+ */
+public record ConfigurationDocument(
+        Map<ProfileName, Profile> profiles,
+        Map<TeamName, Team> teams,
+        Map<ServiceName, ServiceRoute> services,
+        Set<FailureDomain> domainsOut,
+        Set<UpstreamId> retiredUpstreams) {
+
+    /** A document without any entry. */
+    public static final ConfigurationDocument EMPTY =
+            new ConfigurationDocument(Map.of(), Map.of(), Map.of(), Set.of(), Set.of());
+
+    /** Copies the collections, so that the record is immutable. */
+    public ConfigurationDocument {
+        profiles = Map.copyOf(profiles);
+        teams = Map.copyOf(teams);
+        services = Map.copyOf(services);
+        domainsOut = Set.copyOf(domainsOut);
+        retiredUpstreams = Set.copyOf(retiredUpstreams);
+    }
+
+    /** Makes a document from profiles, teams and services, with nothing out or retired. */
+    public static ConfigurationDocument of(
+            Collection<Profile> profiles,
+            Collection<Team> teams,
+            Collection<ServiceRoute> services) {
+        return new ConfigurationDocument(
+                byName(profiles, Profile::name),
+                byName(teams, Team::name),
+                byName(services, ServiceRoute::name),
+                Set.of(),
+                Set.of());
+    }
+
+    /** Returns a copy with other failure domains out of service. */
+    public ConfigurationDocument withDomainsOut(Set<FailureDomain> domains) {
+        return new ConfigurationDocument(profiles, teams, services, domains, retiredUpstreams);
+    }
+
+    /** Returns a copy with other retired upstreams. */
+    public ConfigurationDocument withRetiredUpstreams(Set<UpstreamId> upstreams) {
+        return new ConfigurationDocument(profiles, teams, services, domainsOut, upstreams);
+    }
+
+    /** Returns the first profile by name that serves the model. */
+    public Optional<Profile> profileOfModel(ModelName model) {
+        return profiles.values().stream()
+                .filter(profile -> profile.models().contains(model))
+                .min(Comparator.comparing(Profile::name));
+    }
+
+    /** Returns the team that an API key of the form {@code TEAM.SECRET} belongs to. */
+    public Optional<Team> teamOfKey(String key) {
+        int dot = key.lastIndexOf('.');
+        if (dot <= 0) {
+            return Optional.empty();
+        }
+        try {
+            TeamName name = new TeamName(key.substring(0, dot));
+            return Optional.ofNullable(teams.get(name)).filter(team -> team.keyHash().matches(key));
+        } catch (InvalidIdentifierException exception) {
+            return Optional.empty();
+        }
+    }
+
+    /** Returns whether an upstream may get new work under this document. */
+    public boolean mayReceiveWork(UpstreamId upstream, FailureDomain domain) {
+        return !domainsOut.contains(domain) && !retiredUpstreams.contains(upstream);
+    }
+
+    private static <K, V> Map<K, V> byName(Collection<V> values, Function<V, K> name) {
+        return values.stream().collect(Collectors.toMap(name, Function.identity()));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/dev/kumquatweir/core/duty/Duty.java
@@ -0,0 +1,107 @@
+package dev.kumquatweir.core.duty;
+
+import java.time.Duration;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One thread that owns the state of one duty. Other threads hand it work through a bounded ring; a
+ * full ring refuses the work instead of blocking the sender.
+ *
+ * <p>Thread-safe. {@link #start} and {@link #stop} may each be called once.
+ */
+public final class Duty {
+    private static final Duration JOIN_LIMIT = Duration.ofSeconds(10);
+
+    private final BlockingQueue<Runnable> mRing;
+    private final long mTickMillis;
+    private final Runnable mTick;
+    private final Thread mThread;
+    private volatile boolean mStopped;
+
+    /**
+     * Makes a duty that is not yet running.
+     *
+     * @param name name of the thread
+     * @param ringCapacity largest number of waiting tasks
+     * @param tickMillis longest time between two calls of {@code tick}, at least 1
+     * @param tick called on the duty's thread between tasks, at least every {@code tickMillis}
+     * @param onFault called on the duty's thread when a task or tick throws; the duty goes on
+     */
+    public Duty(
+            String name,
+            int ringCapacity,
+            long tickMillis,
+            Runnable tick,
+            Thread.UncaughtExceptionHandler onFault) {
+        mRing = new ArrayBlockingQueue<>(ringCapacity);
+        mTickMillis = tickMillis;
+        mTick = tick;
+        mThread = new Thread(() -> runUntilStopped(onFault), name);
+        mThread.setDaemon(true);
+    }
+
+    /** Starts the thread. */
+    public void start() {
+        mThread.start();
+    }
+
+    /** Ends the thread after the task in hand; waiting tasks are dropped. Waits up to 10 s. */
+    public void stop() {
+        mStopped = true;
+        mThread.interrupt();
+        if (Thread.currentThread() == mThread) {
+            return;
+        }
+        try {
+            mThread.join(JOIN_LIMIT);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Hands a task to the duty's thread.
+     *
+     * @param task runs on the duty's thread, in the order of offers
+     * @return false if the ring is full or the duty has stopped; the task will not run then
+     */
+    public boolean offer(Runnable task) {
+        return !mStopped && mRing.offer(task);
+    }
+
+    /** Returns whether the caller is on the duty's thread. */
+    public boolean onThread() {
+        return Thread.currentThread() == mThread;
+    }
+
+    /** Returns the number of waiting tasks. */
+    public int waiting() {
+        return mRing.size();
+    }
+
+    private void runUntilStopped(Thread.UncaughtExceptionHandler onFault) {
+        long tickNanos = TimeUnit.MILLISECONDS.toNanos(mTickMillis);
+        long nextTick = System.nanoTime();
+        while (!mStopped) {
+            try {
+                long waitNanos = nextTick - System.nanoTime();
+                Runnable task =
+                        waitNanos > 0 ? mRing.poll(waitNanos, TimeUnit.NANOSECONDS) : mRing.poll();
+                if (task != null) {
+                    task.run();
+                }
+                if (System.nanoTime() - nextTick >= 0) {
+                    nextTick = System.nanoTime() + tickNanos;
+                    mTick.run();
+                }
+            } catch (InterruptedException exception) {
+                // Only stop() interrupts this thread; the loop condition ends it.
+                continue;
+            } catch (RuntimeException | Error fault) {
+                onFault.uncaughtException(mThread, fault);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package dev.kumquatweir.gateway;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package dev.kumquatweir.policy;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package dev.kumquatweir.program;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/settings/src/main/java/dev/kumquatweir/settings/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package dev.kumquatweir.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standin/src/main/java/dev/kumquatweir/standin/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package dev.kumquatweir.standin;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/storage/src/main/java/dev/kumquatweir/storage/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package dev.kumquatweir.storage;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/transport/src/main/java/dev/kumquatweir/transport/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package dev.kumquatweir.transport;
+
+import org.jspecify.annotations.NullMarked;
