Define the ports between policy, gateway and agreed state

Cause: five parts are about to be written side by side and need one contract each. Before: core types only.

--- /dev/null
+++ b/core/src/main/java/dev/kumquatweir/core/bytes/Bytes.java
@@ -0,0 +1,56 @@
+package dev.kumquatweir.core.bytes;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** An immutable sequence of bytes with value equality. Thread-safe. */
+public final class Bytes {
+    /** No bytes. */
+    public static final Bytes EMPTY = new Bytes(new byte[0]);
+
+    private final byte[] mContent;
+
+    private Bytes(byte[] content) {
+        mContent = content;
+    }
+
+    /** Copies an array. */
+    public static Bytes copyOf(byte[] content) {
+        return new Bytes(content.clone());
+    }
+
+    /** Encodes a text as UTF-8. */
+    public static Bytes ofText(String text) {
+        return new Bytes(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns the number of bytes. */
+    public int size() {
+        return mContent.length;
+    }
+
+    /** Returns a copy as an array. */
+    public byte[] toArray() {
+        return mContent.clone();
+    }
+
+    /** Decodes the bytes as UTF-8. */
+    public String toText() {
+        return new String(mContent, StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Bytes that && Arrays.equals(mContent, that.mContent);
+    }
+
+    @Override
+    public int hashCode() {
+        return Arrays.hashCode(mContent);
+    }
+
+    @Override
+    public String toString() {
+        return mContent.length + " bytes";
+    }
+}
--- a/core/src/main/java/dev/kumquatweir/core/duty/Duty.java
+++ b/core/src/main/java/dev/kumquatweir/core/duty/Duty.java
@@ -98,7 +98,6 @@
                 }
             } catch (InterruptedException exception) {
                 // Only stop() interrupts this thread; the loop condition ends it.
-                continue;
             } catch (RuntimeException | Error fault) {
                 onFault.uncaughtException(mThread, fault);
             }
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/WorkRequest.java
@@ -0,0 +1,42 @@
+package dev.kumquatweir.policy.dispatch;
+
+import dev.kumquatweir.core.configuration.Profile;
+import dev.kumquatweir.core.identity.ModelName;
+import dev.kumquatweir.core.identity.RequestId;
+import dev.kumquatweir.core.identity.TeamName;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A request as the policy sees it. Immutable.
+ *
+ * @param id the request
+ * @param team team of the caller
+ * @param profile how it is to be served
+ * @param model model to run, null for a plain service
+ * @param promptTokens estimated length of the prompt, 0 for a plain service
+ * @param maximumOutputTokens longest answer
+ * @param prefixHashes chained hashes of the prompt's blocks of 256 tokens, first block first
+ * @param contentHash hash of the content, the same for each repeat of the request
+ * @param repeatable false if it may be executed at most once
+ * @param arrivedNanos when the request arrived
+ * @param deadlineNanos when it must have ended
+ */
+public record WorkRequest(
+        RequestId id,
+        TeamName team,
+        Profile profile,
+        @Nullable ModelName model,
+        long promptTokens,
+        long maximumOutputTokens,
+        List<Long> prefixHashes,
+        String contentHash,
+        boolean repeatable,
+        long arrivedNanos,
+        long deadlineNanos) {
+
+    /** Copies the list, so that the record is immutable. */
+    public WorkRequest {
+        prefixHashes = List.copyOf(prefixHashes);
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/registry/UpstreamRegistry.java
@@ -0,0 +1,97 @@
+package dev.kumquatweir.policy.registry;
+
+import dev.kumquatweir.core.identity.ServiceName;
+import dev.kumquatweir.core.identity.UpstreamId;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The upstreams that have announced themselves and are still heard of. Not thread-safe: owned by
+ * the dispatch duty.
+ */
+public final class UpstreamRegistry {
+    /** Silence after which an upstream gets no new work. */
+    public static final long SUSPECT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** Silence after which an upstream is forgotten. */
+    public static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private final Map<UpstreamId, UpstreamState> mUpstreams = new HashMap<>();
+
+    /**
+     * Takes an announcement. One with an older incarnation than the known one is ignored.
+     *
+     * @return true if it is a new upstream or a new incarnation of a known one
+     */
+    public boolean announce(Announcement announcement, long nowNanos) {
+        UpstreamState known = mUpstreams.get(announcement.id());
+        if (known == null || known.announcement().incarnation() < announcement.incarnation()) {
+            UpstreamState fresh = new UpstreamState(announcement, null, nowNanos, nowNanos);
+            mUpstreams.put(announcement.id(), fresh);
+            return true;
+        }
+        if (known.announcement().incarnation() == announcement.incarnation()) {
+            UpstreamState repeated =
+                    new UpstreamState(announcement, known.load(), nowNanos, known.loadNanos());
+            mUpstreams.put(announcement.id(), repeated);
+        }
+        return false;
+    }
+
+    /**
+     * Takes a load report. Reports that arrive out of order are ignored.
+     *
+     * @return false if the upstream or this incarnation is unknown and has to announce itself
+     */
+    public boolean report(LoadReport load, long nowNanos) {
+        UpstreamState known = mUpstreams.get(load.id());
+        if (known == null || known.announcement().incarnation() != load.incarnation()) {
+            return known != null && known.announcement().incarnation() > load.incarnation();
+        }
+        LoadReport last = known.load();
+        if (last == null || last.sequence() < load.sequence()) {
+            mUpstreams.put(
+                    load.id(), new UpstreamState(known.announcement(), load, nowNanos, nowNanos));
+        }
+        return true;
+    }
+
+    /** Removes an upstream that leaves, unless a newer incarnation is known. */
+    public void leave(UpstreamId id, long incarnation) {
+        mUpstreams.computeIfPresent(
+                id,
+                (key, state) -> state.announcement().incarnation() <= incarnation ? null : state);
+    }
+
+    /** Forgets the upstreams that have been silent for too long and returns them. */
+    public List<UpstreamState> expire(long nowNanos) {
+        List<UpstreamState> silent =
+                mUpstreams.values().stream()
+                        .filter(state -> nowNanos - state.heardNanos() >= FORGET_NANOS)
+                        .toList();
+        silent.forEach(state -> mUpstreams.remove(state.announcement().id()));
+        return silent;
+    }
+
+    /** Returns an upstream, if it is known. */
+    public Optional<UpstreamState> find(UpstreamId id) {
+        return Optional.ofNullable(mUpstreams.get(id));
+    }
+
+    /** Returns all known upstreams, suspected ones included. The view changes with the registry. */
+    public Collection<UpstreamState> all() {
+        return mUpstreams.values();
+    }
+
+    /** Returns the upstreams of a service that were heard of recently. */
+    public List<UpstreamState> live(ServiceName service, long nowNanos) {
+        return mUpstreams.values().stream()
+                .filter(state -> state.announcement().service().equals(service))
+                .filter(state -> nowNanos - state.heardNanos() < SUSPECT_NANOS)
+                .toList();
+    }
+}
