Add the HTTP adapters for callers and upstreams

Cause: callers and upstreams need their interfaces before anything can be measured end to end. Ruled out: the library's automatic retries (whether work is sent twice is the policy's decision alone) and pooled connections for calls that may not be repeated (an idle one just closed by the upstream leaves the outcome unknown). Before: no HTTP.

--- a/core/src/main/java/dev/kumquatweir/core/configuration/Profile.java
+++ b/core/src/main/java/dev/kumquatweir/core/configuration/Profile.java
@@ -38,6 +38,22 @@
         models = Set.copyOf(models);
     }
 
+    /** Returns a copy whose work runs on the upstreams of another service. */
+    public Profile withService(ServiceName other) {
+        return new Profile(
+                name,
+                other,
+                requestClass,
+                timeLimitMillis,
+                priority,
+                models,
+                oversize,
+                repeatable,
+                callerLoss,
+                teamShare,
+                objective);
+    }
+
     /**
      * Starts a profile with the defaults of its class: short 30 s at priority 6, long 30 min at
      * priority 3, action 60 s at priority 8 and not repeatable.
--- a/core/src/main/java/dev/kumquatweir/core/failure/RequestFailure.java
+++ b/core/src/main/java/dev/kumquatweir/core/failure/RequestFailure.java
@@ -147,6 +147,28 @@
         }
     }
 
+    /**
+     * The request with this key was executed, but its answer was too large to keep.
+     *
+     * @param key the key in question
+     */
+    record AnswerNotKept(IdempotencyKey key) implements RequestFailure {
+        @Override
+        public String code() {
+            return "answer_not_kept";
+        }
+
+        @Override
+        public String message() {
+            return "the request with Idempotency-Key '" + key + "' ran; its answer was not kept";
+        }
+
+        @Override
+        public Ran ran() {
+            return Ran.YES;
+        }
+    }
+
     /**
      * The queue is too long for the request to end in its time.
      *
@@ -344,4 +366,27 @@
             return Ran.UNKNOWN;
         }
     }
+
+    /**
+     * A request with an idempotency key was refused before its claim was decided. It was not sent,
+     * but an earlier request with the same key may have been executed.
+     *
+     * @param cause why it was refused
+     */
+    record Unclaimed(RequestFailure cause) implements RequestFailure {
+        @Override
+        public String code() {
+            return cause.code();
+        }
+
+        @Override
+        public String message() {
+            return cause.message();
+        }
+
+        @Override
+        public Ran ran() {
+            return Ran.UNKNOWN;
+        }
+    }
 }
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/CallerServer.java
@@ -0,0 +1,323 @@
+package dev.kumquatweir.gateway.caller;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.configuration.ConfigurationDocument;
+import dev.kumquatweir.core.configuration.ServiceRoute;
+import dev.kumquatweir.core.configuration.Team;
+import dev.kumquatweir.core.control.ConfigurationPort;
+import dev.kumquatweir.core.control.RecordedAnswer;
+import dev.kumquatweir.core.failure.FailureException;
+import dev.kumquatweir.core.failure.RequestFailure;
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.identity.InvalidIdentifierException;
+import dev.kumquatweir.core.identity.RequestId;
+import dev.kumquatweir.core.identity.ServiceName;
+import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.gateway.dispatch.DispatchDuty;
+import dev.kumquatweir.gateway.dispatch.GenerationSummary;
+import dev.kumquatweir.gateway.dispatch.Work;
+import dev.kumquatweir.gateway.http.BodyCollector;
+import dev.kumquatweir.gateway.http.HttpAnswers;
+import dev.kumquatweir.gateway.http.JsonBodies;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import io.servicetalk.http.api.StreamingHttpService;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/** Serves callers: completions, plain services, models, health and metrics. Thread-safe. */
+public final class CallerServer implements StreamingHttpService {
+    private static final String SERVICES = "/services/";
+
+    private final ConfigurationPort mConfiguration;
+    private final Submitter mSubmitter;
+    private final DispatchDuty mDispatch;
+    private final SubmissionFactory mSubmissions;
+    private final CallerHealth mHealth;
+    private final Clocks mClocks;
+    private final long mLargestBodyBytes;
+    private final StreamKeeper mKeeper;
+
+    /**
+     * Makes a server that does not yet keep answers alive.
+     *
+     * @param instance this instance
+     * @param incarnation grows with each start of the instance, so that request ids never repeat
+     * @param ports what the server builds on
+     * @param clocks clocks of the process
+     * @param largestBodyBytes largest body that is taken
+     */
+    public CallerServer(
+            InstanceId instance,
+            long incarnation,
+            CallerPorts ports,
+            Clocks clocks,
+            long largestBodyBytes) {
+        mConfiguration = ports.configuration();
+        mDispatch = ports.dispatch();
+        mHealth = ports.health();
+        mClocks = clocks;
+        mLargestBodyBytes = largestBodyBytes;
+        mSubmitter = new Submitter(mDispatch, ports.claims(), clocks);
+        mSubmissions = new SubmissionFactory(instance, incarnation);
+        mKeeper = new StreamKeeper(clocks);
+    }
+
+    /** Starts keeping quiet answers alive. */
+    public void start() {
+        mKeeper.start();
+    }
+
+    /** Stops keeping quiet answers alive. */
+    public void stop() {
+        mKeeper.stop();
+    }
+
+    /** Returns the number of ended requests whose outcome is not yet recorded. */
+    public int pendingRecords() {
+        return mSubmitter.pendingRecords();
+    }
+
+    @Override
+    public Single<StreamingHttpResponse> handle(
+            HttpServiceContext context,
+            StreamingHttpRequest request,
+            StreamingHttpResponseFactory responses) {
+        HttpAnswers answers = new HttpAnswers(context, responses);
+        String path = request.path();
+        return switch (path) {
+            case "/health/live" -> answers.json(200, JsonBodies.object().put("live", true));
+            case "/health/ready" -> ready(answers);
+            case "/metrics" -> answers.text(200, "text/plain; version=0.0.4", mHealth.metrics());
+            default -> authenticated(request, answers);
+        };
+    }
+
+    private Single<StreamingHttpResponse> ready(HttpAnswers answers) {
+        boolean ready = mHealth.ready(mClocks.nowNanos());
+        return answers.json(ready ? 200 : 503, JsonBodies.object().put("ready", ready));
+    }
+
+    private Single<StreamingHttpResponse> authenticated(
+            StreamingHttpRequest request, HttpAnswers answers) {
+        RequestId id = mSubmissions.nextId();
+        return CallerHeaders.of(request.headers())
+                .flatMap(headers -> call(id, request, headers, answers))
+                .fold(failure -> answers.failure(failure, id.value()), call -> route(call))
+                .onErrorResume(
+                        FailureException.class,
+                        exception ->
+                                exception.failure() instanceof RequestFailure failure
+                                        ? answers.failure(failure, id.value())
+                                        : Single.failed(exception));
+    }
+
+    private Either<RequestFailure, Call> call(
+            RequestId id,
+            StreamingHttpRequest request,
+            CallerHeaders headers,
+            HttpAnswers answers) {
+        ConfigurationDocument document = mConfiguration.current().document();
+        return document.teamOfKey(headers.apiKey())
+                .<Either<RequestFailure, Call>>map(
+                        team ->
+                                Either.right(
+                                        new Call(id, request, headers, team, document, answers)))
+                .orElseGet(() -> Either.left(new RequestFailure.NotAuthenticated()));
+    }
+
+    private Single<StreamingHttpResponse> route(Call call) {
+        String path = call.request().path();
+        if (path.startsWith(SERVICES)) {
+            return whole(call, body -> callService(call, body));
+        }
+        return switch (path) {
+            case "/v1/models" -> call.answers().json(200, models(call.document()));
+            case "/v1/chat/completions" ->
+                    whole(call, body -> complete(call, CompletionFormat.CHAT, body));
+            case "/v1/completions" ->
+                    whole(call, body -> complete(call, CompletionFormat.TEXT, body));
+            default -> call.failure(new RequestFailure.UnknownName("path", path));
+        };
+    }
+
+    private Single<StreamingHttpResponse> whole(
+            Call call, Function<Bytes, Single<StreamingHttpResponse>> next) {
+        if (mHealth.draining()) {
+            return call.failure(beforeClaim(call, new RequestFailure.Draining()));
+        }
+        return BodyCollector.collect(call.request().payloadBody(), mLargestBodyBytes).flatMap(next);
+    }
+
+    private Single<StreamingHttpResponse> complete(Call call, CompletionFormat format, Bytes body) {
+        Either<RequestFailure, CompletionRequest> request =
+                JsonBodies.parse(body).flatMap(node -> CompletionParser.parse(format, node));
+        if (request.isLeft()) {
+            return call.failure(request.getLeft());
+        }
+        CompletionRequest completion = request.get();
+        return mSubmissions
+                .completion(
+                        call.id(),
+                        call.document(),
+                        call.team(),
+                        call.headers(),
+                        completion,
+                        mClocks.nowNanos())
+                .fold(call::failure, submission -> generate(call, completion, submission));
+    }
+
+    private Single<StreamingHttpResponse> generate(
+            Call call, CompletionRequest completion, Submission submission) {
+        CompletableFuture<StreamingHttpResponse> response = new CompletableFuture<>();
+        long createdSeconds = TimeUnit.MILLISECONDS.toSeconds(mClocks.nowMillis());
+        Runnable onCallerGone = () -> callerGone(submission);
+        GenerationExchange exchange =
+                new GenerationExchange(
+                        call.id(),
+                        completion,
+                        call.answers(),
+                        response,
+                        onCallerGone,
+                        mClocks,
+                        createdSeconds);
+        mKeeper.add(exchange);
+        mSubmitter.submit(
+                submission,
+                exchange,
+                (summary, text) -> recorded(call, completion, createdSeconds, summary, text),
+                answer -> response.complete(repeated(call, submission, answer)));
+        return Single.fromStage(response).whenCancel(onCallerGone);
+    }
+
+    private Single<StreamingHttpResponse> callService(Call call, Bytes body) {
+        String rest = call.request().requestTarget().substring(SERVICES.length());
+        int slash = rest.indexOf('/');
+        String name = slash < 0 ? rest : rest.substring(0, slash);
+        String path = slash < 0 ? "/" : rest.substring(slash);
+        Optional<ServiceRoute> route = service(call.document(), name);
+        if (route.isEmpty()) {
+            return call.failure(new RequestFailure.UnknownName("service", name));
+        }
+        Work.ServiceCall work =
+                new Work.ServiceCall(
+                        call.request().method().name(),
+                        path,
+                        ForwardedHeaders.of(call.request().headers()),
+                        body);
+        return mSubmissions
+                .call(
+                        call.id(),
+                        call.document(),
+                        call.team(),
+                        call.headers(),
+                        route.get(),
+                        work,
+                        mClocks.nowNanos())
+                .fold(call::failure, submission -> forward(call, submission));
+    }
+
+    private Single<StreamingHttpResponse> forward(Call call, Submission submission) {
+        CompletableFuture<StreamingHttpResponse> response = new CompletableFuture<>();
+        mSubmitter.submit(
+                submission,
+                new ServiceExchange(call.id(), call.answers(), response),
+                (summary, text) -> {
+                    throw new IllegalStateException("a plain service generated text");
+                },
+                answer -> response.complete(repeated(call, submission, answer)));
+        return Single.fromStage(response).whenCancel(() -> callerGone(submission));
+    }
+
+    /** Work that may not be repeated goes on without its caller: its outcome has to be recorded. */
+    private void callerGone(Submission submission) {
+        boolean cancel =
+                switch (submission.request().profile().callerLoss()) {
+                    case CANCEL -> submission.claim().isEmpty();
+                    case FINISH -> false;
+                };
+        if (cancel) {
+            mDispatch.callerGone(submission.request().id());
+        }
+    }
+
+    private static RecordedAnswer recorded(
+            Call call,
+            CompletionRequest completion,
+            long createdSeconds,
+            GenerationSummary summary,
+            String text) {
+        ObjectNode whole =
+                completion
+                        .format()
+                        .whole(
+                                call.id(),
+                                completion.generation().model(),
+                                createdSeconds,
+                                text,
+                                summary);
+        return new RecordedAnswer(200, "application/json", Bytes.ofText(whole.toString()), true);
+    }
+
+    private static StreamingHttpResponse repeated(
+            Call call, Submission submission, RecordedAnswer answer) {
+        if (!answer.complete()) {
+            RequestFailure failure =
+                    new RequestFailure.AnswerNotKept(submission.claim().orElseThrow().key());
+            return call.answers().failed(failure, call.id().value());
+        }
+        return call.answers().recorded(answer).setHeader("idempotent-replayed", "true");
+    }
+
+    private static RequestFailure beforeClaim(Call call, RequestFailure failure) {
+        return call.headers().idempotencyKey().isPresent()
+                ? new RequestFailure.Unclaimed(failure)
+                : failure;
+    }
+
+    private static Optional<ServiceRoute> service(ConfigurationDocument document, String name) {
+        try {
+            return Optional.ofNullable(document.services().get(new ServiceName(name)));
+        } catch (InvalidIdentifierException exception) {
+            return Optional.empty();
+        }
+    }
+
+    private static ObjectNode models(ConfigurationDocument document) {
+        ObjectNode root = JsonBodies.object().put("object", "list");
+        ArrayNode data = root.putArray("data");
+        document.profiles().values().stream()
+                .flatMap(profile -> profile.models().stream())
+                .distinct()
+                .sorted()
+                .forEach(
+                        model ->
+                                data.addObject()
+                                        .put("id", model.value())
+                                        .put("object", "model")
+                                        .put("created", 0)
+                                        .put("owned_by", "kumquatweir"));
+        return root;
+    }
+
+    /** One authenticated request of a caller. */
+    private record Call(
+            RequestId id,
+            StreamingHttpRequest request,
+            CallerHeaders headers,
+            Team team,
+            ConfigurationDocument document,
+            HttpAnswers answers) {
+        Single<StreamingHttpResponse> failure(RequestFailure failure) {
+            return answers.failure(failure, id.value());
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/ClaimedExchange.java
@@ -0,0 +1,84 @@
+package dev.kumquatweir.gateway.caller;
+
+import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.control.ClaimOutcome;
+import dev.kumquatweir.core.control.ClaimPort;
+import dev.kumquatweir.core.control.ClaimRequest;
+import dev.kumquatweir.core.control.RecordedAnswer;
+import dev.kumquatweir.core.failure.Ran;
+import dev.kumquatweir.core.failure.RequestFailure;
+import dev.kumquatweir.gateway.dispatch.Exchange;
+import dev.kumquatweir.gateway.dispatch.GenerationSummary;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+
+/**
+ * Records how a claimed request ended, then passes the end on. A failure that says "not run" waits
+ * for its record, so that the claim is free before the caller tries again; a whole answer does not
+ * wait.
+ */
+final class ClaimedExchange implements Exchange {
+    private final Exchange mExchange;
+    private final ClaimPort mClaims;
+    private final ClaimRequest mClaim;
+    private final BiFunction<GenerationSummary, String, RecordedAnswer> mRecorder;
+    private final Consumer<CompletionStage<Boolean>> mPending;
+
+    /**
+     * @param recorder makes the recorded form of a generated answer
+     * @param pending told of each record being made, so that a planned stop can wait for it
+     */
+    ClaimedExchange(
+            Exchange exchange,
+            ClaimPort claims,
+            ClaimRequest claim,
+            BiFunction<GenerationSummary, String, RecordedAnswer> recorder,
+            Consumer<CompletionStage<Boolean>> pending) {
+        mExchange = exchange;
+        mClaims = claims;
+        mClaim = claim;
+        mRecorder = recorder;
+        mPending = pending;
+    }
+
+    @Override
+    public void token(String text) {
+        mExchange.token(text);
+    }
+
+    @Override
+    public void finished(GenerationSummary summary, String text) {
+        record(new ClaimOutcome.Finished(bounded(mRecorder.apply(summary, text))));
+        mExchange.finished(summary, text);
+    }
+
+    @Override
+    public void answered(RecordedAnswer answer) {
+        record(new ClaimOutcome.Finished(bounded(answer)));
+        mExchange.answered(answer);
+    }
+
+    @Override
+    public void failed(RequestFailure failure) {
+        if (failure.ran() == Ran.NO) {
+            record(new ClaimOutcome.NotRun())
+                    .whenComplete((agreed, problem) -> mExchange.failed(failure));
+        } else {
+            record(new ClaimOutcome.Unknown());
+            mExchange.failed(failure);
+        }
+    }
+
+    private CompletionStage<Boolean> record(ClaimOutcome outcome) {
+        CompletionStage<Boolean> recorded = mClaims.recordOutcome(mClaim, outcome);
+        mPending.accept(recorded);
+        return recorded;
+    }
+
+    private static RecordedAnswer bounded(RecordedAnswer answer) {
+        return answer.body().size() <= RecordedAnswer.LARGEST_BODY_BYTES
+                ? answer
+                : new RecordedAnswer(answer.status(), answer.contentType(), Bytes.EMPTY, false);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/CompletionFormat.java
@@ -0,0 +1,96 @@
+package dev.kumquatweir.gateway.caller;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.kumquatweir.core.identity.ModelName;
+import dev.kumquatweir.core.identity.RequestId;
+import dev.kumquatweir.gateway.dispatch.GenerationSummary;
+import dev.kumquatweir.gateway.http.JsonBodies;
+import org.jspecify.annotations.Nullable;
+
+/** The two OpenAI-compatible interfaces and how their answers look. */
+enum CompletionFormat {
+    /** {@code /v1/chat/completions}. */
+    CHAT("chat.completion", "chat.completion.chunk", "chatcmpl-"),
+    /** {@code /v1/completions}. */
+    TEXT("text_completion", "text_completion", "cmpl-");
+
+    private final String mWholeObject;
+    private final String mChunkObject;
+    private final String mIdPrefix;
+
+    CompletionFormat(String wholeObject, String chunkObject, String idPrefix) {
+        mWholeObject = wholeObject;
+        mChunkObject = chunkObject;
+        mIdPrefix = idPrefix;
+    }
+
+    /** Returns a whole answer. */
+    ObjectNode whole(
+            RequestId id,
+            ModelName model,
+            long createdSeconds,
+            String text,
+            GenerationSummary summary) {
+        ObjectNode root = head(id, model, createdSeconds, mWholeObject);
+        ObjectNode choice = root.putArray("choices").addObject().put("index", 0);
+        if (this == CHAT) {
+            choice.putObject("message").put("role", "assistant").put("content", text);
+        } else {
+            choice.put("text", text);
+        }
+        choice.putNull("logprobs").put("finish_reason", summary.finishReason());
+        writeUsage(root, summary);
+        return root;
+    }
+
+    /**
+     * Returns one part of a streamed answer.
+     *
+     * @param text the next tokens, empty for the first and last part
+     * @param finishReason why the answer ended, null before its end
+     */
+    ObjectNode chunk(
+            RequestId id,
+            ModelName model,
+            long createdSeconds,
+            String text,
+            @Nullable String finishReason) {
+        ObjectNode root = head(id, model, createdSeconds, mChunkObject);
+        ObjectNode choice = root.putArray("choices").addObject().put("index", 0);
+        if (this == CHAT) {
+            ObjectNode delta = choice.putObject("delta");
+            if (finishReason == null) {
+                delta.put("role", "assistant").put("content", text);
+            }
+        } else {
+            choice.put("text", text);
+        }
+        choice.putNull("logprobs").put("finish_reason", finishReason);
+        return root;
+    }
+
+    /** Returns the part of a stream that carries the numbers of tokens. */
+    ObjectNode usageChunk(
+            RequestId id, ModelName model, long createdSeconds, GenerationSummary summary) {
+        ObjectNode root = head(id, model, createdSeconds, mChunkObject);
+        root.putArray("choices");
+        writeUsage(root, summary);
+        return root;
+    }
+
+    private ObjectNode head(RequestId id, ModelName model, long createdSeconds, String object) {
+        return JsonBodies.object()
+                .put("id", mIdPrefix + id)
+                .put("object", object)
+                .put("created", createdSeconds)
+                .put("model", model.value());
+    }
+
+    private static void writeUsage(ObjectNode root, GenerationSummary summary) {
+        ObjectNode usage = root.putObject("usage");
+        usage.put("prompt_tokens", summary.promptTokens());
+        usage.put("completion_tokens", summary.completionTokens());
+        usage.put("total_tokens", summary.promptTokens() + summary.completionTokens());
+        usage.putObject("prompt_tokens_details").put("cached_tokens", summary.cachedTokens());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/CompletionParser.java
@@ -0,0 +1,150 @@
+package dev.kumquatweir.gateway.caller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.kumquatweir.core.failure.RequestFailure;
+import dev.kumquatweir.core.identity.InvalidIdentifierException;
+import dev.kumquatweir.core.identity.ModelName;
+import dev.kumquatweir.gateway.dispatch.Work;
+import dev.kumquatweir.gateway.http.JsonBodies;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.StreamSupport;
+
+/** Reads completion requests. Thread-safe: holds no state. */
+final class CompletionParser {
+    private static final long DEFAULT_MAXIMUM_TOKENS = 1_024;
+    private static final long LARGEST_MAXIMUM_TOKENS = 131_072;
+    private static final List<String> PARAMETERS =
+            List.of(
+                    "temperature",
+                    "top_p",
+                    "stop",
+                    "seed",
+                    "presence_penalty",
+                    "frequency_penalty");
+
+    private CompletionParser() {}
+
+    static Either<RequestFailure, CompletionRequest> parse(
+            CompletionFormat format, ObjectNode body) {
+        if (body.path("n").asInt(1) != 1) {
+            return malformed("n", "only 1 is served");
+        }
+        return model(body)
+                .flatMap(
+                        model ->
+                                prompt(format, body)
+                                        .flatMap(
+                                                prompt ->
+                                                        maximumTokens(body)
+                                                                .map(
+                                                                        tokens ->
+                                                                                request(
+                                                                                        format,
+                                                                                        body, model,
+                                                                                        prompt,
+                                                                                        tokens))));
+    }
+
+    private static CompletionRequest request(
+            CompletionFormat format,
+            ObjectNode body,
+            ModelName model,
+            String prompt,
+            long maximumTokens) {
+        ObjectNode parameters = JsonBodies.object();
+        PARAMETERS.stream()
+                .filter(body::hasNonNull)
+                .forEach(name -> parameters.set(name, body.get(name)));
+        return new CompletionRequest(
+                format,
+                new Work.Generation(model, prompt, maximumTokens, parameters),
+                body.path("stream").asBoolean(false),
+                body.path("stream_options").path("include_usage").asBoolean(false));
+    }
+
+    private static Either<RequestFailure, ModelName> model(ObjectNode body) {
+        JsonNode model = body.path("model");
+        if (!model.isTextual()) {
+            return malformed("model", "a text is needed");
+        }
+        try {
+            return Either.right(new ModelName(model.textValue()));
+        } catch (InvalidIdentifierException exception) {
+            return malformed("model", String.valueOf(exception.getMessage()));
+        }
+    }
+
+    private static Either<RequestFailure, Long> maximumTokens(ObjectNode body) {
+        JsonNode value =
+                body.hasNonNull("max_completion_tokens")
+                        ? body.path("max_completion_tokens")
+                        : body.path("max_tokens");
+        if (value.isMissingNode() || value.isNull()) {
+            return Either.right(DEFAULT_MAXIMUM_TOKENS);
+        }
+        boolean allowed =
+                value.canConvertToExactIntegral()
+                        && value.longValue() >= 1
+                        && value.longValue() <= LARGEST_MAXIMUM_TOKENS;
+        return allowed
+                ? Either.right(value.longValue())
+                : malformed(
+                        "max_tokens",
+                        "a whole number from 1 to " + LARGEST_MAXIMUM_TOKENS + " is allowed");
+    }
+
+    private static Either<RequestFailure, String> prompt(CompletionFormat format, ObjectNode body) {
+        Either<RequestFailure, String> prompt =
+                switch (format) {
+                    case CHAT -> chatPrompt(body.path("messages"));
+                    case TEXT -> textPrompt(body.path("prompt"));
+                };
+        return prompt.filterOrElse(
+                text -> !text.isEmpty(),
+                text -> new RequestFailure.Malformed("prompt", "must not be empty"));
+    }
+
+    private static Either<RequestFailure, String> textPrompt(JsonNode prompt) {
+        if (prompt.isTextual()) {
+            return Either.right(prompt.textValue());
+        }
+        if (prompt instanceof ArrayNode list && list.size() == 1 && list.get(0).isTextual()) {
+            return Either.right(list.get(0).textValue());
+        }
+        return malformed("prompt", "one text is needed");
+    }
+
+    private static Either<RequestFailure, String> chatPrompt(JsonNode messages) {
+        if (!(messages instanceof ArrayNode list) || list.isEmpty()) {
+            return malformed("messages", "a list of at least one message is needed");
+        }
+        StringBuilder prompt = new StringBuilder();
+        for (int position = 0; position < list.size(); position++) {
+            JsonNode message = list.get(position);
+            JsonNode content = message.path("content");
+            if (!message.path("role").isTextual()
+                    || !(content.isTextual() || content instanceof ArrayNode)) {
+                return malformed("messages[" + position + "]", "role and content are needed");
+            }
+            prompt.append(message.path("role").textValue()).append(": ");
+            prompt.append(contentText(content)).append('\n');
+        }
+        return Either.right(prompt.toString());
+    }
+
+    private static String contentText(JsonNode content) {
+        return content.isTextual()
+                ? content.textValue()
+                : StreamSupport.stream(content.spliterator(), false)
+                        .map(part -> part.path("text").asText(""))
+                        .collect(Collectors.joining());
+    }
+
+    private static <T> Either<RequestFailure, T> malformed(String place, String problem) {
+        return Either.left(new RequestFailure.Malformed(place, problem));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/ForwardedHeaders.java
@@ -0,0 +1,41 @@
+package dev.kumquatweir.gateway.caller;
+
+import dev.kumquatweir.gateway.dispatch.Work;
+import io.servicetalk.http.api.HttpHeaders;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.stream.StreamSupport;
+
+/** Chooses the headers that are passed on to a plain service. Holds no state. */
+final class ForwardedHeaders {
+    /** Headers of the connection, of the body's length, and those meant for this system. */
+    private static final Set<String> KEPT_BACK =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "content-length",
+                    "expect",
+                    "authorization",
+                    CallerHeaders.PROFILE,
+                    CallerHeaders.TIMEOUT);
+
+    private ForwardedHeaders() {}
+
+    static List<Work.Header> of(HttpHeaders headers) {
+        return StreamSupport.stream(headers.spliterator(), false)
+                .map(
+                        header ->
+                                new Work.Header(
+                                        header.getKey().toString().toLowerCase(Locale.ROOT),
+                                        header.getValue().toString()))
+                .filter(header -> !KEPT_BACK.contains(header.name()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/StreamKeeper.java
@@ -0,0 +1,51 @@
+package dev.kumquatweir.gateway.caller;
+
+import dev.kumquatweir.core.duty.Duty;
+import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.core.time.Clocks;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Keeps quiet answers alive: during a long prefill nothing would be written for minutes, and boxes
+ * on the way drop connections that look idle. Thread-safe.
+ */
+final class StreamKeeper {
+    private static final EventLog LOG = EventLog.of(StreamKeeper.class);
+    private static final long TICK_MILLIS = 500;
+    private static final long OPEN_AFTER_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long QUIET_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private final Set<QuietStream> mStreams = ConcurrentHashMap.newKeySet();
+    private final Clocks mClocks;
+    private final Duty mDuty;
+
+    StreamKeeper(Clocks clocks) {
+        mClocks = clocks;
+        mDuty =
+                new Duty(
+                        "keep-alive",
+                        1,
+                        TICK_MILLIS,
+                        this::tick,
+                        (thread, fault) -> LOG.fault("keep_alive_fault", fault));
+    }
+
+    void start() {
+        mDuty.start();
+    }
+
+    void stop() {
+        mDuty.stop();
+    }
+
+    void add(QuietStream stream) {
+        mStreams.add(stream);
+    }
+
+    private void tick() {
+        long nowNanos = mClocks.nowNanos();
+        mStreams.removeIf(stream -> !stream.keepAlive(OPEN_AFTER_NANOS, QUIET_NANOS, nowNanos));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/SubmissionFactory.java
@@ -0,0 +1,198 @@
+package dev.kumquatweir.gateway.caller;
+
+import dev.kumquatweir.core.configuration.ConfigurationDocument;
+import dev.kumquatweir.core.configuration.Profile;
+import dev.kumquatweir.core.configuration.ServiceRoute;
+import dev.kumquatweir.core.configuration.Team;
+import dev.kumquatweir.core.control.ClaimRequest;
+import dev.kumquatweir.core.failure.RequestFailure;
+import dev.kumquatweir.core.identity.IdempotencyKey;
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.identity.ModelName;
+import dev.kumquatweir.core.identity.ProfileName;
+import dev.kumquatweir.core.identity.RequestId;
+import dev.kumquatweir.gateway.dispatch.Work;
+import dev.kumquatweir.policy.dispatch.WorkRequest;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+
+/** Makes submissions from what callers send. Thread-safe. */
+final class SubmissionFactory {
+    private final String mIdPrefix;
+    private final AtomicLong mRequests = new AtomicLong();
+
+    /**
+     * @param instance this instance
+     * @param incarnation grows with each start of the instance, so that request ids never repeat
+     */
+    SubmissionFactory(InstanceId instance, long incarnation) {
+        mIdPrefix = instance + ":" + incarnation + ":";
+    }
+
+    RequestId nextId() {
+        return new RequestId(mIdPrefix + mRequests.incrementAndGet());
+    }
+
+    /** Makes a submission of a completion. */
+    Either<RequestFailure, Submission> completion(
+            RequestId id,
+            ConfigurationDocument document,
+            Team team,
+            CallerHeaders headers,
+            CompletionRequest completion,
+            long nowNanos) {
+        Work.Generation work = completion.generation();
+        return profile(document, team, headers, work.model())
+                .flatMap(
+                        profile ->
+                                submission(
+                                        id,
+                                        team,
+                                        profile,
+                                        headers,
+                                        work,
+                                        work.model(),
+                                        profile.repeatable(),
+                                        completion.content(),
+                                        nowNanos));
+    }
+
+    /** Makes a submission of a call of a plain service. */
+    Either<RequestFailure, Submission> call(
+            RequestId id,
+            ConfigurationDocument document,
+            Team team,
+            CallerHeaders headers,
+            ServiceRoute route,
+            Work.ServiceCall work,
+            long nowNanos) {
+        boolean repeatable = route.repeatable(work.method(), work.path());
+        String content =
+                route.name() + " " + work.method() + " " + work.path() + "\n" + digest(work);
+        ProfileName name = headers.profile().orElse(route.profile());
+        return named(document, name)
+                .flatMap(
+                        profile ->
+                                submission(
+                                        id,
+                                        team,
+                                        profile.withService(route.name()),
+                                        headers,
+                                        work,
+                                        null,
+                                        repeatable,
+                                        content,
+                                        nowNanos));
+    }
+
+    private Either<RequestFailure, Submission> submission(
+            RequestId id,
+            Team team,
+            Profile profile,
+            CallerHeaders headers,
+            Work work,
+            @Nullable ModelName model,
+            boolean repeatable,
+            String content,
+            long nowNanos) {
+        long limitMillis = Math.min(profile.timeLimitMillis(), headers.timeoutMillis());
+        String contentHash = sha256(content.getBytes(StandardCharsets.UTF_8));
+        WorkRequest request =
+                new WorkRequest(
+                        id,
+                        team.name(),
+                        profile,
+                        model,
+                        promptTokens(work),
+                        maximumTokens(work),
+                        prefixHashes(work),
+                        contentHash,
+                        repeatable,
+                        nowNanos,
+                        nowNanos + TimeUnit.MILLISECONDS.toNanos(limitMillis));
+        if (repeatable) {
+            return Either.right(new Submission(request, work, Optional.empty()));
+        }
+        return headers.idempotencyKey()
+                .map(key -> claim(team, key, request, limitMillis))
+                .map(
+                        claim ->
+                                Either.<RequestFailure, Submission>right(
+                                        new Submission(request, work, Optional.of(claim))))
+                .orElseGet(() -> Either.left(new RequestFailure.IdempotencyKeyMissing()));
+    }
+
+    private static ClaimRequest claim(
+            Team team, IdempotencyKey key, WorkRequest request, long limitMillis) {
+        String hash =
+                sha256(
+                        (request.profile().name() + "\n" + request.contentHash())
+                                .getBytes(StandardCharsets.UTF_8));
+        return new ClaimRequest(team.name(), key, hash, request.id(), limitMillis);
+    }
+
+    private static Either<RequestFailure, Profile> profile(
+            ConfigurationDocument document, Team team, CallerHeaders headers, ModelName model) {
+        if (headers.profile().isPresent()) {
+            return named(document, headers.profile().get());
+        }
+        Optional<Profile> byModel = document.profileOfModel(model);
+        if (byModel.isPresent()) {
+            return Either.right(byModel.get());
+        }
+        return named(document, team.defaultProfile())
+                .filterOrElse(
+                        profile -> profile.models().isEmpty(),
+                        profile -> new RequestFailure.UnknownName("model", model.value()));
+    }
+
+    private static Either<RequestFailure, Profile> named(
+            ConfigurationDocument document, ProfileName name) {
+        Profile profile = document.profiles().get(name);
+        return profile == null
+                ? Either.left(new RequestFailure.UnknownName("profile", name.value()))
+                : Either.right(profile);
+    }
+
+    private static long promptTokens(Work work) {
+        return switch (work) {
+            case Work.Generation generation -> PromptBlocks.tokens(generation.prompt());
+            case Work.ServiceCall _ -> 0;
+        };
+    }
+
+    private static long maximumTokens(Work work) {
+        return switch (work) {
+            case Work.Generation generation -> generation.maximumTokens();
+            case Work.ServiceCall _ -> 0;
+        };
+    }
+
+    private static List<Long> prefixHashes(Work work) {
+        return switch (work) {
+            case Work.Generation generation ->
+                    PromptBlocks.hashes(generation.model().value(), generation.prompt());
+            case Work.ServiceCall _ -> List.of();
+        };
+    }
+
+    private static String digest(Work.ServiceCall work) {
+        return sha256(work.body().toArray());
+    }
+
+    private static String sha256(byte[] content) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(content));
+        } catch (NoSuchAlgorithmException exception) {
+            throw new IllegalStateException("every JDK provides SHA-256", exception);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/Submitter.java
@@ -0,0 +1,92 @@
+package dev.kumquatweir.gateway.caller;
+
+import dev.kumquatweir.core.control.ClaimDecision;
+import dev.kumquatweir.core.control.ClaimPort;
+import dev.kumquatweir.core.control.ClaimRequest;
+import dev.kumquatweir.core.control.RecordedAnswer;
+import dev.kumquatweir.core.failure.RequestFailure;
+import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.gateway.dispatch.DispatchDuty;
+import dev.kumquatweir.gateway.dispatch.Exchange;
+import dev.kumquatweir.gateway.dispatch.GenerationSummary;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+
+/**
+ * Claims a request where needed, then hands it to the dispatch duty. The claim comes before
+ * admission: a refusal may say "not run" only once the log was asked about its key. Thread-safe.
+ */
+final class Submitter {
+    private final DispatchDuty mDispatch;
+    private final ClaimPort mClaims;
+    private final Clocks mClocks;
+    private final AtomicInteger mPendingRecords = new AtomicInteger();
+
+    Submitter(DispatchDuty dispatch, ClaimPort claims, Clocks clocks) {
+        mDispatch = dispatch;
+        mClaims = claims;
+        mClocks = clocks;
+    }
+
+    /**
+     * Submits a request.
+     *
+     * @param exchange told the end, whatever happens
+     * @param recorder makes the recorded form of a generated answer
+     * @param repeated told the recorded answer if the request was executed before
+     */
+    void submit(
+            Submission submission,
+            Exchange exchange,
+            BiFunction<GenerationSummary, String, RecordedAnswer> recorder,
+            Consumer<RecordedAnswer> repeated) {
+        if (submission.claim().isEmpty()) {
+            long deadlineNanos = submission.request().deadlineNanos();
+            mDispatch.submit(submission.request(), submission.work(), exchange, deadlineNanos);
+            return;
+        }
+        ClaimRequest claim = submission.claim().get();
+        mClaims.claim(claim, mClocks.nowNanos())
+                .thenAccept(
+                        decision ->
+                                decided(submission, claim, decision, exchange, recorder, repeated));
+    }
+
+    /** Returns the number of ended requests whose outcome is not yet recorded. */
+    int pendingRecords() {
+        return mPendingRecords.get();
+    }
+
+    private void decided(
+            Submission submission,
+            ClaimRequest claim,
+            ClaimDecision decision,
+            Exchange exchange,
+            BiFunction<GenerationSummary, String, RecordedAnswer> recorder,
+            Consumer<RecordedAnswer> repeated) {
+        switch (decision) {
+            case ClaimDecision.Granted granted ->
+                    mDispatch.submit(
+                            submission.request(),
+                            submission.work(),
+                            new ClaimedExchange(exchange, mClaims, claim, recorder, this::watch),
+                            granted.sendByNanos());
+            case ClaimDecision.AlreadyFinished finished -> repeated.accept(finished.answer());
+            case ClaimDecision.StillRunning _ ->
+                    exchange.failed(new RequestFailure.InProgress(claim.key()));
+            case ClaimDecision.OutcomeUnknown _ ->
+                    exchange.failed(new RequestFailure.OutcomeUnknown(claim.key()));
+            case ClaimDecision.KeyReused _ ->
+                    exchange.failed(new RequestFailure.IdempotencyKeyReused(claim.key()));
+            case ClaimDecision.Unavailable _ ->
+                    exchange.failed(new RequestFailure.Unclaimed(new RequestFailure.NoQuorum()));
+        }
+    }
+
+    private void watch(CompletionStage<Boolean> recorded) {
+        mPendingRecords.incrementAndGet();
+        recorded.whenComplete((agreed, problem) -> mPendingRecords.decrementAndGet());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/package-info.java
@@ -0,0 +1,5 @@
+/** HTTP towards callers. */
+@NullMarked
+package dev.kumquatweir.gateway.caller;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/http/ErrorAnswer.java
@@ -0,0 +1,74 @@
+package dev.kumquatweir.gateway.http;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.kumquatweir.core.failure.RequestFailure;
+import java.util.OptionalLong;
+
+/** How failures look to callers: status, Retry-After and body. Thread-safe: holds no state. */
+public final class ErrorAnswer {
+    private static final long MILLIS_IN_SECOND = 1_000;
+    private static final long SHORT_RETRY_MILLIS = 1_000;
+
+    private ErrorAnswer() {}
+
+    /** Returns the HTTP status of a failure. */
+    public static int status(RequestFailure failure) {
+        return switch (failure) {
+            case RequestFailure.NotAuthenticated _ -> 401;
+            case RequestFailure.Malformed _ -> 400;
+            case RequestFailure.IdempotencyKeyMissing _ -> 400;
+            case RequestFailure.UnknownName _ -> 404;
+            case RequestFailure.InProgress _ -> 409;
+            case RequestFailure.OutcomeUnknown _ -> 409;
+            case RequestFailure.AnswerNotKept _ -> 410;
+            case RequestFailure.BodyTooLarge _ -> 413;
+            case RequestFailure.PromptTooLong _ -> 413;
+            case RequestFailure.IdempotencyKeyReused _ -> 422;
+            case RequestFailure.Quarantined _ -> 422;
+            case RequestFailure.DeadlineTooShort _ -> 422;
+            case RequestFailure.Overloaded _ -> 429;
+            case RequestFailure.CallerGone _ -> 499;
+            case RequestFailure.UpstreamFailed _ -> 502;
+            case RequestFailure.NoUpstream _ -> 503;
+            case RequestFailure.NoConfigurationLease _ -> 503;
+            case RequestFailure.NoQuorum _ -> 503;
+            case RequestFailure.Draining _ -> 503;
+            case RequestFailure.FailureDomainOut _ -> 503;
+            case RequestFailure.DeadlineExceeded _ -> 504;
+            case RequestFailure.Unclaimed unclaimed -> status(unclaimed.cause());
+        };
+    }
+
+    /** Returns when the caller may sensibly try again, empty if a retry would not help. */
+    public static OptionalLong retryAfterMillis(RequestFailure failure) {
+        return switch (failure) {
+            case RequestFailure.Overloaded overloaded ->
+                    OptionalLong.of(overloaded.retryAfterMillis());
+            case RequestFailure.NoUpstream none -> OptionalLong.of(none.retryAfterMillis());
+            case RequestFailure.Unclaimed unclaimed -> retryAfterMillis(unclaimed.cause());
+            case RequestFailure.NoConfigurationLease _,
+                    RequestFailure.NoQuorum _,
+                    RequestFailure.Draining _,
+                    RequestFailure.InProgress _ ->
+                    OptionalLong.of(SHORT_RETRY_MILLIS);
+            default -> OptionalLong.empty();
+        };
+    }
+
+    /** Returns the value of the Retry-After header: whole seconds, rounded up. */
+    public static long retryAfterSeconds(long millis) {
+        return Math.max(1, (millis + MILLIS_IN_SECOND - 1) / MILLIS_IN_SECOND);
+    }
+
+    /** Returns the body of a failure. */
+    public static ObjectNode body(RequestFailure failure, String requestId) {
+        ObjectNode root = JsonBodies.object();
+        ObjectNode error = root.putObject("error");
+        error.put("type", failure.code());
+        error.put("message", failure.message());
+        error.put("ran", failure.ran().wireName());
+        retryAfterMillis(failure).ifPresent(millis -> error.put("retry_after_ms", millis));
+        error.put("request_id", requestId);
+        return root;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/http/EventStreamParser.java
@@ -0,0 +1,46 @@
+package dev.kumquatweir.gateway.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Cuts a stream of server-sent events into the data of its events, as the parts arrive. Not
+ * thread-safe.
+ */
+public final class EventStreamParser {
+    /** A longer line is an upstream's fault. */
+    private static final int LONGEST_LINE_BYTES = 1024 * 1024;
+
+    private static final String DATA = "data:";
+
+    private final ByteArrayOutputStream mLine = new ByteArrayOutputStream();
+
+    /**
+     * Takes the next part.
+     *
+     * @return the data of the events that end in this part, in order
+     * @throws IllegalStateException if a line is longer than 1 MiB
+     */
+    public List<String> feed(byte[] part) {
+        List<String> events = new ArrayList<>();
+        for (byte next : part) {
+            if (next == '\n') {
+                addData(events, mLine.toString(StandardCharsets.UTF_8));
+                mLine.reset();
+            } else if (mLine.size() >= LONGEST_LINE_BYTES) {
+                throw new IllegalStateException("event line is longer than 1 MiB");
+            } else {
+                mLine.write(next);
+            }
+        }
+        return events;
+    }
+
+    private static void addData(List<String> events, String line) {
+        if (line.startsWith(DATA)) {
+            events.add(line.substring(DATA.length()).strip());
+        }
+    }
+}
--- a/gateway/src/main/java/dev/kumquatweir/gateway/package-info.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/package-info.java
@@ -1,3 +1,4 @@
+/** HTTP adapters around the policy. */
 @NullMarked
 package dev.kumquatweir.gateway;
 
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/AttemptProblems.java
@@ -0,0 +1,27 @@
+package dev.kumquatweir.gateway.upstream;
+
+import dev.kumquatweir.gateway.dispatch.AttemptListener;
+import dev.kumquatweir.policy.dispatch.AttemptEvent;
+import java.net.ConnectException;
+
+/** Says what a problem of a connection proves about an attempt. Holds no state. */
+final class AttemptProblems {
+    private AttemptProblems() {}
+
+    /**
+     * Tells the listener. Only a refusal by the upstream and a connection that never stood prove
+     * that the attempt did not run; every other problem may have come after the request was
+     * written.
+     */
+    static void report(Throwable problem, AttemptListener listener) {
+        if (problem instanceof RefusedException refused) {
+            listener.refused(refused.reason());
+        } else if (problem instanceof ConnectException) {
+            listener.refused(AttemptEvent.Refusal.CONNECTION_REFUSED);
+        } else if (problem instanceof UnexpectedAnswerException) {
+            listener.broken(AttemptEvent.Break.UPSTREAM_ERROR);
+        } else {
+            listener.broken(AttemptEvent.Break.CONNECTION_LOST);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/UpstreamClients.java
@@ -0,0 +1,69 @@
+package dev.kumquatweir.gateway.upstream;
+
+import static io.servicetalk.http.netty.HttpProtocolConfigs.h1;
+
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.StreamingHttpClient;
+import io.servicetalk.http.netty.HttpClients;
+import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.api.ServiceTalkSocketOptions;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+
+/**
+ * HTTP clients of upstreams, one for each address. The library's retries are off: whether a request
+ * is sent again is decided by the policy alone. Thread-safe.
+ */
+public final class UpstreamClients {
+    private static final int CONNECT_LIMIT_MILLIS = 1_000;
+
+    private final IoExecutor mExecutor;
+    private final ConcurrentMap<String, StreamingHttpClient> mClients = new ConcurrentHashMap<>();
+
+    /**
+     * @param executor runs the connections; closed by its owner
+     */
+    public UpstreamClients(IoExecutor executor) {
+        mExecutor = executor;
+    }
+
+    /** Returns the client of an address such as {@code 127.0.0.1:8000}. */
+    public StreamingHttpClient of(String address) {
+        return mClients.computeIfAbsent(address, this::newClient);
+    }
+
+    /** Returns a client whose connections are shared with nothing else; its owner closes it. */
+    public StreamingHttpClient newClient(String address) {
+        int colon = address.lastIndexOf(':');
+        InetSocketAddress resolved =
+                new InetSocketAddress(
+                        address.substring(0, colon),
+                        Integer.parseInt(address.substring(colon + 1)));
+        return HttpClients.forResolvedAddress(resolved)
+                .ioExecutor(mExecutor)
+                .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .protocols(h1().maxPipelinedRequests(1).build())
+                .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_LIMIT_MILLIS)
+                .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
+                .buildStreaming();
+    }
+
+    /**
+     * Gives up the idle connections of an address, because one of them went silent and the others
+     * may have lost their way too. Running requests keep theirs.
+     */
+    public void replace(String address) {
+        StreamingHttpClient doubtful = mClients.remove(address);
+        if (doubtful != null) {
+            doubtful.closeAsyncGracefully().subscribe();
+        }
+    }
+
+    /** Closes all clients at once. */
+    public void close() {
+        mClients.values().forEach(client -> client.closeAsync().subscribe());
+        mClients.clear();
+    }
+}
