Define the storage port of the agreement core

The log store on files is written at the same time as the agreement core, so both need a fixed port. Kept out: a call per kind of change, because group commit needs whole batches. Compiles with all checks; no tests yet.

--- /dev/null
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/codec/package-info.java
@@ -0,0 +1,5 @@
+/** MessagePack codecs for messages, log payloads and snapshots. */
+@NullMarked
+package dev.kumquatweir.agreement.codec;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/lease/package-info.java
@@ -0,0 +1,5 @@
+/** Configuration leases: the leader's table and the instance's side. */
+@NullMarked
+package dev.kumquatweir.agreement.lease;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/port/StorageWrite.java
@@ -0,0 +1,38 @@
+package dev.kumquatweir.agreement.port;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * One batch of changes to a log store. Immutable.
+ *
+ * <p>The parts are made in the order of the components: hard state, snapshot, truncation, append,
+ * compaction. A crash may leave any prefix of this order (and of the appended entries) on disk; the
+ * agreement core relies on nothing of a batch until its completion is reported.
+ *
+ * @param sequence number of the batch, ascending by one from 1 since the start of the process
+ * @param hardState term and vote to store, if they changed
+ * @param snapshot snapshot to store, if there is a new one; the older one may be deleted once it is
+ *     synced. Entries up to its index stay until {@code compactThrough} removes them
+ * @param truncateFrom entries with this index and above are removed before the append; {@link
+ *     #NOTHING} for none
+ * @param entries entries to append, contiguous; the first follows the last one that is stored, or
+ *     the snapshot's index if the log is empty after the truncation
+ * @param compactThrough entries up to this index may be deleted once the batch is synced; at most
+ *     the index of the stored snapshot; {@link #NOTHING} for none. A store may keep them longer
+ */
+public record StorageWrite(
+        long sequence,
+        Optional<HardState> hardState,
+        Optional<SnapshotImage> snapshot,
+        long truncateFrom,
+        List<LogEntry> entries,
+        long compactThrough) {
+    /** Marks an absent truncation or compaction. */
+    public static final long NOTHING = 0;
+
+    /** Copies the list. */
+    public StorageWrite {
+        entries = List.copyOf(entries);
+    }
+}
