Spread upstreams' reports between instances

Cause: an upstream reports to one instance only, whichever the balancer picks, and all have to know it within 2 s. Ruled out: agreement on reports (soft state that expires needs no order) and resending (the next report makes a loss good). Before: one instance knew. After: reports go to all peers; a peer that lacks an announcement or cache events asks for them. Not yet run between processes. Conclusion: the MessagePack reader and writer move to the core, so that each protocol uses the same checks.

--- /dev/null
+++ b/core/src/main/java/dev/kumquatweir/core/pack/MalformedContent.java
@@ -0,0 +1,21 @@
+package dev.kumquatweir.core.pack;
+
+import dev.kumquatweir.core.failure.Failure;
+
+/**
+ * Encoded content that can't be decoded.
+ *
+ * @param offset byte offset near the fault
+ * @param problem what is wrong there
+ */
+public record MalformedContent(long offset, String problem) implements Failure {
+    @Override
+    public String code() {
+        return "malformed_content";
+    }
+
+    @Override
+    public String message() {
+        return "at byte " + offset + ": " + problem;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/dev/kumquatweir/core/pack/package-info.java
@@ -0,0 +1,5 @@
+/** MessagePack for the messages and records of the system's own processes. */
+@NullMarked
+package dev.kumquatweir.core.pack;
+
+import org.jspecify.annotations.NullMarked;
--- a/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/DispatchDuty.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/DispatchDuty.java
@@ -44,6 +44,7 @@
 
     private static final long TICK_MILLIS = 10;
     private static final long PROGRESS_TOKENS = 16;
+    private static final long FORGET_NANOS = TimeUnit.MINUTES.toNanos(1);
 
     private final Dispatcher mDispatcher;
     private final UpstreamCaller mCaller;
@@ -53,6 +54,7 @@
     private final Duty mDuty;
     private final Map<RequestId, RunningRequest> mRunning = new HashMap<>();
     private final Map<UpstreamId, Announcement> mUpstreams = new HashMap<>();
+    private final Map<UpstreamId, Long> mHeardNanos = new HashMap<>();
     private final AtomicInteger mRunningCount = new AtomicInteger();
 
     /** Holds at most a few events for each running attempt, since new requests are shed first. */
@@ -138,7 +140,11 @@
 
     /** Takes a load report; completes with false if the upstream has to announce itself. */
     public CompletionStage<Boolean> reported(LoadReport report) {
-        return ask(() -> mDispatcher.reported(report, mClocks.nowNanos()));
+        return ask(
+                () -> {
+                    mHeardNanos.replace(report.id(), mClocks.nowNanos());
+                    return mDispatcher.reported(report, mClocks.nowNanos());
+                });
     }
 
     /** Takes cache events; completes with false if the upstream has to send its whole list. */
@@ -151,6 +157,11 @@
         run(nowNanos -> mDispatcher.left(upstream, incarnation, nowNanos));
     }
 
+    /** Completes with the announcement of an upstream, if it is known here. */
+    public CompletionStage<Optional<Announcement>> upstream(UpstreamId id) {
+        return ask(() -> Optional.ofNullable(mUpstreams.get(id)));
+    }
+
     /** Completes with the announcements of all upstreams known here. */
     public CompletionStage<List<Announcement>> upstreams() {
         return ask(() -> List.copyOf(mUpstreams.values()));
@@ -186,6 +197,13 @@
         takeConfiguration(nowNanos);
         breakSilentAttempts(nowNanos);
         carryOut(nowNanos);
+        forgetSilentUpstreams(nowNanos);
+    }
+
+    /** The address is kept longer than the policy keeps the upstream, so that it can be cancelled. */
+    private void forgetSilentUpstreams(long nowNanos) {
+        mHeardNanos.values().removeIf(heard -> nowNanos - heard > FORGET_NANOS);
+        mUpstreams.keySet().retainAll(mHeardNanos.keySet());
     }
 
     private void takeConfiguration(long nowNanos) {
@@ -211,6 +229,7 @@
                     "service",
                     announcement.service());
         }
+        mHeardNanos.put(announcement.id(), nowNanos);
         mDispatcher.announced(announcement, nowNanos);
         carryOut(nowNanos);
     }
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/command/package-info.java
@@ -0,0 +1,5 @@
+/** Subcommands of the command line. */
+@NullMarked
+package dev.kumquatweir.program.command;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
@@ -0,0 +1,36 @@
+package dev.kumquatweir.program.instance;
+
+/** Types of the frames between instances. The numbers are part of the protocol and never reused. */
+public enum FrameType {
+    /** A message of the agreement core. */
+    AGREEMENT(1),
+    /** Renewal of a configuration lease. */
+    LEASE(2),
+    /** A command for the replicated state machine. */
+    COMMAND(3),
+    /** An upstream's announcement. */
+    ANNOUNCEMENT(10),
+    /** An upstream's load report. */
+    LOAD(11),
+    /** An upstream's cache events. */
+    CACHE(12),
+    /** An upstream's word that it leaves. */
+    LEAVE(13),
+    /** Asks for an announcement that the sender of a report has. */
+    ANNOUNCEMENT_WANTED(14),
+    /** Asks for all cache entries of an engine that the receiver hears. */
+    CACHE_WANTED(16),
+    /** Marks of requests that crash upstreams. */
+    QUARANTINE(15);
+
+    private final int mNumber;
+
+    FrameType(int number) {
+        mNumber = number;
+    }
+
+    /** Returns the number in the frame. */
+    public int number() {
+        return mNumber;
+    }
+}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/instance/package-info.java
@@ -0,0 +1,5 @@
+/** Wires the daemon together and runs its life-cycle. */
+@NullMarked
+package dev.kumquatweir.program.instance;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/spread/RegistryCodec.java
@@ -0,0 +1,186 @@
+package dev.kumquatweir.program.spread;
+
+import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.configuration.UpstreamKind;
+import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.InvalidIdentifierException;
+import dev.kumquatweir.core.identity.ModelName;
+import dev.kumquatweir.core.identity.ServiceName;
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.core.pack.MalformedContent;
+import dev.kumquatweir.core.pack.MalformedException;
+import dev.kumquatweir.core.pack.PackReader;
+import dev.kumquatweir.core.pack.PackWriter;
+import dev.kumquatweir.policy.registry.Announcement;
+import dev.kumquatweir.policy.registry.CacheEvents;
+import dev.kumquatweir.policy.registry.ColdLimit;
+import dev.kumquatweir.policy.registry.LoadReport;
+import dev.kumquatweir.policy.registry.UpstreamRole;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.Set;
+
+/** Form of upstreams' reports between instances. Thread-safe: holds no state. */
+final class RegistryCodec {
+    private static final int ANNOUNCEMENT_FIELDS = 14;
+    private static final int LOAD_FIELDS = 8;
+    private static final int CACHE_FIELDS = 4;
+    private static final int CACHE_EVENT_FIELDS = 3;
+    private static final int LEAVE_FIELDS = 2;
+
+    private RegistryCodec() {}
+
+    /**
+     * One start of an upstream.
+     *
+     * @param id the upstream
+     * @param incarnation its start
+     */
+    record Start(UpstreamId id, long incarnation) {}
+
+    static Bytes encode(Announcement announcement) {
+        return new PackWriter()
+                .array(ANNOUNCEMENT_FIELDS)
+                .text(announcement.id().value())
+                .number(announcement.incarnation())
+                .text(announcement.address())
+                .text(announcement.domain().value())
+                .number(announcement.kind().ordinal())
+                .text(announcement.service().value())
+                .list(announcement.models(), (writer, model) -> writer.text(model.value()))
+                .number(announcement.memoryTokens())
+                .number(announcement.role().ordinal())
+                .flag(announcement.checksFencing())
+                .flag(announcement.cold())
+                .number(announcement.coldLimit().requests())
+                .number(announcement.coldLimit().prefillTokens())
+                .number(announcement.maximumRunning())
+                .finish();
+    }
+
+    static Either<MalformedContent, Announcement> announcement(Bytes content) {
+        return decode(content, RegistryCodec::readAnnouncement);
+    }
+
+    static Bytes encode(LoadReport report) {
+        return new PackWriter()
+                .array(LOAD_FIELDS)
+                .text(report.id().value())
+                .number(report.incarnation())
+                .number(report.sequence())
+                .number(report.running())
+                .number(report.queued())
+                .number(report.memoryUsedTokens())
+                .number(report.prefillBacklogTokens())
+                .flag(report.cold())
+                .finish();
+    }
+
+    static Either<MalformedContent, LoadReport> load(Bytes content) {
+        return decode(
+                content,
+                reader -> {
+                    reader.array(LOAD_FIELDS);
+                    return new LoadReport(
+                            new UpstreamId(reader.text()),
+                            reader.number(),
+                            reader.number(),
+                            reader.smallNumber(),
+                            reader.smallNumber(),
+                            reader.number(),
+                            reader.number(),
+                            reader.flag());
+                });
+    }
+
+    static Bytes encode(CacheEvents events) {
+        return new PackWriter()
+                .array(CACHE_FIELDS)
+                .text(events.id().value())
+                .number(events.incarnation())
+                .number(events.firstSequence())
+                .list(
+                        events.events(),
+                        (writer, event) ->
+                                writer.array(CACHE_EVENT_FIELDS)
+                                        .flag(event.stored())
+                                        .number(event.prefixHash())
+                                        .number(event.tokens()))
+                .finish();
+    }
+
+    static Either<MalformedContent, CacheEvents> cacheEvents(Bytes content) {
+        return decode(
+                content,
+                reader -> {
+                    reader.array(CACHE_FIELDS);
+                    return new CacheEvents(
+                            new UpstreamId(reader.text()),
+                            reader.number(),
+                            reader.number(),
+                            reader.list(RegistryCodec::readCacheEvent));
+                });
+    }
+
+    static Bytes encode(Start start) {
+        return new PackWriter()
+                .array(LEAVE_FIELDS)
+                .text(start.id().value())
+                .number(start.incarnation())
+                .finish();
+    }
+
+    static Either<MalformedContent, Start> start(Bytes content) {
+        return decode(
+                content,
+                reader -> {
+                    reader.array(LEAVE_FIELDS);
+                    return new Start(new UpstreamId(reader.text()), reader.number());
+                });
+    }
+
+    private static Announcement readAnnouncement(PackReader reader)
+            throws IOException, MalformedException {
+        reader.array(ANNOUNCEMENT_FIELDS);
+        return new Announcement(
+                new UpstreamId(reader.text()),
+                reader.number(),
+                reader.text(),
+                new FailureDomain(reader.text()),
+                constant(UpstreamKind.values(), reader.smallNumber()),
+                new ServiceName(reader.text()),
+                Set.copyOf(reader.list(item -> new ModelName(item.text()))),
+                reader.number(),
+                constant(UpstreamRole.values(), reader.smallNumber()),
+                reader.flag(),
+                reader.flag(),
+                new ColdLimit(reader.smallNumber(), reader.number()),
+                reader.smallNumber());
+    }
+
+    private static CacheEvents.CacheEvent readCacheEvent(PackReader reader)
+            throws IOException, MalformedException {
+        reader.array(CACHE_EVENT_FIELDS);
+        return new CacheEvents.CacheEvent(reader.flag(), reader.number(), reader.number());
+    }
+
+    private static <E> E constant(E[] constants, int ordinal) throws MalformedException {
+        if (ordinal < 0 || ordinal >= constants.length) {
+            throw new MalformedException("no constant with number " + ordinal);
+        }
+        return constants[ordinal];
+    }
+
+    private static <T> Either<MalformedContent, T> decode(
+            Bytes content, PackReader.Decoder<T> decoder) {
+        return PackReader.decode(
+                content,
+                reader -> {
+                    try {
+                        return decoder.decode(reader);
+                    } catch (InvalidIdentifierException exception) {
+                        throw new MalformedException(String.valueOf(exception.getMessage()));
+                    }
+                });
+    }
+}
