Add admission, fairness, routing and the policy dispatcher

Ruled out: pushing every request to an engine at once (an engine queue can't be reordered by team or shed). Before: interfaces only.

--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/admission/AdmissionControl.java
@@ -0,0 +1,96 @@
+package dev.kumquatweir.policy.admission;
+
+import dev.kumquatweir.core.configuration.OversizePolicy;
+import dev.kumquatweir.core.configuration.Profile;
+import dev.kumquatweir.core.failure.RequestFailure;
+import dev.kumquatweir.policy.dispatch.WorkRequest;
+import dev.kumquatweir.policy.routing.LearnedRates;
+import dev.kumquatweir.policy.routing.LengthClass;
+import dev.kumquatweir.policy.routing.Pool;
+import dev.kumquatweir.policy.routing.Router;
+import io.vavr.control.Either;
+import java.util.Comparator;
+import java.util.concurrent.TimeUnit;
+
+/** Decides whether a request can end in its time. Holds no state, so that it is thread-safe. */
+public final class AdmissionControl {
+    /**
+     * Share of the time left after the work itself that the queue may take. The rest covers errors
+     * of the estimates and one resumption on another engine.
+     */
+    private static final double QUEUE_SHARE = 0.5;
+
+    private static final long MINIMUM_RETRY_MILLIS = 100;
+    private static final long MAXIMUM_RETRY_MILLIS = 60_000;
+    private static final long NO_UPSTREAM_RETRY_MILLIS = 2_000;
+
+    /**
+     * What admission knows of the work that a request competes with.
+     *
+     * @param rates learned rates of the service
+     * @param cachedTokens prompt tokens that some engine probably has cached
+     * @param outputTokens answer length that few answers exceed
+     * @param queueNanos estimated time in the queue
+     */
+    public record Outlook(
+            LearnedRates rates, long cachedTokens, long outputTokens, double queueNanos) {}
+
+    /** Returns null on the right if the request can end in its time, else why it can't. */
+    public Either<RequestFailure, Void> decide(
+            WorkRequest request, Pool pool, Outlook outlook, long nowNanos) {
+        if (pool.all().isEmpty()) {
+            return Either.left(
+                    new RequestFailure.NoUpstream(
+                            request.profile().service().value(), NO_UPSTREAM_RETRY_MILLIS));
+        }
+        long memoryLimit = memoryLimit(request.profile(), pool);
+        long memory = request.promptTokens() + request.maximumOutputTokens();
+        if (request.model() != null && memory > memoryLimit) {
+            long longest = Math.max(0, memoryLimit - request.maximumOutputTokens());
+            return Either.left(new RequestFailure.PromptTooLong(request.promptTokens(), longest));
+        }
+        double needed = workNanos(request, outlook);
+        long left = request.deadlineNanos() - nowNanos;
+        if (needed > left) {
+            return Either.left(
+                    new RequestFailure.DeadlineTooShort(
+                            TimeUnit.NANOSECONDS.toMillis((long) needed),
+                            Math.max(0, TimeUnit.NANOSECONDS.toMillis(left))));
+        }
+        double room = (left - needed) * QUEUE_SHARE;
+        if (outlook.queueNanos() > room) {
+            return Either.left(overloaded(outlook.queueNanos() - room));
+        }
+        return Either.right(null);
+    }
+
+    /** Returns the time that the work itself takes on an engine that does nothing urgent else. */
+    public double workNanos(WorkRequest request, Outlook outlook) {
+        if (request.model() == null) {
+            return outlook.rates().callNanos();
+        }
+        long prefill = Math.max(0, request.promptTokens() - outlook.cachedTokens());
+        LengthClass length = LengthClass.of(request.promptTokens());
+        return prefill * outlook.rates().prefillNanos(length)
+                + outlook.outputTokens() * outlook.rates().gapNanos();
+    }
+
+    /** Returns a refusal whose retry time is the excess of the queue over the time there is. */
+    public static RequestFailure overloaded(double excessNanos) {
+        long millis = TimeUnit.NANOSECONDS.toMillis((long) excessNanos);
+        return new RequestFailure.Overloaded(
+                Math.clamp(millis, MINIMUM_RETRY_MILLIS, MAXIMUM_RETRY_MILLIS));
+    }
+
+    private static long memoryLimit(Profile profile, Pool pool) {
+        if (profile.oversize() == OversizePolicy.REFUSE) {
+            return pool.largestMemoryTokens();
+        }
+        return pool.preferred(LengthClass.LONG).stream()
+                .map(member -> member.load().state().announcement().memoryTokens())
+                .sorted(Comparator.reverseOrder())
+                .limit(Router.MAXIMUM_PARTS)
+                .mapToLong(Long::longValue)
+                .sum();
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
@@ -0,0 +1,408 @@
+package dev.kumquatweir.policy.dispatch;
+
+import dev.kumquatweir.core.configuration.ConfigurationDocument;
+import dev.kumquatweir.core.failure.RequestFailure;
+import dev.kumquatweir.core.identity.RequestId;
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.admission.AdmissionControl;
+import dev.kumquatweir.policy.admission.OutputEstimate;
+import dev.kumquatweir.policy.registry.Announcement;
+import dev.kumquatweir.policy.registry.CacheEvents;
+import dev.kumquatweir.policy.registry.ColdLimit;
+import dev.kumquatweir.policy.registry.LoadReport;
+import dev.kumquatweir.policy.registry.UpstreamRegistry;
+import dev.kumquatweir.policy.routing.ColdAllowance;
+import dev.kumquatweir.policy.routing.Fleet;
+import dev.kumquatweir.policy.routing.Hold;
+import dev.kumquatweir.policy.routing.LocalColdAllowance;
+import dev.kumquatweir.policy.routing.Pool;
+import dev.kumquatweir.policy.routing.PrefixIndex;
+import dev.kumquatweir.policy.routing.Router;
+import dev.kumquatweir.policy.routing.RoutingOptions;
+import dev.kumquatweir.policy.routing.UpstreamLoad;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The policy of one instance. Admits what can end in its time, keeps it in fair queues, places it
+ * on upstreams and recovers from failed attempts. Made by {@link #builder}.
+ *
+ * <p>Not thread-safe: owned by the dispatch duty.
+ */
+public final class PolicyDispatcher implements Dispatcher {
+    /** A request fails this long before its deadline, so that the caller hears of it in time. */
+    static final long DEADLINE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
+
+    private static final long CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** Work with less slack than this multiple of its own time is served before all other. */
+    private static final double URGENT_FACTOR = 2;
+
+    /** Time after which work may return to an upstream that it avoids, if no other takes it. */
+    private static final long AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    private final Map<RequestId, TrackedRequest> mRequests = new HashMap<>();
+    private final PriorityQueue<TrackedRequest> mDeadlines =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(tracked -> tracked.mRequest.deadlineNanos()));
+    private final List<DispatchAction> mOutbox = new ArrayList<>();
+    private final AdmissionControl mAdmission = new AdmissionControl();
+    private final PrefixIndex mPrefixes = new PrefixIndex();
+    private final WorkQueues mQueues = new WorkQueues();
+    private final Teacher mTeacher = new Teacher();
+    private final Fleet mFleet;
+    private final ColdAllowance mColdAllowance;
+    private final RecoveryPolicy mRecovery;
+    private final Placer mPlacer;
+    private final Attempts mAttempts;
+    private ConfigurationDocument mDocument = ConfigurationDocument.EMPTY;
+    private long mCheckedNanos = Long.MIN_VALUE;
+
+    private PolicyDispatcher(Builder builder) {
+        mFleet = new Fleet(new UpstreamRegistry(), builder.mRouting.strategy());
+        mColdAllowance = builder.mColdAllowance;
+        mRecovery = builder.mRecovery;
+        Router router = new Router(mFleet, mPrefixes, mColdAllowance, builder.mRouting);
+        mPlacer = new Placer(router, mColdAllowance, builder.mAttemptPrefix);
+        mAttempts = new Attempts(mRecovery, mPlacer, mQueues, mTeacher);
+    }
+
+    /**
+     * Starts a dispatcher with a simple recovery policy and the whole cold limit for itself.
+     *
+     * @param attemptPrefix start of each attempt id; has to differ for each instance and for each
+     *     start of the same instance, since attempt ids are never reused
+     * @param routing settings of routing
+     */
+    public static Builder builder(String attemptPrefix, RoutingOptions routing) {
+        return new Builder(attemptPrefix, routing);
+    }
+
+    @Override
+    public void configure(ConfigurationDocument document, long nowNanos) {
+        mDocument = document;
+        mQueues.configure(document);
+        mFleet.configure(document);
+    }
+
+    @Override
+    public void announced(Announcement announcement, long nowNanos) {
+        UpstreamLoad former = mFleet.announced(announcement, nowNanos);
+        if (former != null) {
+            mPrefixes.forget(announcement.id());
+            breakAll(former, nowNanos);
+        }
+    }
+
+    @Override
+    public boolean reported(LoadReport load, long nowNanos) {
+        boolean known = mFleet.reported(load, nowNanos);
+        UpstreamLoad upstream = mFleet.find(load.id());
+        if (upstream != null && upstream.cold()) {
+            moveSurplus(upstream, nowNanos);
+        }
+        return known;
+    }
+
+    @Override
+    public boolean cacheChanged(CacheEvents events, long nowNanos) {
+        return mPrefixes.apply(events);
+    }
+
+    @Override
+    public void left(UpstreamId upstream, long incarnation, long nowNanos) {
+        mFleet.left(upstream, incarnation);
+    }
+
+    @Override
+    public Either<RequestFailure, Void> admit(WorkRequest request, long nowNanos) {
+        Optional<RequestFailure> refusal = refusal(request, nowNanos);
+        if (refusal.isPresent()) {
+            return Either.left(refusal.get());
+        }
+        Pool pool = mFleet.pool(request.profile().service(), request.model(), nowNanos);
+        OutputEstimate output = mTeacher.output(request);
+        AdmissionControl.Outlook outlook =
+                new AdmissionControl.Outlook(
+                        mTeacher.rates(request.profile().service()),
+                        cachedTokens(request),
+                        output.cautious(request.maximumOutputTokens()),
+                        mQueues.queueNanos(request, nowNanos));
+        Either<RequestFailure, Void> decision =
+                mAdmission
+                        .decide(request, pool, outlook, nowNanos)
+                        .flatMap(none -> room(request, outlook, nowNanos));
+        if (decision.isRight()) {
+            long expected = output.expected(request.maximumOutputTokens());
+            TrackedRequest tracked = new TrackedRequest(request, expected);
+            mRequests.put(request.id(), tracked);
+            mDeadlines.add(tracked);
+            mRecovery.admitted(request, nowNanos);
+            mQueues.add(tracked, nowNanos);
+        }
+        return decision;
+    }
+
+    @Override
+    public void observed(AttemptEvent event, long nowNanos) {
+        if (event instanceof AttemptEvent.CallerGone gone) {
+            callerGone(gone.request(), nowNanos);
+            return;
+        }
+        TrackedRequest tracked = mAttempts.find(event);
+        if (tracked != null) {
+            follow(tracked, mAttempts.observed(tracked, event, nowNanos), nowNanos);
+        }
+    }
+
+    @Override
+    public List<DispatchAction> actions(long nowNanos) {
+        failOverdue(nowNanos);
+        if (mCheckedNanos == Long.MIN_VALUE || nowNanos - mCheckedNanos >= CHECK_NANOS) {
+            mCheckedNanos = nowNanos;
+            check(nowNanos);
+        }
+        mQueues.serve(tracked -> place(tracked, nowNanos), nowNanos);
+        List<DispatchAction> actions = List.copyOf(mOutbox);
+        mOutbox.clear();
+        return actions;
+    }
+
+    /** Returns the number of admitted requests that have not ended. */
+    public int openRequests() {
+        return mRequests.size();
+    }
+
+    /** Returns the memory that this instance has reserved on all upstreams, in tokens. */
+    public long reservedTokens() {
+        return mFleet.all().stream()
+                .flatMap(load -> load.holds().stream())
+                .mapToLong(Hold::memoryTokens)
+                .sum();
+    }
+
+    private Optional<RequestFailure> refusal(WorkRequest request, long nowNanos) {
+        if (!mDocument.profiles().containsKey(request.profile().name())) {
+            String name = request.profile().name().value();
+            return Optional.of(new RequestFailure.UnknownName("profile", name));
+        }
+        if (request.model() != null
+                && !request.profile().models().contains(request.model())
+                && !mFleet.knowsModel(request.profile().service(), request.model())) {
+            String name = request.model().value();
+            return Optional.of(new RequestFailure.UnknownName("model", name));
+        }
+        return mRecovery.refusal(request, nowNanos);
+    }
+
+    /** Finds room in a full queue by shedding the least urgent work. */
+    private Either<RequestFailure, Void> room(
+            WorkRequest request, AdmissionControl.Outlook outlook, long nowNanos) {
+        if (!mQueues.full(request)) {
+            return Either.right(null);
+        }
+        RequestFailure overloaded = AdmissionControl.overloaded(outlook.queueNanos());
+        TrackedRequest victim = mQueues.victim(request);
+        if (victim == null) {
+            return Either.left(overloaded);
+        }
+        fail(victim, overloaded, nowNanos);
+        return Either.right(null);
+    }
+
+    private long cachedTokens(WorkRequest request) {
+        return mPrefixes.holders(request.prefixHashes()).stream()
+                .findFirst()
+                .map(holder -> mPrefixes.cachedBlocks(holder, request.prefixHashes()))
+                .map(blocks -> Math.min(request.promptTokens(), blocks * PrefixIndex.BLOCK_TOKENS))
+                .orElse(0L);
+    }
+
+    private boolean place(TrackedRequest tracked, long nowNanos) {
+        DispatchAction start = mPlacer.place(tracked, nowNanos);
+        if (start == null || tracked.mCurrent == null) {
+            return false;
+        }
+        mAttempts.started(tracked, tracked.mCurrent);
+        mOutbox.add(start);
+        return true;
+    }
+
+    private void follow(TrackedRequest tracked, Attempts.Sequel sequel, long nowNanos) {
+        switch (sequel) {
+            case Attempts.Sequel.Running running -> {}
+            case Attempts.Sequel.Requeue again -> mQueues.addAgain(tracked, nowNanos);
+            case Attempts.Sequel.Done done -> forget(tracked);
+            case Attempts.Sequel.Failed failed -> fail(tracked, failed.failure(), nowNanos);
+        }
+    }
+
+    private void breakOff(
+            TrackedRequest tracked, RunningAttempt attempt, AttemptEvent.Break how, long nowNanos) {
+        follow(tracked, mAttempts.broken(tracked, attempt, how, nowNanos), nowNanos);
+    }
+
+    private void callerGone(RequestId id, long nowNanos) {
+        TrackedRequest tracked = mRequests.get(id);
+        if (tracked != null) {
+            withdraw(tracked, nowNanos);
+            forget(tracked);
+        }
+    }
+
+    private void fail(TrackedRequest tracked, RequestFailure failure, long nowNanos) {
+        withdraw(tracked, nowNanos);
+        forget(tracked);
+        mOutbox.add(new DispatchAction.Fail(tracked.mRequest.id(), failure));
+    }
+
+    /** Takes a request out of the queue and cancels its attempt. */
+    private void withdraw(TrackedRequest tracked, long nowNanos) {
+        mQueues.remove(tracked, nowNanos);
+        if (tracked.mCurrent != null) {
+            cancel(tracked, tracked.mCurrent, nowNanos);
+        }
+    }
+
+    private void cancel(TrackedRequest tracked, RunningAttempt attempt, long nowNanos) {
+        tracked.mMayHaveRun = true;
+        UpstreamId upstream = attempt.mPlacement.upstream().state().announcement().id();
+        mOutbox.add(new DispatchAction.Cancel(tracked.mRequest.id(), attempt.mId, upstream));
+        mAttempts.abandon(tracked, attempt, nowNanos);
+    }
+
+    private void forget(TrackedRequest tracked) {
+        tracked.mEnded = true;
+        mRequests.remove(tracked.mRequest.id());
+    }
+
+    private void failOverdue(long nowNanos) {
+        TrackedRequest next = mDeadlines.peek();
+        while (next != null
+                && (next.mEnded
+                        || nowNanos >= next.mRequest.deadlineNanos() - DEADLINE_MARGIN_NANOS)) {
+            mDeadlines.poll();
+            if (!next.mEnded) {
+                fail(next, new RequestFailure.DeadlineExceeded(next.ran()), nowNanos);
+            }
+            next = mDeadlines.peek();
+        }
+    }
+
+    private void check(long nowNanos) {
+        for (UpstreamLoad silent : mFleet.expire(nowNanos)) {
+            mPrefixes.forget(silent.state().announcement().id());
+            breakAll(silent, nowNanos);
+        }
+        for (TrackedRequest tracked : mAttempts.running()) {
+            RunningAttempt attempt = tracked.mCurrent;
+            if (attempt != null
+                    && tracked.mRequest.repeatable()
+                    && SilenceCheck.silent(attempt, nowNanos)) {
+                cancelUpstream(tracked, attempt);
+                breakOff(tracked, attempt, AttemptEvent.Break.SILENT, nowNanos);
+            }
+        }
+        mQueues.waiting().forEach(tracked -> checkWaiting(tracked, nowNanos));
+    }
+
+    private void checkWaiting(TrackedRequest tracked, long nowNanos) {
+        if (!tracked.mAvoidedUpstreams.isEmpty()
+                && nowNanos - tracked.mNotBeforeNanos > AVOID_NANOS) {
+            tracked.mAvoidedUpstreams = Set.of();
+        }
+        if (tracked.mUrgency < TrackedRequest.URGENT) {
+            WorkRequest request = tracked.mRequest;
+            AdmissionControl.Outlook outlook =
+                    new AdmissionControl.Outlook(
+                            mTeacher.rates(request.profile().service()),
+                            0,
+                            tracked.remainingTokens(),
+                            0);
+            double needed = mAdmission.workNanos(request, outlook);
+            if (request.deadlineNanos() - nowNanos < needed * URGENT_FACTOR) {
+                mQueues.changeUrgency(tracked, TrackedRequest.URGENT, nowNanos);
+            }
+        }
+    }
+
+    private void cancelUpstream(TrackedRequest tracked, RunningAttempt attempt) {
+        UpstreamId upstream = attempt.mPlacement.upstream().state().announcement().id();
+        mOutbox.add(new DispatchAction.Cancel(tracked.mRequest.id(), attempt.mId, upstream));
+    }
+
+    /** Breaks all attempts on an upstream that is gone, those that only use its memory included. */
+    private void breakAll(UpstreamLoad gone, long nowNanos) {
+        for (TrackedRequest tracked : mAttempts.running()) {
+            RunningAttempt attempt = tracked.mCurrent;
+            if (attempt == null) {
+                continue;
+            }
+            if (attempt.mPlacement.partners().contains(gone)) {
+                cancelUpstream(tracked, attempt);
+                breakOff(tracked, attempt, AttemptEvent.Break.UPSTREAM_GONE, nowNanos);
+            } else if (attempt.mPlacement.upstream() == gone) {
+                breakOff(tracked, attempt, AttemptEvent.Break.UPSTREAM_GONE, nowNanos);
+            }
+        }
+    }
+
+    /** Moves repeatable work above the limit away from an upstream that has become cold. */
+    private void moveSurplus(UpstreamLoad load, long nowNanos) {
+        Announcement announcement = load.state().announcement();
+        ColdLimit granted =
+                mColdAllowance.granted(
+                        announcement.id(),
+                        announcement.incarnation(),
+                        announcement.coldLimit(),
+                        nowNanos);
+        for (Hold hold : load.beyond(granted.requests(), granted.prefillTokens())) {
+            TrackedRequest tracked = mAttempts.find(hold.attempt());
+            RunningAttempt attempt = tracked == null ? null : tracked.mCurrent;
+            if (tracked != null && attempt != null && tracked.mRequest.repeatable()) {
+                cancel(tracked, attempt, nowNanos);
+                tracked.mNotBeforeNanos = nowNanos;
+                tracked.mAvoidedUpstreams = Set.of(announcement.id());
+                mQueues.addAgain(tracked, nowNanos);
+            }
+        }
+    }
+
+    /** Builds a {@link PolicyDispatcher}. Not thread-safe. */
+    public static final class Builder {
+        private final String mAttemptPrefix;
+        private final RoutingOptions mRouting;
+        private ColdAllowance mColdAllowance = new LocalColdAllowance(1, 0);
+        private RecoveryPolicy mRecovery = new SimpleRecovery();
+
+        private Builder(String attemptPrefix, RoutingOptions routing) {
+            mAttemptPrefix = attemptPrefix;
+            mRouting = routing;
+        }
+
+        /** Sets how much of the limits of cold upstreams this instance may use. */
+        public Builder coldAllowance(ColdAllowance value) {
+            mColdAllowance = value;
+            return this;
+        }
+
+        /** Sets what happens after an attempt failed. */
+        public Builder recovery(RecoveryPolicy value) {
+            mRecovery = value;
+            return this;
+        }
+
+        /** Returns the dispatcher. */
+        public PolicyDispatcher build() {
+            return new PolicyDispatcher(this);
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/RunningAttempt.java
@@ -0,0 +1,27 @@
+package dev.kumquatweir.policy.dispatch;
+
+import dev.kumquatweir.core.identity.AttemptId;
+import dev.kumquatweir.policy.routing.Placement;
+
+/** The current attempt of a request. Not thread-safe: owned by the dispatch duty. */
+final class RunningAttempt {
+    final AttemptId mId;
+    final Placement mPlacement;
+    final long mStartedNanos;
+    final long mOffset;
+    final long mPrefillTokens;
+    boolean mAccepted;
+    boolean mFirstToken;
+    long mFirstTokenNanos;
+    long mProgressNanos;
+
+    RunningAttempt(
+            AttemptId id, Placement placement, long offset, long prefillTokens, long nowNanos) {
+        mId = id;
+        mPlacement = placement;
+        mOffset = offset;
+        mPrefillTokens = prefillTokens;
+        mStartedNanos = nowNanos;
+        mProgressNanos = nowNanos;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/SimpleRecovery.java
@@ -0,0 +1,60 @@
+package dev.kumquatweir.policy.dispatch;
+
+import dev.kumquatweir.core.configuration.RequestClass;
+import dev.kumquatweir.core.failure.Ran;
+import dev.kumquatweir.core.failure.RequestFailure;
+import dev.kumquatweir.core.identity.AttemptId;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Retries within a budget that admitted requests earn. Long documents may overdraw it, since each
+ * of them is worth many short requests and must not be lost. Not thread-safe.
+ */
+public final class SimpleRecovery implements RecoveryPolicy {
+    private static final double EARNED_PER_REQUEST = 0.2;
+
+    /** Covers the requests that an instance has running in one failure domain that is lost. */
+    private static final double LARGEST_BUDGET = 100;
+
+    private static final int MAXIMUM_BREAKS = 4;
+    private static final long REFUSAL_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    private static final long LARGEST_DELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private double mBudget = LARGEST_BUDGET;
+
+    @Override
+    public Optional<RequestFailure> refusal(WorkRequest request, long nowNanos) {
+        return Optional.empty();
+    }
+
+    @Override
+    public void admitted(WorkRequest request, long nowNanos) {
+        mBudget = Math.min(LARGEST_BUDGET, mBudget + EARNED_PER_REQUEST);
+    }
+
+    @Override
+    public Decision refused(FailedAttempt attempt, AttemptEvent.Refusal reason, long nowNanos) {
+        long delay = Math.min(LARGEST_DELAY_NANOS, REFUSAL_DELAY_NANOS * (attempt.refusals() - 1));
+        return new Decision.Again(nowNanos + delay, Set.of(attempt.upstream()), Set.of());
+    }
+
+    @Override
+    public Decision broken(FailedAttempt attempt, AttemptEvent.Break how, long nowNanos) {
+        boolean overdraws = attempt.request().profile().requestClass() == RequestClass.LONG;
+        if (attempt.breaks() >= MAXIMUM_BREAKS || (mBudget < 1 && !overdraws)) {
+            String problem = how.name().toLowerCase(Locale.ROOT);
+            return new Decision.GiveUp(
+                    new RequestFailure.UpstreamFailed(attempt.upstream(), problem, Ran.UNKNOWN));
+        }
+        mBudget = Math.max(0, mBudget - 1);
+        return new Decision.Again(nowNanos, Set.of(attempt.upstream()), Set.of(attempt.domain()));
+    }
+
+    @Override
+    public void finished(WorkRequest request, AttemptId attempt, long nowNanos) {
+        // A whole answer earns nothing beyond its admission.
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/WorkQueues.java
@@ -0,0 +1,206 @@
+package dev.kumquatweir.policy.dispatch;
+
+import dev.kumquatweir.core.configuration.ConfigurationDocument;
+import dev.kumquatweir.core.configuration.Team;
+import dev.kumquatweir.core.identity.ModelName;
+import dev.kumquatweir.core.identity.ServiceName;
+import dev.kumquatweir.core.identity.TeamName;
+import dev.kumquatweir.policy.admission.DrainRate;
+import dev.kumquatweir.policy.fairness.FairQueue;
+import dev.kumquatweir.policy.routing.LengthClass;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The waiting requests of an instance, one queue for each service, model and length class, and what
+ * each team holds. Not thread-safe: owned by the dispatch duty.
+ */
+final class WorkQueues {
+    /** Requests of a queue that are tried in one pass before the rest is taken to be stuck too. */
+    private static final int TRIES = 4;
+
+    /** Drain rate assumed before any work has left a queue, in tokens per nanosecond. */
+    private static final double PRIOR_DRAIN = 20_000.0 / TimeUnit.SECONDS.toNanos(1);
+
+    /** Longest queue of one kind of work, in requests. More urgent work then sheds the least. */
+    private static final int LONGEST_QUEUE = 10_000;
+
+    private record Key(ServiceName service, @Nullable ModelName model, LengthClass length) {}
+
+    private record Holder(ServiceName service, TeamName team) {}
+
+    private static final class Line {
+        private final FairQueue<TrackedRequest> mQueue;
+        private final DrainRate mDrain;
+
+        private Line(FairQueue<TrackedRequest> queue, DrainRate drain) {
+            mQueue = queue;
+            mDrain = drain;
+        }
+    }
+
+    private final Map<Key, Line> mLines = new LinkedHashMap<>();
+    private final Map<Holder, Long> mHeldByTeam = new HashMap<>();
+    private final Map<ServiceName, Long> mHeldByService = new HashMap<>();
+    private ConfigurationDocument mDocument = ConfigurationDocument.EMPTY;
+
+    /** Takes a newer configuration; weights of waiting teams change with their next work. */
+    void configure(ConfigurationDocument document) {
+        mDocument = document;
+    }
+
+    /** Adds a request that was just admitted. */
+    void add(TrackedRequest tracked, long nowNanos) {
+        line(tracked, nowNanos).mQueue.add(tracked);
+        tracked.mQueued = true;
+    }
+
+    /** Adds a request whose attempt failed before others of its team. */
+    void addAgain(TrackedRequest tracked, long nowNanos) {
+        line(tracked, nowNanos).mQueue.addFirst(tracked);
+        tracked.mQueued = true;
+    }
+
+    /** Removes a request that ended while it waited. */
+    void remove(TrackedRequest tracked, long nowNanos) {
+        if (tracked.mQueued) {
+            line(tracked, nowNanos).mQueue.remove(tracked);
+            tracked.mQueued = false;
+        }
+    }
+
+    /** Notes that a request occupies an upstream. */
+    void held(TrackedRequest tracked) {
+        ServiceName service = tracked.mRequest.profile().service();
+        mHeldByService.merge(service, tracked.tokens(), Long::sum);
+        mHeldByTeam.merge(new Holder(service, tracked.team()), tracked.tokens(), Long::sum);
+    }
+
+    /** Notes that a request no longer occupies an upstream. */
+    void released(TrackedRequest tracked) {
+        ServiceName service = tracked.mRequest.profile().service();
+        mHeldByService.merge(service, -tracked.tokens(), Long::sum);
+        mHeldByTeam.merge(
+                new Holder(service, tracked.team()),
+                -tracked.tokens(),
+                (held, change) -> held + change == 0 ? null : held + change);
+    }
+
+    /** Returns the estimated time until new work of this kind leaves the queue. */
+    double queueNanos(WorkRequest request, long nowNanos) {
+        Line line = mLines.get(key(request));
+        if (line == null || line.mQueue.size() == 0) {
+            return 0;
+        }
+        line.mDrain.pass(nowNanos, true);
+        long ahead = line.mQueue.tokensAhead(request.team(), request.profile().priority());
+        return line.mDrain.nanosFor(ahead);
+    }
+
+    /** Returns work to shed so that more urgent work finds room, null if there is no need. */
+    @Nullable TrackedRequest victim(WorkRequest request) {
+        Line line = mLines.get(key(request));
+        return line == null || line.mQueue.size() < LONGEST_QUEUE
+                ? null
+                : line.mQueue.shedBelow(request.profile().priority());
+    }
+
+    /** Returns whether the queue of this kind of work is full. */
+    boolean full(WorkRequest request) {
+        Line line = mLines.get(key(request));
+        return line != null && line.mQueue.size() >= LONGEST_QUEUE;
+    }
+
+    /**
+     * Offers waiting requests in order of service.
+     *
+     * @param place places a request and returns whether it could
+     */
+    void serve(Predicate<TrackedRequest> place, long nowNanos) {
+        for (Line line : mLines.values()) {
+            boolean waiting = line.mQueue.size() > 0;
+            line.mDrain.pass(nowNanos, waiting);
+            if (waiting) {
+                serve(line, place, nowNanos);
+            }
+        }
+    }
+
+    /** Returns the requests that wait, for periodic checks. */
+    Collection<TrackedRequest> waiting() {
+        List<TrackedRequest> waiting = new ArrayList<>();
+        mLines.values().forEach(line -> waiting.addAll(line.mQueue.all()));
+        return waiting;
+    }
+
+    /** Moves a waiting request to another urgency. */
+    void changeUrgency(TrackedRequest tracked, int urgency, long nowNanos) {
+        FairQueue<TrackedRequest> queue = line(tracked, nowNanos).mQueue;
+        if (queue.remove(tracked)) {
+            tracked.mUrgency = urgency;
+            queue.add(tracked);
+        }
+    }
+
+    private void serve(Line line, Predicate<TrackedRequest> place, long nowNanos) {
+        Set<TrackedRequest> tried = new HashSet<>();
+        while (line.mQueue.size() > 0 && tried.size() < TRIES) {
+            TrackedRequest next =
+                    line.mQueue.next(
+                            head ->
+                                    !tried.contains(head)
+                                            && nowNanos >= head.mNotBeforeNanos
+                                            && withinShare(line, head));
+            if (next == null) {
+                return;
+            }
+            if (place.test(next)) {
+                line.mQueue.take(next);
+                next.mQueued = false;
+                line.mDrain.drained(next.tokens(), nowNanos);
+            } else {
+                tried.add(next);
+            }
+        }
+    }
+
+    private boolean withinShare(Line line, TrackedRequest head) {
+        ServiceName service = head.mRequest.profile().service();
+        long heldByTeam = mHeldByTeam.getOrDefault(new Holder(service, head.team()), 0L);
+        if (heldByTeam == 0 || !line.mQueue.othersWait(head.team())) {
+            return true;
+        }
+        long held = mHeldByService.getOrDefault(service, 0L);
+        return heldByTeam <= held * head.mRequest.profile().teamShare();
+    }
+
+    private Line line(TrackedRequest tracked, long nowNanos) {
+        return mLines.computeIfAbsent(
+                key(tracked.mRequest),
+                key ->
+                        new Line(
+                                new FairQueue<>(this::weight),
+                                new DrainRate(PRIOR_DRAIN, nowNanos)));
+    }
+
+    private int weight(TeamName name) {
+        Team team = mDocument.teams().get(name);
+        return team == null ? 1 : team.weight();
+    }
+
+    private static Key key(WorkRequest request) {
+        return new Key(
+                request.profile().service(),
+                request.model(),
+                LengthClass.of(request.promptTokens()));
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/fairness/package-info.java
@@ -0,0 +1,5 @@
+/** Queues by urgency and team. */
+@NullMarked
+package dev.kumquatweir.policy.fairness;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/routing/Pool.java
@@ -0,0 +1,113 @@
+package dev.kumquatweir.policy.routing;
+
+import dev.kumquatweir.core.configuration.UpstreamKind;
+import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.UpstreamId;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The upstreams that may take work of one service and model at one time, each with its lane.
+ * Immutable apart from the loads that it refers to.
+ */
+public final class Pool {
+    /** One upstream of a pool. */
+    public record Member(UpstreamLoad load, LengthStrategy.Lane lane) {}
+
+    private final List<Member> mAll;
+    private final List<Member> mForShort;
+    private final List<Member> mForLong;
+    private final List<Member> mShortLane;
+    private final List<Member> mLongLane;
+    private final Map<UpstreamId, Member> mById;
+    private final long mLargestMemoryTokens;
+
+    private Pool(List<Member> all) {
+        mAll = List.copyOf(all);
+        mShortLane = lane(all, LengthStrategy.Lane.SHORT);
+        mLongLane = lane(all, LengthStrategy.Lane.LONG);
+        mForShort = all.stream().filter(member -> takes(member, LengthClass.SHORT)).toList();
+        mForLong = all.stream().filter(member -> takes(member, LengthClass.LONG)).toList();
+        mById =
+                all.stream()
+                        .collect(
+                                Collectors.toMap(
+                                        member -> member.load().state().announcement().id(),
+                                        member -> member));
+        mLargestMemoryTokens =
+                all.stream()
+                        .mapToLong(member -> member.load().state().announcement().memoryTokens())
+                        .max()
+                        .orElse(0);
+    }
+
+    /**
+     * Makes a pool. The lanes follow from the identifiers alone, so that all instances that know
+     * the same upstreams agree on them, and each lane is spread over the failure domains.
+     */
+    public static Pool of(List<UpstreamLoad> loads, LengthStrategy strategy) {
+        List<UpstreamLoad> byName =
+                loads.stream()
+                        .sorted(Comparator.comparing(load -> load.state().announcement().id()))
+                        .toList();
+        Map<FailureDomain, Integer> ranks = new HashMap<>();
+        record Ranked(UpstreamLoad load, int rank) {}
+        List<Ranked> ranked = new ArrayList<>();
+        for (UpstreamLoad load : byName) {
+            int rank = ranks.merge(load.state().announcement().domain(), 1, Integer::sum);
+            ranked.add(new Ranked(load, rank));
+        }
+        ranked.sort(Comparator.comparingInt(Ranked::rank));
+        List<Member> members = new ArrayList<>();
+        for (int place = 0; place < ranked.size(); place++) {
+            UpstreamLoad load = ranked.get(place).load();
+            boolean engine = load.state().announcement().kind() == UpstreamKind.ENGINE;
+            LengthStrategy.Lane lane =
+                    engine ? strategy.lane(place, ranked.size()) : LengthStrategy.Lane.MIXED;
+            members.add(new Member(load, lane));
+        }
+        return new Pool(members);
+    }
+
+    /** Returns all members. */
+    public List<Member> all() {
+        return mAll;
+    }
+
+    /** Returns the member of an upstream, null if it is none. */
+    public @Nullable Member find(UpstreamId upstream) {
+        return mById.get(upstream);
+    }
+
+    /** Returns the members meant for prompts of a class. */
+    public List<Member> preferred(LengthClass length) {
+        return length == LengthClass.SHORT ? mForShort : mForLong;
+    }
+
+    /** Returns the members of the lane for prompts of the other class. */
+    public List<Member> lendable(LengthClass length) {
+        return length == LengthClass.SHORT ? mLongLane : mShortLane;
+    }
+
+    /** Returns the memory of the largest engine, in tokens. */
+    public long largestMemoryTokens() {
+        return mLargestMemoryTokens;
+    }
+
+    private static boolean takes(Member member, LengthClass length) {
+        return switch (member.lane()) {
+            case MIXED -> true;
+            case SHORT -> length == LengthClass.SHORT;
+            case LONG -> length == LengthClass.LONG;
+        };
+    }
+
+    private static List<Member> lane(List<Member> all, LengthStrategy.Lane lane) {
+        return all.stream().filter(member -> member.lane() == lane).toList();
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/routing/PrefixIndex.java
@@ -0,0 +1,142 @@
+package dev.kumquatweir.policy.routing;
+
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.registry.CacheEvents;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Which engines are likely to have which prefixes cached, from their late cache events. Its answers
+ * are hints only. Not thread-safe: owned by the dispatch duty.
+ */
+public final class PrefixIndex {
+    /** Tokens of one block of a prompt. */
+    public static final long BLOCK_TOKENS = 256;
+
+    private final Map<Long, List<UpstreamId>> mHolders = new HashMap<>();
+    private final Map<UpstreamId, Engine> mEngines = new HashMap<>();
+
+    /**
+     * Takes cache events. Events already seen are skipped. After a gap the engine's entries are
+     * kept as hints, and the next events are taken as its whole list, whatever their numbers.
+     *
+     * @return false if events are missing and the engine has to send its whole list
+     */
+    public boolean apply(CacheEvents events) {
+        Engine engine = mEngines.computeIfAbsent(events.id(), key -> new Engine());
+        if (events.incarnation() < engine.mIncarnation) {
+            return true;
+        }
+        if (events.incarnation() > engine.mIncarnation) {
+            boolean first = engine.mIncarnation == Long.MIN_VALUE;
+            forget(events.id());
+            engine = new Engine();
+            engine.mIncarnation = events.incarnation();
+            engine.mAwaitsList = first && events.firstSequence() > 1;
+            engine.mNext = 1;
+            mEngines.put(events.id(), engine);
+            if (engine.mAwaitsList) {
+                return false;
+            }
+        }
+        if (engine.mAwaitsList) {
+            remove(events.id(), engine);
+            engine.mAwaitsList = false;
+            engine.mNext = events.firstSequence();
+        }
+        if (events.firstSequence() > engine.mNext) {
+            engine.mAwaitsList = true;
+            return false;
+        }
+        long sequence = events.firstSequence();
+        for (CacheEvents.CacheEvent event : events.events()) {
+            if (sequence >= engine.mNext) {
+                apply(events.id(), engine, event);
+            }
+            sequence++;
+        }
+        engine.mNext = Math.max(engine.mNext, sequence);
+        return true;
+    }
+
+    /** Forgets an engine that died or left. */
+    public void forget(UpstreamId upstream) {
+        Engine engine = mEngines.remove(upstream);
+        if (engine != null) {
+            remove(upstream, engine);
+        }
+    }
+
+    /**
+     * Returns the number of leading blocks of a prompt that an engine has cached. A chain has no
+     * holes except after events were lost, so that a binary search suffices for a hint.
+     */
+    public int cachedBlocks(UpstreamId upstream, List<Long> prefixHashes) {
+        Engine engine = mEngines.get(upstream);
+        if (engine == null || engine.mStored.isEmpty()) {
+            return 0;
+        }
+        int low = 0;
+        int high = prefixHashes.size();
+        while (low < high) {
+            int middle = (low + high + 1) >>> 1;
+            if (engine.mStored.contains(prefixHashes.get(middle - 1))) {
+                low = middle;
+            } else {
+                high = middle - 1;
+            }
+        }
+        return low;
+    }
+
+    /** Returns the engines that have the longest known prefix of a prompt. */
+    public List<UpstreamId> holders(List<Long> prefixHashes) {
+        int low = 0;
+        int high = prefixHashes.size();
+        while (low < high) {
+            int middle = (low + high + 1) >>> 1;
+            if (mHolders.containsKey(prefixHashes.get(middle - 1))) {
+                low = middle;
+            } else {
+                high = middle - 1;
+            }
+        }
+        return low == 0 ? List.of() : mHolders.getOrDefault(prefixHashes.get(low - 1), List.of());
+    }
+
+    private void apply(UpstreamId upstream, Engine engine, CacheEvents.CacheEvent event) {
+        if (event.stored()) {
+            if (engine.mStored.add(event.prefixHash())) {
+                mHolders.computeIfAbsent(event.prefixHash(), key -> new ArrayList<>(2))
+                        .add(upstream);
+            }
+        } else if (engine.mStored.remove(event.prefixHash())) {
+            dropHolder(event.prefixHash(), upstream);
+        }
+    }
+
+    private void remove(UpstreamId upstream, Engine engine) {
+        engine.mStored.forEach(hash -> dropHolder(hash, upstream));
+        engine.mStored.clear();
+    }
+
+    private void dropHolder(Long hash, UpstreamId upstream) {
+        mHolders.computeIfPresent(
+                hash,
+                (key, holders) -> {
+                    holders.remove(upstream);
+                    return holders.isEmpty() ? null : holders;
+                });
+    }
+
+    private static final class Engine {
+        private final Set<Long> mStored = new HashSet<>();
+        private long mIncarnation = Long.MIN_VALUE;
+        private long mNext;
+        private boolean mAwaitsList;
+    }
+}
