--- /dev/null
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/lease/ForceStatus.java
@@ -0,0 +1,22 @@
+package dev.kumquatweir.agreement.lease;
+
+import dev.kumquatweir.core.identity.InstanceId;
+import java.util.SortedSet;
+
+/** Whether a configuration version is in force everywhere. */
+public sealed interface ForceStatus {
+    /** No instance serves under an earlier version any more. */
+    record InForce() implements ForceStatus {}
+
+    /**
+     * Some instance may still serve under an earlier version.
+     *
+     * @param instances instances that have not acknowledged the version; may be empty while a new
+     *     leader waits for leases it does not know
+     * @param untilNanos leader's time at which the last of these leases has expired
+     */
+    record Waiting(SortedSet<InstanceId> instances, long untilNanos) implements ForceStatus {}
+
+    /** This replica does not lead. */
+    record NotLeading() implements ForceStatus {}
+}
--- a/agreement/src/main/java/dev/kumquatweir/agreement/port/MemberId.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/port/MemberId.java
@@ -8,6 +8,17 @@
  * @param store random id kept in the data folder
  */
 public record MemberId(String name, String store) implements Comparable<MemberId> {
+    /**
+     * Store id of an instance without a data folder. It may lose its log at each restart, so it is
+     * never promoted, never votes and never counts.
+     */
+    public static final String VOLATILE_STORE = "volatile";
+
+    /** Returns whether this replica forgets everything at a restart. */
+    public boolean isVolatile() {
+        return store.equals(VOLATILE_STORE);
+    }
+
     @Override
     public int compareTo(MemberId other) {
         int byName = name.compareTo(other.name);
--- a/agreement/src/main/java/dev/kumquatweir/agreement/port/StorageWrite.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/port/StorageWrite.java
@@ -14,8 +14,8 @@
  * @param hardState term and vote to store, if they changed
  * @param snapshot snapshot to store, if there is a new one; the older one may be deleted once it is
  *     synced. Entries up to its index stay until {@code compactThrough} removes them
- * @param truncateFrom entries with this index and above are removed before the append; {@link
- *     #NOTHING} for none
+ * @param truncateFrom entries with this index and above are removed before the append (1 empties
+ *     the log, as a received snapshot does); {@link #NOTHING} for none
  * @param entries entries to append, contiguous; the first follows the last one that is stored, or
  *     the snapshot's index if the log is empty after the truncation
  * @param compactThrough entries up to this index may be deleted once the batch is synced; at most
--- a/agreement/src/main/java/dev/kumquatweir/agreement/port/StoredState.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/port/StoredState.java
@@ -7,9 +7,10 @@
  * All that a log store holds at start. Immutable.
  *
  * <p>The entries are contiguous and ascending. With a snapshot at index i they may begin at any
- * index up to i + 1. A store that finds entries beginning after i + 1, or an entry at index i whose
- * term differs from the snapshot's, was interrupted between writing a received snapshot and
- * truncating the log; it returns no entries then.
+ * index up to i + 1. A store whose entries begin after i + 1 or end before i, or whose entry at
+ * index i has another term than the snapshot, was interrupted between writing a received snapshot
+ * and truncating the log. The agreement core ignores such entries and truncates the whole log with
+ * its first batch; a store may as well remove them itself and return none.
  *
  * @param storeId random id of the data folder, made when the folder was first used
  * @param hardState term and vote
--- /dev/null
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftLog.java
@@ -0,0 +1,179 @@
+package dev.kumquatweir.agreement.raft;
+
+import dev.kumquatweir.agreement.codec.MembershipCodec;
+import dev.kumquatweir.agreement.port.EntryKind;
+import dev.kumquatweir.agreement.port.LogEntry;
+import dev.kumquatweir.agreement.port.Membership;
+import dev.kumquatweir.agreement.port.SnapshotImage;
+import dev.kumquatweir.agreement.port.StoredState;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/** The log in memory: entries after a base position, and the memberships they set. One thread. */
+final class RaftLog {
+    /** Term of an index that is outside the log. */
+    static final long UNKNOWN_TERM = -1;
+
+    private final List<LogEntry> mEntries = new ArrayList<>();
+    private final TreeMap<Long, Membership> mMemberships = new TreeMap<>();
+    private final boolean mStoredEntriesIgnored;
+    private long mBaseIndex;
+    private long mBaseTerm;
+    private @Nullable SnapshotImage mSnapshot;
+
+    RaftLog(StoredState state) {
+        mSnapshot = state.snapshot().orElse(null);
+        mMemberships.put(0L, Membership.EMPTY);
+        if (mSnapshot != null) {
+            mBaseIndex = mSnapshot.index();
+            mBaseTerm = mSnapshot.term();
+            mMemberships.put(mBaseIndex, mSnapshot.membership());
+        }
+        List<LogEntry> stored = state.entries();
+        mStoredEntriesIgnored = !stored.isEmpty() && !continuesSnapshot(stored);
+        if (stored.isEmpty() || mStoredEntriesIgnored) {
+            return;
+        }
+        LogEntry first = stored.getFirst();
+        if (first.index() <= mBaseIndex) {
+            // The term before the first entry is not known, so the first entry becomes the base.
+            mBaseIndex = first.index();
+            mBaseTerm = first.term();
+            append(stored.subList(1, stored.size()));
+        } else {
+            append(stored);
+        }
+    }
+
+    private boolean continuesSnapshot(List<LogEntry> stored) {
+        long first = stored.getFirst().index();
+        if (first == mBaseIndex + 1) {
+            return true;
+        }
+        return first <= mBaseIndex
+                && stored.getLast().index() >= mBaseIndex
+                && stored.get((int) (mBaseIndex - first)).term() == mBaseTerm;
+    }
+
+    /** Returns whether the store holds entries that this log ignores and that must be removed. */
+    boolean storedEntriesIgnored() {
+        return mStoredEntriesIgnored;
+    }
+
+    long baseIndex() {
+        return mBaseIndex;
+    }
+
+    long lastIndex() {
+        return mBaseIndex + mEntries.size();
+    }
+
+    long lastTerm() {
+        return mEntries.isEmpty() ? mBaseTerm : mEntries.getLast().term();
+    }
+
+    @Nullable SnapshotImage snapshot() {
+        return mSnapshot;
+    }
+
+    long snapshotIndex() {
+        return mSnapshot == null ? 0 : mSnapshot.index();
+    }
+
+    /** Returns the term of an entry, {@link #UNKNOWN_TERM} outside the log. */
+    long term(long index) {
+        if (index == mBaseIndex) {
+            return mBaseTerm;
+        }
+        return index < mBaseIndex || index > lastIndex() ? UNKNOWN_TERM : entry(index).term();
+    }
+
+    LogEntry entry(long index) {
+        return mEntries.get((int) (index - mBaseIndex - 1));
+    }
+
+    /** Returns the newest membership, whether committed or not. */
+    Membership membership() {
+        return mMemberships.lastEntry().getValue();
+    }
+
+    /** Returns the index of the entry that set the newest membership. */
+    long membershipIndex() {
+        return mMemberships.lastKey();
+    }
+
+    Membership membershipAt(long index) {
+        return mMemberships.floorEntry(index).getValue();
+    }
+
+    void append(List<LogEntry> entries) {
+        entries.forEach(this::append);
+    }
+
+    void append(LogEntry entry) {
+        if (entry.index() != lastIndex() + 1) {
+            throw new IllegalStateException(
+                    "entry " + entry.index() + " does not follow " + lastIndex());
+        }
+        mEntries.add(entry);
+        if (entry.kind() == EntryKind.MEMBERSHIP) {
+            Membership membership =
+                    MembershipCodec.decode(entry.payload())
+                            .getOrElseThrow(fault -> new IllegalStateException(fault.message()));
+            mMemberships.put(entry.index(), membership);
+        }
+    }
+
+    void truncateFrom(long index) {
+        mEntries.subList((int) (index - mBaseIndex - 1), mEntries.size()).clear();
+        mMemberships.tailMap(index, true).clear();
+    }
+
+    /** Returns a bounded run of entries from an index; at least one if there is any. */
+    List<LogEntry> slice(long from, int limitEntries, long limitBytes) {
+        int start = (int) (from - mBaseIndex - 1);
+        int end = start;
+        long bytes = 0;
+        while (end < mEntries.size() && end - start < limitEntries) {
+            bytes += mEntries.get(end).payload().size();
+            if (bytes > limitBytes && end > start) {
+                break;
+            }
+            end++;
+        }
+        return mEntries.subList(start, end);
+    }
+
+    /** Returns the first index of the run of entries with the same term that ends at an index. */
+    long firstOfTerm(long index) {
+        long first = index;
+        while (first - 1 > mBaseIndex && term(first - 1) == term(index)) {
+            first--;
+        }
+        return first;
+    }
+
+    /** Takes over a snapshot made here; entries up to compactThrough are dropped. */
+    void compact(SnapshotImage snapshot, long compactThrough) {
+        mSnapshot = snapshot;
+        if (compactThrough > mBaseIndex) {
+            long term = term(compactThrough);
+            mEntries.subList(0, (int) (compactThrough - mBaseIndex)).clear();
+            mBaseIndex = compactThrough;
+            mBaseTerm = term;
+        }
+        mMemberships.headMap(mMemberships.floorKey(snapshot.index()), false).clear();
+    }
+
+    /** Replaces the whole log by a received snapshot. */
+    void replace(SnapshotImage snapshot) {
+        mSnapshot = snapshot;
+        mEntries.clear();
+        mBaseIndex = snapshot.index();
+        mBaseTerm = snapshot.term();
+        mMemberships.clear();
+        mMemberships.put(snapshot.index(), snapshot.membership());
+    }
+}
--- /dev/null
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/state/InstanceTable.java
@@ -0,0 +1,53 @@
+package dev.kumquatweir.agreement.state;
+
+import dev.kumquatweir.core.identity.InstanceId;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Present incarnation of each instance, in the order of their starts. Deterministic. One thread.
+ */
+final class InstanceTable {
+    private final int mLimit;
+    private final Map<InstanceId, InstanceStart> mStarts = new LinkedHashMap<>();
+
+    InstanceTable(int limit) {
+        mLimit = limit;
+    }
+
+    Collection<InstanceStart> starts() {
+        return mStarts.values();
+    }
+
+    void restore(Collection<InstanceStart> starts) {
+        starts.forEach(start -> mStarts.put(start.instance(), start));
+    }
+
+    StateResult start(StateCommand.StartInstance command, long index) {
+        InstanceStart present = mStarts.get(command.instance());
+        if (present != null && present.nonce() == command.nonce()) {
+            return new StateResult.InstanceStarted(present.incarnation());
+        }
+        mStarts.remove(command.instance());
+        mStarts.put(
+                command.instance(), new InstanceStart(command.instance(), command.nonce(), index));
+        if (mStarts.size() > mLimit) {
+            mStarts.remove(mStarts.keySet().iterator().next());
+        }
+        return new StateResult.InstanceStarted(index);
+    }
+
+    boolean isCurrent(Claimant claimant) {
+        InstanceStart start = mStarts.get(claimant.instance());
+        return start != null && start.incarnation() == claimant.incarnation();
+    }
+
+    /** Returns the claimant with the instance object of this table, so that claims share it. */
+    Claimant canonical(Claimant claimant) {
+        InstanceStart start = mStarts.get(claimant.instance());
+        return start == null
+                ? claimant
+                : new Claimant(claimant.request(), start.instance(), claimant.incarnation());
+    }
+}
--- /dev/null
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/state/StateImage.java
@@ -0,0 +1,34 @@
+package dev.kumquatweir.agreement.state;
+
+import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.identity.CommandId;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The whole state as plain values, for snapshots. The maps keep their order. It is a view of the
+ * state machine and only valid until the next entry is applied.
+ *
+ * @param limits bounds of the state
+ * @param clockMillis state machine time
+ * @param version present configuration version
+ * @param documents kept documents by version, ascending
+ * @param history kept changes, oldest first
+ * @param results kept results, oldest first
+ * @param instances incarnations in the order of their starts
+ * @param epochs fencing epochs by purpose
+ * @param expiryCursor where the next expiry step goes on
+ * @param claims claims in the order of their keys
+ */
+public record StateImage(
+        StateLimits limits,
+        long clockMillis,
+        long version,
+        Map<Long, Bytes> documents,
+        List<ConfigurationChange> history,
+        Map<CommandId, StateResult.OfConfiguration> results,
+        List<InstanceStart> instances,
+        List<FencingEpoch> epochs,
+        Optional<ClaimKey> expiryCursor,
+        Map<ClaimKey, ClaimRecord> claims) {}
--- /dev/null
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/state/StateMachine.java
@@ -0,0 +1,158 @@
+package dev.kumquatweir.agreement.state;
+
+import dev.kumquatweir.agreement.codec.CommandCodec;
+import dev.kumquatweir.agreement.codec.MalformedContent;
+import dev.kumquatweir.agreement.codec.StateCodec;
+import dev.kumquatweir.agreement.port.EntryKind;
+import dev.kumquatweir.agreement.port.LogEntry;
+import dev.kumquatweir.core.bytes.Bytes;
+import io.vavr.control.Either;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The replicated state machine: configuration, claims, incarnations and fencing epochs. The same
+ * entries give the same state and results on each replica. Used by one thread.
+ */
+public final class StateMachine {
+    private final StateLimits mLimits;
+    private final ConfigurationTable mConfiguration;
+    private final InstanceTable mInstances;
+    private final ClaimTable mClaims;
+    private final Map<String, FencingEpoch> mEpochs = new LinkedHashMap<>();
+    private long mClockMillis;
+
+    /**
+     * Makes the initial state.
+     *
+     * @param limits bounds, the same on all replicas
+     */
+    public StateMachine(StateLimits limits) {
+        mLimits = limits;
+        mConfiguration = new ConfigurationTable(limits);
+        mInstances = new InstanceTable(limits.instances());
+        mClaims = new ClaimTable(limits, mInstances);
+    }
+
+    // Life-cycle
+
+    /**
+     * Makes the state of a snapshot; empty data means the initial state.
+     *
+     * @param data result of {@link #snapshot}
+     */
+    public static Either<MalformedContent, StateMachine> restore(Bytes data) {
+        return data.size() == 0
+                ? Either.right(new StateMachine(StateLimits.STANDARD))
+                : StateCodec.decode(data).map(StateMachine::ofImage);
+    }
+
+    /** Returns the state as bytes; equal states give equal bytes. */
+    public Bytes snapshot() {
+        return StateCodec.encode(image());
+    }
+
+    private static StateMachine ofImage(StateImage image) {
+        var machine = new StateMachine(image.limits());
+        machine.mClockMillis = image.clockMillis();
+        machine.mConfiguration.restore(
+                image.version(), image.documents(), image.history(), image.results());
+        machine.mInstances.restore(image.instances());
+        machine.mClaims.restore(image.claims(), image.expiryCursor());
+        image.epochs().forEach(epoch -> machine.mEpochs.put(epoch.purpose(), epoch));
+        return machine;
+    }
+
+    // Public API
+
+    /**
+     * Applies the next committed entry.
+     *
+     * @param entry the entry, in log order
+     * @return its result
+     */
+    public StateResult apply(LogEntry entry) {
+        if (entry.kind() != EntryKind.COMMAND) {
+            return new StateResult.Nothing();
+        }
+        return CommandCodec.decode(entry.payload())
+                .fold(
+                        fault -> new StateResult.Malformed(fault.message()),
+                        command -> apply(command, entry.index()));
+    }
+
+    /** Returns the present configuration version, 0 before any. */
+    public long configurationVersion() {
+        return mConfiguration.version();
+    }
+
+    /** Returns the present configuration document, empty before any. */
+    public Bytes configurationDocument() {
+        return mConfiguration.document();
+    }
+
+    /** Returns a kept document: the present one and a bounded number before it. */
+    public Optional<Bytes> configurationDocument(long version) {
+        return mConfiguration.document(version);
+    }
+
+    /** Returns the kept changes, oldest first. */
+    public List<ConfigurationChange> history() {
+        return List.copyOf(mConfiguration.history());
+    }
+
+    /** Returns a claim, if there is one. */
+    public Optional<ClaimRecord> claim(ClaimKey key) {
+        return Optional.ofNullable(mClaims.claims().get(key));
+    }
+
+    /** Returns how many claims there are. */
+    public int claimCount() {
+        return mClaims.claims().size();
+    }
+
+    /** Returns the newest epoch for a purpose, if one was taken. */
+    public Optional<FencingEpoch> epoch(String purpose) {
+        return Optional.ofNullable(mEpochs.get(purpose));
+    }
+
+    // Helpers
+
+    private StateResult apply(StateCommand command, long index) {
+        mClockMillis = Math.max(mClockMillis, command.nowMillis());
+        return switch (command) {
+            case StateCommand.ApplyConfiguration change ->
+                    mConfiguration.apply(change, mClockMillis);
+            case StateCommand.StartInstance start -> mInstances.start(start, index);
+            case StateCommand.Claim claim -> mClaims.claim(claim, mClockMillis);
+            case StateCommand.RecordOutcome outcome -> mClaims.recordOutcome(outcome, mClockMillis);
+            case StateCommand.Expire _ -> mClaims.expire(mClockMillis);
+            case StateCommand.TakeEpoch take -> takeEpoch(take, index);
+        };
+    }
+
+    private StateResult takeEpoch(StateCommand.TakeEpoch take, long index) {
+        mEpochs.remove(take.purpose());
+        mEpochs.put(take.purpose(), new FencingEpoch(take.purpose(), index, take.holder()));
+        if (mEpochs.size() > mLimits.epochPurposes()) {
+            mEpochs.remove(mEpochs.keySet().iterator().next());
+        }
+        return new StateResult.EpochTaken(index);
+    }
+
+    private StateImage image() {
+        return new StateImage(
+                mLimits,
+                mClockMillis,
+                mConfiguration.version(),
+                mConfiguration.documents(),
+                history(),
+                mConfiguration.results(),
+                List.copyOf(mInstances.starts()),
+                List.copyOf(mEpochs.values()),
+                mClaims.expiryCursor(),
+                mClaims.claims());
+    }
+}
--- /dev/null
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/state/StateResult.java
@@ -0,0 +1,111 @@
+package dev.kumquatweir.agreement.state;
+
+import dev.kumquatweir.core.control.RecordedAnswer;
+
+/** Result of applying one log entry. */
+public sealed interface StateResult {
+    /** The entry holds no command. */
+    record Nothing() implements StateResult {}
+
+    /**
+     * The payload can't be decoded; nothing changed.
+     *
+     * @param problem what is wrong
+     */
+    record Malformed(String problem) implements StateResult {}
+
+    /** Result of a configuration change, kept by command id. */
+    sealed interface OfConfiguration extends StateResult {}
+
+    /**
+     * The document was accepted.
+     *
+     * @param version its version
+     */
+    record ConfigurationAccepted(long version) implements OfConfiguration {}
+
+    /**
+     * The base version is not the present one.
+     *
+     * @param currentVersion present version
+     * @param changedBy who made it
+     * @param changedAtMillis when, by the leader's wall clock
+     */
+    record ConfigurationConflict(long currentVersion, String changedBy, long changedAtMillis)
+            implements OfConfiguration {}
+
+    /**
+     * The document exceeds the limit.
+     *
+     * @param limitBytes largest document
+     */
+    record DocumentTooLarge(long limitBytes) implements OfConfiguration {}
+
+    /**
+     * The instance runs under this incarnation.
+     *
+     * @param incarnation number that no other start has
+     */
+    record InstanceStarted(long incarnation) implements StateResult {}
+
+    /**
+     * The claimant alone may send the request, once.
+     *
+     * @param deadlineMillis state machine time after which a missing outcome counts as unknown
+     */
+    record ClaimGranted(long deadlineMillis) implements StateResult {}
+
+    /**
+     * The request was executed before.
+     *
+     * @param answer its answer
+     */
+    record ClaimFinished(RecordedAnswer answer) implements StateResult {}
+
+    /** Another request holds the claim. */
+    record ClaimRunning() implements StateResult {}
+
+    /** Nobody knows whether the request was executed. */
+    record ClaimUnknown() implements StateResult {}
+
+    /** The key was used with another request. */
+    record ClaimKeyReused() implements StateResult {}
+
+    /**
+     * The claim was not considered; the claimant must not send.
+     *
+     * @param reason why
+     */
+    record ClaimRefused(Reason reason) implements StateResult {}
+
+    /** The outcome is recorded. */
+    record OutcomeRecorded() implements StateResult {}
+
+    /** The sender does not hold the claim, or another outcome is recorded already. */
+    record OutcomeRefused() implements StateResult {}
+
+    /**
+     * A step of expiry is done.
+     *
+     * @param removed how many claims were removed
+     * @param wrapped whether the step reached the end of the table
+     */
+    record Expired(int removed, boolean wrapped) implements StateResult {}
+
+    /**
+     * The epoch belongs to the holder.
+     *
+     * @param epoch larger than all epochs before it
+     */
+    record EpochTaken(long epoch) implements StateResult {}
+
+    /** Reasons for {@link ClaimRefused}. */
+    enum Reason {
+        /** The claimant's instance has started anew, or is not known. */
+        STALE_INCARNATION,
+        /** This request abandoned the claim before. */
+        ABANDONED,
+        /** The table is full. */
+        FULL
+    }
+}
--- a/core/src/main/java/dev/kumquatweir/core/bytes/Bytes.java
+++ b/core/src/main/java/dev/kumquatweir/core/bytes/Bytes.java
@@ -29,6 +29,16 @@
         return mContent.length;
     }
 
+    /**
+     * Returns a copy of a part.
+     *
+     * @param offset first byte
+     * @param length number of bytes
+     */
+    public Bytes slice(int offset, int length) {
+        return new Bytes(Arrays.copyOfRange(mContent, offset, offset + length));
+    }
+
     /** Returns a copy as an array. */
     public byte[] toArray() {
         return mContent.clone();
