Add the control plane of the daemon

Cause: the agreement core does no I/O, so something has to own its replica, its store and the way to the leader. Ruled out: an entry instance without a disk as a learner of the group (a lease client is enough, and 360 of them could not be members). Compiles with the store pending; not yet run.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/DispatchDuty.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/DispatchDuty.java
@@ -200,7 +200,9 @@
         forgetSilentUpstreams(nowNanos);
     }
 
-    /** The address is kept longer than the policy keeps the upstream, so that it can be cancelled. */
+    /**
+     * The address is kept longer than the policy keeps the upstream, so that it can be cancelled.
+     */
     private void forgetSilentUpstreams(long nowNanos) {
         mHeardNanos.values().removeIf(heard -> nowNanos - heard > FORGET_NANOS);
         mUpstreams.keySet().retainAll(mHeardNanos.keySet());
--- a/program/src/main/java/dev/kumquatweir/program/Main.java
+++ b/program/src/main/java/dev/kumquatweir/program/Main.java
@@ -2,20 +2,36 @@
 
 import com.github.rvesse.airline.annotations.Cli;
 import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import dev.kumquatweir.program.command.CheckCommand;
+import dev.kumquatweir.program.command.ExitStatus;
+import dev.kumquatweir.program.command.ServeCommand;
+import java.util.concurrent.Callable;
 
 /** Entry point of the one binary: parses the command line and runs a subcommand. */
 @Cli(
         name = "kumquatweir",
         description = "Serving layer for prompts of very unlike lengths",
         defaultCommand = Help.class,
-        commands = {Help.class})
+        commands = {Help.class, ServeCommand.class, CheckCommand.class})
 public final class Main {
     private Main() {}
 
-    /** Runs the command and exits with its status: 0 for success. */
-    public static void main(String[] arguments) {
-        com.github.rvesse.airline.Cli<Runnable> commands =
+    /** Runs the command and exits with its status, see {@link ExitStatus}. */
+    public static void main(String[] arguments) throws Exception {
+        System.exit(run(arguments));
+    }
+
+    private static int run(String[] arguments) throws Exception {
+        com.github.rvesse.airline.Cli<Callable<?>> commands =
                 new com.github.rvesse.airline.Cli<>(Main.class);
-        commands.parse(arguments).run();
+        try {
+            Object status = commands.parse(arguments).call();
+            return status instanceof Integer code ? code : ExitStatus.SUCCESS.code();
+        } catch (ParseException exception) {
+            System.err.println(exception.getMessage());
+            System.err.println("See 'kumquatweir help' for the commands and their options.");
+            return ExitStatus.BAD_INPUT.code();
+        }
     }
 }
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/command/CheckCommand.java
@@ -0,0 +1,39 @@
+package dev.kumquatweir.program.command;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.help.Examples;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import dev.kumquatweir.settings.ConfigurationReader;
+import dev.kumquatweir.settings.InstanceSettingsReader;
+import dev.kumquatweir.settings.SettingsFailure;
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+
+/** Checks a settings or configuration file without starting anything. */
+@Command(name = "check", description = "Check a settings file and report all its faults")
+@Examples(
+        examples = {"kumquatweir check entry-1.toml", "kumquatweir check -c profiles.toml"},
+        descriptions = {"Checks the settings of an instance", "Checks a configuration"})
+public final class CheckCommand implements Callable<Integer> {
+    @Arguments(title = "FILE", description = "The file to check")
+    @Required
+    private String mFile = "";
+
+    @Option(
+            name = {"-c", "--configuration"},
+            description = "The file is a configuration (profiles, teams, services)")
+    private boolean mConfiguration;
+
+    @Override
+    public Integer call() {
+        Either<SettingsFailure, ?> result =
+                mConfiguration
+                        ? ConfigurationReader.readFile(Path.of(mFile))
+                        : InstanceSettingsReader.readFile(Path.of(mFile));
+        System.out.println(result.isRight() ? mFile + ": no faults" : result.getLeft().message());
+        return result.isRight() ? ExitStatus.SUCCESS.code() : ExitStatus.BAD_INPUT.code();
+    }
+}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/command/ServeCommand.java
@@ -0,0 +1,105 @@
+package dev.kumquatweir.program.command;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.help.Examples;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import dev.kumquatweir.core.configuration.ConfigurationDocument;
+import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.core.failure.Failure;
+import dev.kumquatweir.core.failure.FailureException;
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.program.control.FixedControl;
+import dev.kumquatweir.program.instance.InstanceDaemon;
+import dev.kumquatweir.settings.ConfigurationReader;
+import dev.kumquatweir.settings.InstanceSettings;
+import dev.kumquatweir.settings.InstanceSettingsReader;
+import dev.kumquatweir.settings.PeerSettings;
+import dev.kumquatweir.settings.SettingsFailure;
+import dev.kumquatweir.transport.ClusterKey;
+import dev.kumquatweir.transport.PeerNetwork;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.stream.Collectors;
+
+/** Runs an instance until it gets SIGTERM. */
+@Command(name = "serve", description = "Run an instance of the system")
+@Examples(
+        examples = "kumquatweir serve /etc/kumquatweir/entry-1.toml",
+        descriptions = "Runs the instance that the settings describe")
+public final class ServeCommand implements Callable<Integer> {
+    private static final EventLog LOG = EventLog.of(ServeCommand.class);
+
+    @Arguments(title = "FILE", description = "Settings of the instance, in TOML")
+    @Required
+    private String mFile = "";
+
+    @Override
+    public Integer call() throws InterruptedException {
+        Either<SettingsFailure, InstanceSettings> settings =
+                InstanceSettingsReader.readFile(Path.of(mFile));
+        if (settings.isLeft()) {
+            LOG.failure("settings_refused", settings.getLeft());
+            System.err.println(settings.getLeft().message());
+            return ExitStatus.BAD_INPUT.code();
+        }
+        try {
+            serve(settings.get());
+            return ExitStatus.SUCCESS.code();
+        } catch (FailureException exception) {
+            LOG.failure("instance_not_started", exception.failure());
+            return ExitStatus.FAILED.code();
+        }
+    }
+
+    private static void serve(InstanceSettings settings) throws InterruptedException {
+        Clocks clocks = Clocks.system();
+        PeerNetwork network = orThrow(network(settings, clocks));
+        ConfigurationDocument document =
+                settings.firstConfiguration()
+                        .map(file -> orThrow(ConfigurationReader.readFile(file)))
+                        .orElse(ConfigurationDocument.EMPTY);
+        InstanceDaemon daemon =
+                new InstanceDaemon(
+                        settings,
+                        new FixedControl(document, clocks.monotonicNanos()),
+                        network,
+                        clocks,
+                        clocks.nowMillis());
+        daemon.start();
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime()
+                .addShutdownHook(
+                        new Thread(
+                                () -> {
+                                    daemon.stop();
+                                    network.close();
+                                    stopped.countDown();
+                                },
+                                "shutdown"));
+        stopped.await();
+    }
+
+    private static Either<? extends Failure, PeerNetwork> network(
+            InstanceSettings settings, Clocks clocks) {
+        Map<InstanceId, InetSocketAddress> peers =
+                settings.peers().stream()
+                        .collect(Collectors.toMap(PeerSettings::id, PeerSettings::address));
+        ClusterKey key = ClusterKey.of(settings.clusterKey().getBytes(StandardCharsets.UTF_8));
+        return PeerNetwork.builder(
+                        settings.id(), settings.cluster(), key, settings.self().address())
+                .peers(peers)
+                .clock(clocks.monotonicNanos())
+                .open();
+    }
+
+    private static <T> T orThrow(Either<? extends Failure, T> result) {
+        return result.getOrElseThrow(FailureException::new);
+    }
+}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/control/ControlFailure.java
@@ -0,0 +1,84 @@
+package dev.kumquatweir.program.control;
+
+import dev.kumquatweir.core.failure.Failure;
+
+/** Why the agreed state could not be asked or changed. */
+public sealed interface ControlFailure extends Failure {
+    /**
+     * The instance that was asked does not lead. Nothing was changed.
+     *
+     * @param leader the leader it knows, empty if it knows none
+     */
+    record NotLeader(String leader) implements ControlFailure {
+        @Override
+        public String code() {
+            return "not_leader";
+        }
+
+        @Override
+        public String message() {
+            return leader.isEmpty() ? "no leader is known" : "the leader is " + leader;
+        }
+    }
+
+    /**
+     * Refused before anything was changed.
+     *
+     * @param reason code of the reason
+     * @param explanation the reason in words
+     */
+    record Refused(String reason, String explanation) implements ControlFailure {
+        @Override
+        public String code() {
+            return reason;
+        }
+
+        @Override
+        public String message() {
+            return explanation;
+        }
+    }
+
+    /** The command was taken, but its result was lost; sending it again is safe. */
+    record Uncertain() implements ControlFailure {
+        @Override
+        public String code() {
+            return "outcome_uncertain";
+        }
+
+        @Override
+        public String message() {
+            return "leadership changed before the result was known; send the command again";
+        }
+    }
+
+    /** No leader answered in time. Whether a command was taken is not known. */
+    record Unreachable() implements ControlFailure {
+        @Override
+        public String code() {
+            return "no_quorum";
+        }
+
+        @Override
+        public String message() {
+            return "no leader with a quorum answered in time";
+        }
+    }
+
+    /**
+     * A peer sent what can't be understood.
+     *
+     * @param problem what is wrong
+     */
+    record Garbled(String problem) implements ControlFailure {
+        @Override
+        public String code() {
+            return "malformed_content";
+        }
+
+        @Override
+        public String message() {
+            return problem;
+        }
+    }
+}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/control/ControlPlane.java
@@ -0,0 +1,30 @@
+package dev.kumquatweir.program.control;
+
+import dev.kumquatweir.core.control.ClaimPort;
+import dev.kumquatweir.core.control.ConfigurationPort;
+import java.util.concurrent.CompletionStage;
+
+/** An instance's connection to the agreed state. Implementations are thread-safe. */
+public interface ControlPlane {
+    /** Starts to take part. */
+    void start();
+
+    /** Returns the configuration in force here. */
+    ConfigurationPort configuration();
+
+    /** Returns what decides claims. */
+    ClaimPort claims();
+
+    /**
+     * Asks the leader.
+     *
+     * @param limitNanos time until the stage completes with {@link ControlFailure.Unreachable}
+     */
+    CompletionStage<ControlReply> ask(ControlRequest request, long limitNanos);
+
+    /** Hands leadership over and gives leases back, before a planned stop. Waits up to 2 s. */
+    void handOver();
+
+    /** Stops taking part. */
+    void stop();
+}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/control/FoundingDuty.java
@@ -0,0 +1,174 @@
+package dev.kumquatweir.program.control;
+
+import dev.kumquatweir.agreement.port.HardState;
+import dev.kumquatweir.agreement.port.LogStore;
+import dev.kumquatweir.agreement.port.MemberId;
+import dev.kumquatweir.agreement.port.Membership;
+import dev.kumquatweir.agreement.port.SnapshotImage;
+import dev.kumquatweir.agreement.port.StorageWrite;
+import dev.kumquatweir.agreement.port.StoredState;
+import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.core.failure.Failure;
+import dev.kumquatweir.core.failure.FailureException;
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.pack.MalformedContent;
+import dev.kumquatweir.core.pack.PackReader;
+import dev.kumquatweir.core.pack.PackWriter;
+import dev.kumquatweir.program.instance.FrameType;
+import dev.kumquatweir.settings.PeerSettings;
+import dev.kumquatweir.transport.PeerNetwork;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/**
+ * Brings an instance with a data folder to the point where its replica can start: opens the store, and
+ * if it is empty asks the other voters until {@link Founding} decides. Used by one thread.
+ */
+final class FoundingDuty {
+    private static final EventLog LOG = EventLog.of(FoundingDuty.class);
+    private static final long ANSWER_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    private final InstanceId mSelf;
+    private final List<PeerSettings> mVoters;
+    private final PeerNetwork mNetwork;
+    private final Supplier<LogStore> mStores;
+
+    /**
+     * Answers questions of other instances from now on.
+     *
+     * @param voters voters of the settings, this instance included, in the order of their names
+     * @param stores opens the store of the data folder
+     */
+    FoundingDuty(
+            InstanceId self,
+            List<PeerSettings> voters,
+            PeerNetwork network,
+            Supplier<LogStore> stores) {
+        mSelf = self;
+        mVoters = List.copyOf(voters);
+        mNetwork = network;
+        mStores = stores;
+    }
+
+    /**
+     * A store that is ready for a replica.
+     *
+     * @param store the loaded store
+     * @param state what it holds
+     */
+    record Ready(LogStore store, StoredState state) {}
+
+    /**
+     * Opens the store and waits until the group is known.
+     *
+     * @param stopped whether to give up
+     * @return the store, empty if it was told to give up
+     * @throws FailureException if the store can't be used
+     */
+    Optional<Ready> await(BooleanSupplier stopped) {
+        LogStore store = mStores.get();
+        StoredState state = orThrow(store.load());
+        MemberId member = new MemberId(mSelf.value(), state.storeId());
+        Founding.Answer answer = Founding.Answer.of(member, state);
+        answerOthers(answer);
+        if (!answer.empty()) {
+            return Optional.of(new Ready(store, state));
+        }
+        Founding founding = new Founding(member, mVoters);
+        Map<InstanceId, Founding.Answer> answers = new ConcurrentHashMap<>();
+        while (!stopped.getAsBoolean()) {
+            switch (founding.decide(answers)) {
+                case Founding.Decision.Found found -> {
+                    LOG.info("group_founded", "members", found.snapshot().membership().members());
+                    return Optional.of(write(store, member, found.snapshot()));
+                }
+                case Founding.Decision.Join _ -> {
+                    LOG.warn("waiting_to_be_added", "member", member);
+                    return Optional.of(new Ready(store, state));
+                }
+                case Founding.Decision.Wait _ -> askOthers(answers);
+            }
+        }
+        store.close();
+        return Optional.empty();
+    }
+
+    private Ready write(LogStore store, MemberId member, SnapshotImage snapshot) {
+        StorageWrite first =
+                new StorageWrite(
+                        1,
+                        Optional.of(new HardState(1, "")),
+                        Optional.of(snapshot),
+                        StorageWrite.NOTHING,
+                        List.of(),
+                        StorageWrite.NOTHING);
+        orThrow(store.write(List.of(first)));
+        // Sequence numbers count from 1 for each opening of a store, and the replica uses them next.
+        store.close();
+        LogStore reopened = mStores.get();
+        StoredState state = orThrow(reopened.load());
+        answerOthers(Founding.Answer.of(member, state));
+        return new Ready(reopened, state);
+    }
+
+    private void answerOthers(Founding.Answer answer) {
+        Bytes content = encode(answer);
+        mNetwork.handle(
+                FrameType.FOUNDING.number(),
+                (peer, payload, responder) -> responder.respond(content));
+    }
+
+    private void askOthers(Map<InstanceId, Founding.Answer> answers) {
+        for (PeerSettings voter : mVoters) {
+            if (!voter.id().equals(mSelf)) {
+                mNetwork.request(
+                                voter.id(),
+                                FrameType.FOUNDING.number(),
+                                Bytes.EMPTY,
+                                ANSWER_LIMIT_NANOS)
+                        .thenAccept(
+                                answer ->
+                                        answer.peek(
+                                                content ->
+                                                        decode(content)
+                                                                .peek(
+                                                                        told ->
+                                                                                answers.put(
+                                                                                        voter.id(),
+                                                                                        told))));
+            }
+        }
+        LockSupport.parkNanos(PAUSE_NANOS);
+    }
+
+    private static Bytes encode(Founding.Answer answer) {
+        PackWriter writer = new PackWriter();
+        ControlCodec.writeMemberId(writer, answer.member());
+        return writer.flag(answer.empty())
+                .list(answer.founders().members(), ControlCodec::writeMember)
+                .finish();
+    }
+
+    private static Either<MalformedContent, Founding.Answer> decode(Bytes content) {
+        return PackReader.decode(
+                content,
+                reader ->
+                        new Founding.Answer(
+                                ControlCodec.readMemberId(reader),
+                                reader.flag(),
+                                new Membership(reader.list(ControlCodec::readMember))));
+    }
+
+    private static <T> T orThrow(Either<? extends Failure, T> result) {
+        return result.getOrElseThrow(FailureException::new);
+    }
+}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
@@ -0,0 +1,447 @@
+package dev.kumquatweir.program.control;
+
+import dev.kumquatweir.agreement.codec.CommandCodec;
+import dev.kumquatweir.agreement.lease.ConfigurationLeaseTable;
+import dev.kumquatweir.agreement.lease.ForceStatus;
+import dev.kumquatweir.agreement.lease.LeaseAsk;
+import dev.kumquatweir.agreement.lease.LeaseGrant;
+import dev.kumquatweir.agreement.lease.LeaseTimes;
+import dev.kumquatweir.agreement.port.LogEntry;
+import dev.kumquatweir.agreement.port.MemberId;
+import dev.kumquatweir.agreement.port.Membership;
+import dev.kumquatweir.agreement.port.StorageCompletion;
+import dev.kumquatweir.agreement.port.StorageFailure;
+import dev.kumquatweir.agreement.port.StorageWrite;
+import dev.kumquatweir.agreement.port.StoredState;
+import dev.kumquatweir.agreement.raft.RaftFailure;
+import dev.kumquatweir.agreement.raft.RaftInput;
+import dev.kumquatweir.agreement.raft.RaftMessage;
+import dev.kumquatweir.agreement.raft.RaftNode;
+import dev.kumquatweir.agreement.raft.RaftOutput;
+import dev.kumquatweir.agreement.raft.RaftRole;
+import dev.kumquatweir.agreement.raft.RaftSettings;
+import dev.kumquatweir.agreement.state.StateCommand;
+import dev.kumquatweir.agreement.state.StateLimits;
+import dev.kumquatweir.agreement.state.StateMachine;
+import dev.kumquatweir.agreement.state.StateResult;
+import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.duty.Duty;
+import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.storage.StorageDuty;
+import dev.kumquatweir.storage.StorageListener;
+import dev.kumquatweir.agreement.port.LogStore;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The duty {@code control}: owns this instance's replica of the agreed state and the leader's table
+ * of configuration leases. Public methods are thread-safe and never block.
+ */
+final class ReplicaDuty {
+    private static final EventLog LOG = EventLog.of(ReplicaDuty.class);
+    private static final ControlFailure OVERLOADED =
+            new ControlFailure.Refused("overloaded", "the control duty has too much waiting");
+    private static final int RING_CAPACITY = 8_192;
+    private static final int STORAGE_CAPACITY = 1_024;
+    private static final int LARGEST_LEASE_TABLE = 1_024;
+    private static final long TICK_MILLIS = 20;
+    private static final long EXPIRE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private final Clocks mClocks;
+    private final Consumer<RaftMessage> mSender;
+    private final Consumer<Membership> mOnMembership;
+    private final RaftNode mNode;
+    private final StorageDuty mStorage;
+    private final Duty mDuty;
+    private final ConfigurationLeaseTable mLeases =
+            new ConfigurationLeaseTable(LeaseTimes.STANDARD, LARGEST_LEASE_TABLE);
+    private final Map<Long, Pending> mPending = new HashMap<>();
+    private final Deque<StorageWrite> mUnsubmitted = new ArrayDeque<>();
+    private StateMachine mState = new StateMachine(StateLimits.STANDARD);
+    private Optional<Bytes> mFirstConfiguration;
+    private Membership mKnownMembership = Membership.EMPTY;
+    private long mLastRequestId;
+    private long mExpiredNanos;
+    private volatile Optional<InstanceId> mLeader = Optional.empty();
+    private volatile @Nullable StorageCompletion mSynced;
+
+    /** Told the end of one request to the replica. */
+    private interface Pending {
+        void applied(StateResult result);
+
+        void ready();
+
+        void failed(ControlFailure failure);
+    }
+
+    /**
+     * Makes a duty that is not yet running.
+     *
+     * @param settings settings of the replica
+     * @param self this instance
+     * @param stored what the log store holds
+     * @param store the loaded log store; closed with this duty
+     * @param ports what the duty calls
+     * @param firstConfiguration document of a new cluster, proposed by the first leader
+     */
+    ReplicaDuty(
+            RaftSettings settings,
+            InstanceId self,
+            StoredState stored,
+            LogStore store,
+            ReplicaPorts ports,
+            Optional<Bytes> firstConfiguration) {
+        mClocks = ports.clocks();
+        mSender = ports.sender();
+        mOnMembership = ports.onMembership();
+        mFirstConfiguration = firstConfiguration;
+        mNode =
+                new RaftNode(
+                        settings,
+                        self.value(),
+                        stored,
+                        RandomGenerator.getDefault(),
+                        mClocks.nowNanos());
+        mStorage = new StorageDuty(store, STORAGE_CAPACITY, new Listener(ports.onFatal()));
+        mDuty =
+                new Duty(
+                        "control",
+                        RING_CAPACITY,
+                        TICK_MILLIS,
+                        this::tick,
+                        (thread, fault) -> {
+                            LOG.fault("control_fault", fault);
+                            ports.onFatal().run();
+                        });
+    }
+
+    void start() {
+        mStorage.start();
+        mDuty.start();
+        offer(() -> carryOut(mNode.start()));
+    }
+
+    void stop() {
+        mDuty.stop();
+        mStorage.close();
+    }
+
+    /** Returns the leader that this replica knows. */
+    Optional<InstanceId> leader() {
+        return mLeader;
+    }
+
+    /** Takes a message of another replica. */
+    void receive(RaftMessage message) {
+        step(new RaftInput.Receive(message));
+    }
+
+    /** Answers an ask for a configuration lease; empty unless this replica may grant one now. */
+    CompletionStage<Optional<LeaseGrant>> grant(LeaseAsk ask) {
+        CompletableFuture<Optional<LeaseGrant>> answer = new CompletableFuture<>();
+        boolean taken =
+                mDuty.offer(
+                        () -> {
+                            long nowNanos = mClocks.nowNanos();
+                            answer.complete(
+                                    mLeases.grant(
+                                            ask,
+                                            mNode.leaderLeaseNanos(nowNanos),
+                                            mState.configurationVersion(),
+                                            mState.configurationDocument(),
+                                            nowNanos));
+                        });
+        if (!taken) {
+            answer.complete(Optional.empty());
+        }
+        return answer;
+    }
+
+    /** Carries out a request; the stage never completes exceptionally. */
+    CompletionStage<ControlReply> handle(ControlRequest request) {
+        CompletableFuture<ControlReply> reply = new CompletableFuture<>();
+        if (!mDuty.offer(() -> accept(request, reply))) {
+            reply.complete(new ControlReply.Failed(OVERLOADED));
+        }
+        return reply;
+    }
+
+    /** Hands leadership to another voter; completes at once if this replica does not lead. */
+    CompletionStage<ControlReply> transfer() {
+        CompletableFuture<ControlReply> reply = new CompletableFuture<>();
+        if (!mDuty.offer(() -> transfer(reply))) {
+            reply.complete(new ControlReply.Failed(OVERLOADED));
+        }
+        return reply;
+    }
+
+    private void transfer(CompletableFuture<ControlReply> reply) {
+        Optional<MemberId> target =
+                mNode.membership().voters().stream()
+                        .filter(voter -> !voter.equals(mNode.self()))
+                        .findFirst();
+        if (mNode.role() != RaftRole.LEADER || target.isEmpty()) {
+            reply.complete(new ControlReply.Done());
+            return;
+        }
+        long id = await(reply, state -> new ControlReply.Done());
+        stepNow(new RaftInput.Transfer(id, target.get().name()));
+    }
+
+    private void accept(ControlRequest request, CompletableFuture<ControlReply> reply) {
+        switch (request) {
+            case ControlRequest.Propose propose -> propose(propose.command(), reply);
+            case ControlRequest.ReadConfiguration read ->
+                    read(reply, state -> configuration(state, read.version()));
+            case ControlRequest.ReadMembers _ -> read(reply, state -> members());
+            case ControlRequest.ReadForce read -> reply.complete(force(read.version()));
+            case ControlRequest.ChangeMembers change -> {
+                long id = await(reply, state -> new ControlReply.Done());
+                stepNow(new RaftInput.ChangeMembership(id, change.change()));
+            }
+            case ControlRequest.ReleaseLease release -> {
+                mLeases.release(release.instance(), release.processNonce());
+                reply.complete(new ControlReply.Done());
+            }
+        }
+    }
+
+    private void propose(StateCommand command, CompletableFuture<ControlReply> reply) {
+        long id = await(reply, state -> new ControlReply.Done());
+        StateCommand stamped = StampedCommand.at(command, mClocks.nowMillis());
+        stepNow(new RaftInput.Propose(id, CommandCodec.encode(stamped)));
+    }
+
+    private void read(
+            CompletableFuture<ControlReply> reply, Function<StateMachine, ControlReply> reader) {
+        long id = await(reply, reader);
+        stepNow(new RaftInput.Read(id));
+    }
+
+    private long await(
+            CompletableFuture<ControlReply> reply, Function<StateMachine, ControlReply> reader) {
+        long id = ++mLastRequestId;
+        mPending.put(
+                id,
+                new Pending() {
+                    @Override
+                    public void applied(StateResult result) {
+                        reply.complete(new ControlReply.Applied(result));
+                    }
+
+                    @Override
+                    public void ready() {
+                        reply.complete(reader.apply(mState));
+                    }
+
+                    @Override
+                    public void failed(ControlFailure failure) {
+                        reply.complete(new ControlReply.Failed(failure));
+                    }
+                });
+        return id;
+    }
+
+    private ControlReply configuration(StateMachine state, long version) {
+        long wanted = version == 0 ? state.configurationVersion() : version;
+        Bytes document =
+                wanted == state.configurationVersion()
+                        ? state.configurationDocument()
+                        : state.configurationDocument(wanted).orElse(Bytes.EMPTY);
+        return new ControlReply.Configuration(wanted, document, state.history());
+    }
+
+    private ControlReply members() {
+        return new ControlReply.Members(
+                mNode.membership().members(),
+                mNode.self().name(),
+                mNode.term(),
+                mNode.commitIndex());
+    }
+
+    private ControlReply force(long version) {
+        long nowNanos = mClocks.nowNanos();
+        return switch (mLeases.status(version, nowNanos)) {
+            case ForceStatus.InForce _ -> new ControlReply.Force(true, List.of(), 0);
+            case ForceStatus.Waiting waiting ->
+                    new ControlReply.Force(
+                            false,
+                            waiting.instances().stream().map(InstanceId::value).toList(),
+                            TimeUnit.NANOSECONDS.toMillis(waiting.untilNanos() - nowNanos));
+            case ForceStatus.NotLeading _ ->
+                    new ControlReply.Failed(new ControlFailure.NotLeader(leaderName()));
+        };
+    }
+
+    private void tick() {
+        StorageCompletion synced = mSynced;
+        if (synced != null) {
+            mSynced = null;
+            stepNow(new RaftInput.StorageSynced(synced));
+        }
+        stepNow(new RaftInput.Tick());
+        if (!mNode.membership().equals(mKnownMembership)) {
+            mKnownMembership = mNode.membership();
+            mOnMembership.accept(mKnownMembership);
+        }
+        if (mNode.isReadyLeader()) {
+            leadingTick(mClocks.nowNanos());
+        }
+    }
+
+    private void leadingTick(long nowNanos) {
+        if (mFirstConfiguration.isPresent()) {
+            Bytes document = mFirstConfiguration.get();
+            mFirstConfiguration = Optional.empty();
+            if (mState.configurationVersion() == 0) {
+                propose(FirstConfiguration.command(document), new CompletableFuture<>());
+            }
+        }
+        if (mState.claimCount() > 0 && nowNanos - mExpiredNanos >= EXPIRE_NANOS) {
+            mExpiredNanos = nowNanos;
+            propose(new StateCommand.Expire(0), new CompletableFuture<>());
+        }
+    }
+
+    private void step(RaftInput input) {
+        offer(() -> stepNow(input));
+    }
+
+    private void stepNow(RaftInput input) {
+        carryOut(mNode.step(input, mClocks.nowNanos()));
+    }
+
+    private void carryOut(List<RaftOutput> outputs) {
+        for (RaftOutput output : outputs) {
+            switch (output) {
+                case RaftOutput.Send send -> mSender.accept(send.message());
+                case RaftOutput.Write write -> mUnsubmitted.add(write.write());
+                case RaftOutput.Apply apply -> apply(apply.entry(), apply.requestId());
+                case RaftOutput.Restore restore -> restore(restore.snapshot().data());
+                case RaftOutput.TakeSnapshot take ->
+                        step(new RaftInput.SnapshotTaken(take.index(), mState.snapshot()));
+                case RaftOutput.RequestFailed failed -> fail(failed);
+                case RaftOutput.ReadReady ready -> ready(ready.requestId());
+                case RaftOutput.TransferDone done -> ready(done.requestId());
+                case RaftOutput.RoleChanged changed -> roleChanged(changed);
+            }
+        }
+        submitWrites();
+    }
+
+    private void apply(LogEntry entry, long requestId) {
+        StateResult result = mState.apply(entry);
+        Pending pending = mPending.remove(requestId);
+        if (pending != null) {
+            pending.applied(result);
+        }
+    }
+
+    private void ready(long requestId) {
+        Pending pending = mPending.remove(requestId);
+        if (pending != null) {
+            pending.ready();
+        }
+    }
+
+    private void fail(RaftOutput.RequestFailed failed) {
+        Pending pending = mPending.remove(failed.requestId());
+        if (pending != null) {
+            pending.failed(failure(failed.failure()));
+        }
+    }
+
+    private ControlFailure failure(RaftFailure failure) {
+        return switch (failure) {
+            case RaftFailure.NotLeader none ->
+                    new ControlFailure.NotLeader(
+                            none.leader().map(MemberId::name).orElse(leaderName()));
+            case RaftFailure.OutcomeUncertain _ -> new ControlFailure.Uncertain();
+            default -> new ControlFailure.Refused(failure.code(), failure.message());
+        };
+    }
+
+    private void restore(Bytes data) {
+        mState =
+                StateMachine.restore(data)
+                        .getOrElseThrow(
+                                fault -> new IllegalStateException("snapshot: " + fault.message()));
+    }
+
+    private void roleChanged(RaftOutput.RoleChanged changed) {
+        mLeader = changed.leader().map(MemberId::name).map(InstanceId::new);
+        if (changed.role() == RaftRole.LEADER) {
+            mLeases.beginLeadership(mClocks.nowNanos());
+        } else {
+            mLeases.endLeadership();
+        }
+        LOG.info(
+                "role_changed",
+                "role",
+                changed.role(),
+                "term",
+                changed.term(),
+                "leader",
+                leaderName());
+    }
+
+    private String leaderName() {
+        return mLeader.map(InstanceId::value).orElse("");
+    }
+
+    private void submitWrites() {
+        while (!mUnsubmitted.isEmpty() && mStorage.submit(mUnsubmitted.peek())) {
+            mUnsubmitted.remove();
+        }
+    }
+
+    private void offer(Runnable task) {
+        if (!mDuty.offer(task)) {
+            LOG.warn("control_ring_full", "waiting", mDuty.waiting());
+        }
+    }
+
+    /** Passes what the storage thread reports to the replica. */
+    private final class Listener implements StorageListener {
+        private final Runnable mOnFatal;
+
+        Listener(Runnable onFatal) {
+            mOnFatal = onFatal;
+        }
+
+        @Override
+        public void completed(StorageCompletion completion) {
+            // Kept for the next tick too: a completion must not be lost when the ring is full.
+            mSynced = completion;
+            step(new RaftInput.StorageSynced(completion));
+        }
+
+        @Override
+        public void diskFull(StorageFailure.DiskFull failure) {
+            step(new RaftInput.StorageFull(true));
+        }
+
+        @Override
+        public void spaceReturned() {
+            step(new RaftInput.StorageFull(false));
+        }
+
+        @Override
+        public void failed(StorageFailure failure) {
+            mOnFatal.run();
+        }
+    }
+}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaPorts.java
@@ -0,0 +1,20 @@
+package dev.kumquatweir.program.control;
+
+import dev.kumquatweir.agreement.port.Membership;
+import dev.kumquatweir.agreement.raft.RaftMessage;
+import dev.kumquatweir.core.time.Clocks;
+import java.util.function.Consumer;
+
+/**
+ * What the replica's duty calls. None of them may block.
+ *
+ * @param clocks clocks of the process
+ * @param sender sends a message to another replica; it may be lost
+ * @param onMembership told when the members of the group have changed
+ * @param onFatal ends the process: the store or the replica can't go on safely
+ */
+record ReplicaPorts(
+        Clocks clocks,
+        Consumer<RaftMessage> sender,
+        Consumer<Membership> onMembership,
+        Runnable onFatal) {}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicatedClaims.java
@@ -0,0 +1,136 @@
+package dev.kumquatweir.program.control;
+
+import dev.kumquatweir.agreement.state.ClaimKey;
+import dev.kumquatweir.agreement.state.Claimant;
+import dev.kumquatweir.agreement.state.StateCommand;
+import dev.kumquatweir.agreement.state.StateResult;
+import dev.kumquatweir.core.control.ClaimDecision;
+import dev.kumquatweir.core.control.ClaimOutcome;
+import dev.kumquatweir.core.control.ClaimPort;
+import dev.kumquatweir.core.control.ClaimRequest;
+import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.core.identity.InstanceId;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+/** Claims on the replicated log. Thread-safe. */
+final class ReplicatedClaims implements ClaimPort {
+    private static final EventLog LOG = EventLog.of(ReplicatedClaims.class);
+    private static final long CLAIM_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final long OUTCOME_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    /** Abandoning goes on this long; later the claim's own time limit makes it unknown. */
+    private static final long ABANDON_LIMIT_NANOS = TimeUnit.MINUTES.toNanos(2);
+
+    /** Time from the ask within which a granted request has to be sent. */
+    private static final long SEND_BY_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private static final long START_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+    private final InstanceId mSelf;
+    private final long mProcessNonce;
+    private final LeaderClient mLeader;
+    private volatile long mIncarnation;
+    private volatile boolean mStopped;
+
+    ReplicatedClaims(InstanceId self, long processNonce, LeaderClient leader) {
+        mSelf = self;
+        mProcessNonce = processNonce;
+        mLeader = leader;
+    }
+
+    /** Registers this start of the instance; until it is agreed no claim is asked for. */
+    void start() {
+        StateCommand command = new StateCommand.StartInstance(0, mSelf, mProcessNonce);
+        mLeader.ask(new ControlRequest.Propose(command), START_LIMIT_NANOS)
+                .thenAccept(
+                        reply -> {
+                            if (reply instanceof ControlReply.Applied applied
+                                    && applied.result()
+                                            instanceof StateResult.InstanceStarted started) {
+                                mIncarnation = started.incarnation();
+                                LOG.info("incarnation_agreed", "incarnation", mIncarnation);
+                            } else if (!mStopped) {
+                                start();
+                            }
+                        });
+    }
+
+    void stop() {
+        mStopped = true;
+    }
+
+    @Override
+    public CompletionStage<ClaimDecision> claim(ClaimRequest request, long nowNanos) {
+        if (mIncarnation == 0) {
+            return CompletableFuture.completedFuture(new ClaimDecision.Unavailable());
+        }
+        StateCommand command =
+                new StateCommand.Claim(
+                        0,
+                        claimant(request),
+                        key(request),
+                        request.requestHash(),
+                        request.timeLimitMillis());
+        return mLeader.ask(new ControlRequest.Propose(command), CLAIM_LIMIT_NANOS)
+                .thenApply(reply -> decision(request, reply, nowNanos + SEND_BY_NANOS));
+    }
+
+    @Override
+    public CompletionStage<Boolean> recordOutcome(ClaimRequest request, ClaimOutcome outcome) {
+        return record(request, outcome, OUTCOME_LIMIT_NANOS);
+    }
+
+    private CompletionStage<Boolean> record(
+            ClaimRequest request, ClaimOutcome outcome, long limitNanos) {
+        StateCommand command =
+                new StateCommand.RecordOutcome(0, claimant(request), key(request), outcome);
+        return mLeader.ask(new ControlRequest.Propose(command), limitNanos)
+                .thenApply(
+                        reply ->
+                                reply instanceof ControlReply.Applied applied
+                                        && applied.result() instanceof StateResult.OutcomeRecorded);
+    }
+
+    private ClaimDecision decision(ClaimRequest request, ControlReply reply, long sendByNanos) {
+        if (!(reply instanceof ControlReply.Applied applied)) {
+            abandon(request);
+            return new ClaimDecision.Unavailable();
+        }
+        return switch (applied.result()) {
+            case StateResult.ClaimGranted _ -> new ClaimDecision.Granted(sendByNanos);
+            case StateResult.ClaimFinished finished ->
+                    new ClaimDecision.AlreadyFinished(finished.answer());
+            case StateResult.ClaimRunning _ -> new ClaimDecision.StillRunning();
+            case StateResult.ClaimUnknown _ -> new ClaimDecision.OutcomeUnknown();
+            case StateResult.ClaimKeyReused _ -> new ClaimDecision.KeyReused();
+            case StateResult.ClaimRefused refused -> {
+                LOG.warn("claim_refused", "request", request.request(), "reason", refused.reason());
+                yield new ClaimDecision.Unavailable();
+            }
+            default -> new ClaimDecision.Unavailable();
+        };
+    }
+
+    /** The claim may be in the log without our knowing; it will never be used. */
+    private void abandon(ClaimRequest request) {
+        record(request, new ClaimOutcome.NotRun(), ABANDON_LIMIT_NANOS)
+                .thenAccept(
+                        agreed ->
+                                LOG.info(
+                                        "claim_abandoned",
+                                        "request",
+                                        request.request(),
+                                        "agreed",
+                                        agreed));
+    }
+
+    private Claimant claimant(ClaimRequest request) {
+        return new Claimant(request.request(), mSelf, mIncarnation);
+    }
+
+    private static ClaimKey key(ClaimRequest request) {
+        return new ClaimKey(request.team(), request.key());
+    }
+}
--- a/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
@@ -8,6 +8,8 @@
     LEASE(2),
     /** A command for the replicated state machine. */
     COMMAND(3),
+    /** Asks what a new group has to know of a member's store. */
+    FOUNDING(4),
     /** An upstream's announcement. */
     ANNOUNCEMENT(10),
     /** An upstream's load report. */
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -0,0 +1,185 @@
+package dev.kumquatweir.program.instance;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.core.failure.Failure;
+import dev.kumquatweir.core.failure.FailureException;
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.gateway.caller.CallerPorts;
+import dev.kumquatweir.gateway.caller.CallerServer;
+import dev.kumquatweir.gateway.dispatch.DispatchDuty;
+import dev.kumquatweir.gateway.upstream.HttpUpstreamCaller;
+import dev.kumquatweir.gateway.upstream.UpstreamClients;
+import dev.kumquatweir.gateway.upstream.UpstreamListener;
+import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
+import dev.kumquatweir.policy.routing.RoutingOptions;
+import dev.kumquatweir.program.control.ControlPlane;
+import dev.kumquatweir.program.spread.RegistrySpread;
+import dev.kumquatweir.settings.InstanceSettings;
+import dev.kumquatweir.settings.PeerSettings;
+import dev.kumquatweir.transport.PeerNetwork;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.api.StreamingHttpService;
+import io.servicetalk.http.netty.HttpServers;
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.api.ServiceTalkSocketOptions;
+import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * One running instance: entry for callers, intake for upstreams, and its part in the agreed state.
+ * {@link #start} and {@link #stop} are called once each.
+ */
+public final class InstanceDaemon {
+    private static final EventLog LOG = EventLog.of(InstanceDaemon.class);
+    private static final int IO_THREADS = 2;
+    private static final long DRAIN_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+    /** Time for the balancer to see that readiness fails before connections are refused. */
+    private static final long BALANCER_NOTICE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    private final InstanceSettings mSettings;
+    private final ControlPlane mControl;
+    private final Clocks mClocks;
+    private final IoExecutor mExecutor;
+    private final UpstreamClients mClients;
+    private final DispatchDuty mDispatch;
+    private final InstanceHealth mHealth;
+    private final CallerServer mCallers;
+    private final UpstreamListener mUpstreams;
+    private List<HttpServerContext> mServers = List.of();
+
+    /**
+     * Wires an instance that is not yet running.
+     *
+     * @param settings checked settings
+     * @param control connection to the agreed state
+     * @param network connections to the other instances, already listening
+     * @param clocks clocks of the process
+     * @param incarnation grows with each start of this instance
+     */
+    public InstanceDaemon(
+            InstanceSettings settings,
+            ControlPlane control,
+            PeerNetwork network,
+            Clocks clocks,
+            long incarnation) {
+        mSettings = settings;
+        mControl = control;
+        mClocks = clocks;
+        mExecutor = NettyIoExecutors.createIoExecutor(IO_THREADS, "http");
+        mClients = new UpstreamClients(mExecutor);
+        String attemptPrefix = settings.id() + ":" + incarnation + ":";
+        RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
+        mDispatch =
+                new DispatchDuty(
+                        PolicyDispatcher.builder(attemptPrefix, routing).build(),
+                        new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
+                        control.configuration(),
+                        clocks);
+        mHealth = new InstanceHealth(control.configuration(), metrics());
+        mCallers =
+                new CallerServer(
+                        settings.id(),
+                        incarnation,
+                        new CallerPorts(
+                                control.configuration(), control.claims(), mDispatch, mHealth),
+                        clocks,
+                        settings.limits().bodyBytes());
+        RegistrySpread spread = new RegistrySpread(mDispatch, network, otherInstances(settings));
+        mUpstreams = new UpstreamListener(settings.announceKey(), spread);
+    }
+
+    /**
+     * Starts all duties and listens.
+     *
+     * @throws FailureException if an address can't be listened on
+     */
+    public void start() {
+        mControl.start();
+        mDispatch.start();
+        mCallers.start();
+        mServers =
+                List.of(
+                        listen(mSettings.listen().caller(), mCallers),
+                        listen(mSettings.listen().upstream(), mUpstreams));
+        LOG.info(
+                "instance_started",
+                "instance",
+                mSettings.id(),
+                "domain",
+                mSettings.domain(),
+                "caller",
+                mSettings.listen().caller(),
+                "upstream",
+                mSettings.listen().upstream());
+    }
+
+    /** Stops without cutting an admitted request: readiness fails first, admitted work finishes. */
+    public void stop() {
+        LOG.info("instance_draining", "running", mDispatch.running());
+        mHealth.drain();
+        LockSupport.parkNanos(BALANCER_NOTICE_NANOS);
+        long limitNanos = TimeUnit.MILLISECONDS.toNanos(mSettings.limits().drainMillis());
+        long startNanos = mClocks.nowNanos();
+        while (busy() && mClocks.nowNanos() - startNanos < limitNanos) {
+            LockSupport.parkNanos(DRAIN_POLL_NANOS);
+        }
+        mServers.forEach(InstanceDaemon::closeGracefully);
+        mControl.handOver();
+        mCallers.stop();
+        mDispatch.stop();
+        mControl.stop();
+        mClients.close();
+        LOG.info("instance_stopped", "cut", mDispatch.running());
+    }
+
+    private boolean busy() {
+        return mDispatch.running() > 0 || mCallers.pendingRecords() > 0;
+    }
+
+    private MetricRegistry metrics() {
+        MetricRegistry metrics = new MetricRegistry();
+        Gauge<Integer> running = mDispatch::running;
+        metrics.register("kumquatweir_requests_running", running);
+        return metrics;
+    }
+
+    private HttpServerContext listen(InetSocketAddress address, StreamingHttpService service) {
+        try {
+            return HttpServers.forAddress(address)
+                    .ioExecutor(mExecutor)
+                    .executionStrategy(HttpExecutionStrategies.offloadNone())
+                    .socketOption(
+                            ServiceTalkSocketOptions.IDLE_TIMEOUT,
+                            mSettings.limits().idleConnectionMillis())
+                    .listenStreamingAndAwait(service);
+        } catch (Exception exception) {
+            Failure failure =
+                    new StartFailure.CannotListen(
+                            address.toString(), String.valueOf(exception.getMessage()));
+            throw new FailureException(failure);
+        }
+    }
+
+    private static void closeGracefully(HttpServerContext server) {
+        server.closeAsyncGracefully()
+                .timeout(5, TimeUnit.SECONDS)
+                .onErrorComplete()
+                .toFuture()
+                .resultNow();
+    }
+
+    private static List<InstanceId> otherInstances(InstanceSettings settings) {
+        return settings.peers().stream()
+                .map(PeerSettings::id)
+                .filter(id -> !id.equals(settings.id()))
+                .toList();
+    }
+}
--- a/program/src/main/java/dev/kumquatweir/program/spread/RegistryCodec.java
+++ b/program/src/main/java/dev/kumquatweir/program/spread/RegistryCodec.java
@@ -18,6 +18,7 @@
 import dev.kumquatweir.policy.registry.UpstreamRole;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.Set;
 
 /** Form of upstreams' reports between instances. Thread-safe: holds no state. */
@@ -45,11 +46,11 @@
                 .number(announcement.incarnation())
                 .text(announcement.address())
                 .text(announcement.domain().value())
-                .number(announcement.kind().ordinal())
+                .text(announcement.kind().name())
                 .text(announcement.service().value())
                 .list(announcement.models(), (writer, model) -> writer.text(model.value()))
                 .number(announcement.memoryTokens())
-                .number(announcement.role().ordinal())
+                .text(announcement.role().name())
                 .flag(announcement.checksFencing())
                 .flag(announcement.cold())
                 .number(announcement.coldLimit().requests())
@@ -147,11 +148,11 @@
                 reader.number(),
                 reader.text(),
                 new FailureDomain(reader.text()),
-                constant(UpstreamKind.values(), reader.smallNumber()),
+                constant(UpstreamKind.class, reader.text()),
                 new ServiceName(reader.text()),
                 Set.copyOf(reader.list(item -> new ModelName(item.text()))),
                 reader.number(),
-                constant(UpstreamRole.values(), reader.smallNumber()),
+                constant(UpstreamRole.class, reader.text()),
                 reader.flag(),
                 reader.flag(),
                 new ColdLimit(reader.smallNumber(), reader.number()),
@@ -164,11 +165,12 @@
         return new CacheEvents.CacheEvent(reader.flag(), reader.number(), reader.number());
     }
 
-    private static <E> E constant(E[] constants, int ordinal) throws MalformedException {
-        if (ordinal < 0 || ordinal >= constants.length) {
-            throw new MalformedException("no constant with number " + ordinal);
-        }
-        return constants[ordinal];
+    private static <E extends Enum<E>> E constant(Class<E> type, String name)
+            throws MalformedException {
+        return Arrays.stream(type.getEnumConstants())
+                .filter(constant -> constant.name().equals(name))
+                .findFirst()
+                .orElseThrow(() -> new MalformedException("no constant " + name));
     }
 
     private static <T> Either<MalformedContent, T> decode(
--- a/program/src/main/java/dev/kumquatweir/program/spread/RegistrySpread.java
+++ b/program/src/main/java/dev/kumquatweir/program/spread/RegistrySpread.java
@@ -22,8 +22,8 @@
 
 /**
  * Takes what upstreams report to this instance and sends it on to its peers, and takes what peers
- * send. Nothing is sent twice: a lost frame is made good by the next report, and a peer that misses an
- * announcement asks for it when it sees a report of an upstream it does not know. Thread-safe.
+ * send. Nothing is sent twice: a lost frame is made good by the next report, and a peer that misses
+ * an announcement asks for it when it sees a report of an upstream it does not know. Thread-safe.
  */
 public final class RegistrySpread implements UpstreamIntake {
     private static final EventLog LOG = EventLog.of(RegistrySpread.class);
@@ -43,7 +43,10 @@
         mNetwork = network;
         mPeers = List.copyOf(peers);
         handle(FrameType.ANNOUNCEMENT, RegistryCodec::announcement, mDispatch::announced);
-        handle(FrameType.CACHE_WANTED, RegistryCodec::start, start -> mResyncWanted.add(start.id()));
+        handle(
+                FrameType.CACHE_WANTED,
+                RegistryCodec::start,
+                start -> mResyncWanted.add(start.id()));
         handle(FrameType.LEAVE, RegistryCodec::start, this::leftAtPeer);
         network.handle(
                 FrameType.LOAD.number(),
@@ -102,8 +105,7 @@
 
     private void askForAnnouncement(InstanceId peer, LoadReport report) {
         RegistryCodec.Start start = new RegistryCodec.Start(report.id(), report.incarnation());
-        mNetwork.send(
-                peer, FrameType.ANNOUNCEMENT_WANTED.number(), RegistryCodec.encode(start));
+        mNetwork.send(peer, FrameType.ANNOUNCEMENT_WANTED.number(), RegistryCodec.encode(start));
     }
 
     private void announceAgain(InstanceId peer, RegistryCodec.Start start) {
@@ -127,8 +129,7 @@
                         complete -> {
                             if (!complete) {
                                 RegistryCodec.Start start =
-                                        new RegistryCodec.Start(
-                                                events.id(), events.incarnation());
+                                        new RegistryCodec.Start(events.id(), events.incarnation());
                                 mNetwork.send(
                                         peer,
                                         FrameType.CACHE_WANTED.number(),
