--- /dev/null
+++ b/standin/src/main/java/dev/kumquatweir/standin/model/EngineFaults.java
@@ -0,0 +1,43 @@
+package dev.kumquatweir.standin.model;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** Faults of the engine itself. They outlive a crash. Not thread-safe. */
+public final class EngineFaults {
+    private final Set<String> mCrashContents = new LinkedHashSet<>();
+    private @Nullable EngineRefusal mRefusal;
+    private boolean mHidesCold;
+
+    /** Refuses all requests with a reason; null ends that. */
+    public void refuseAll(@Nullable EngineRefusal refusal) {
+        mRefusal = refusal;
+    }
+
+    /** Crashes in the prefill of each prompt that has this text; an empty text ends that. */
+    public void crashOn(String content) {
+        if (content.isEmpty()) {
+            mCrashContents.clear();
+        } else {
+            mCrashContents.add(content);
+        }
+    }
+
+    /** Hides in load reports that the engine is cold. */
+    public void hideCold(boolean hidden) {
+        mHidesCold = hidden;
+    }
+
+    @Nullable EngineRefusal refusal() {
+        return mRefusal;
+    }
+
+    boolean crashesOn(String prompt) {
+        return mCrashContents.stream().anyMatch(prompt::contains);
+    }
+
+    boolean hidesCold() {
+        return mHidesCold;
+    }
+}
