Run the whole path as separate processes

Cause: the parts compiled but had never served a request together. Ruled out as the cause of a first failed run: the control plane (it elected and put the configuration in force at once); found: option lists of the command line must be mutable, and a binary must not be replaced under running processes. Before: nothing ran. Conclusion: the thin path stands; the outcome is now recorded before the caller gets it, since a repeat right after the answer saw 'in progress'.

--- a/agreement/src/main/java/dev/kumquatweir/agreement/codec/CommandCodec.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/codec/CommandCodec.java
@@ -11,6 +11,10 @@
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.identity.RequestId;
 import dev.kumquatweir.core.identity.TeamName;
+import dev.kumquatweir.core.pack.MalformedContent;
+import dev.kumquatweir.core.pack.MalformedException;
+import dev.kumquatweir.core.pack.PackReader;
+import dev.kumquatweir.core.pack.PackWriter;
 import io.vavr.control.Either;
 import java.io.IOException;
 
--- a/agreement/src/main/java/dev/kumquatweir/agreement/codec/MembershipCodec.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/codec/MembershipCodec.java
@@ -5,6 +5,10 @@
 import dev.kumquatweir.agreement.port.MemberRole;
 import dev.kumquatweir.agreement.port.Membership;
 import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.pack.MalformedContent;
+import dev.kumquatweir.core.pack.MalformedException;
+import dev.kumquatweir.core.pack.PackReader;
+import dev.kumquatweir.core.pack.PackWriter;
 import io.vavr.control.Either;
 import java.io.IOException;
 
--- a/agreement/src/main/java/dev/kumquatweir/agreement/state/StateMachine.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/state/StateMachine.java
@@ -1,11 +1,11 @@
 package dev.kumquatweir.agreement.state;
 
 import dev.kumquatweir.agreement.codec.CommandCodec;
-import dev.kumquatweir.agreement.codec.MalformedContent;
 import dev.kumquatweir.agreement.codec.StateCodec;
 import dev.kumquatweir.agreement.port.EntryKind;
 import dev.kumquatweir.agreement.port.LogEntry;
 import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.pack.MalformedContent;
 import io.vavr.control.Either;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/gateway/src/main/java/dev/kumquatweir/gateway/caller/ClaimedExchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/ClaimedExchange.java
@@ -10,15 +10,18 @@
 import dev.kumquatweir.gateway.dispatch.Exchange;
 import dev.kumquatweir.gateway.dispatch.GenerationSummary;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 
 /**
- * Records how a claimed request ended, then passes the end on. A failure that says "not run" waits
- * for its record, so that the claim is free before the caller tries again; a whole answer does not
- * wait.
+ * Records how a claimed request ended, then passes the end on. The caller waits for the record, so
+ * that a repeat right after the answer gets the same answer; without a quorum it waits no longer
+ * than a second, and the record is tried further.
  */
 final class ClaimedExchange implements Exchange {
+    private static final long RECORD_WAIT_MILLIS = 1_000;
+
     private final Exchange mExchange;
     private final ClaimPort mClaims;
     private final ClaimRequest mClaim;
@@ -49,31 +52,30 @@
 
     @Override
     public void finished(GenerationSummary summary, String text) {
-        record(new ClaimOutcome.Finished(bounded(mRecorder.apply(summary, text))));
-        mExchange.finished(summary, text);
+        RecordedAnswer answer = bounded(mRecorder.apply(summary, text));
+        record(new ClaimOutcome.Finished(answer), () -> mExchange.finished(summary, text));
     }
 
     @Override
     public void answered(RecordedAnswer answer) {
-        record(new ClaimOutcome.Finished(bounded(answer)));
-        mExchange.answered(answer);
+        record(new ClaimOutcome.Finished(bounded(answer)), () -> mExchange.answered(answer));
     }
 
     @Override
     public void failed(RequestFailure failure) {
-        if (failure.ran() == Ran.NO) {
-            record(new ClaimOutcome.NotRun())
-                    .whenComplete((agreed, problem) -> mExchange.failed(failure));
-        } else {
-            record(new ClaimOutcome.Unknown());
-            mExchange.failed(failure);
-        }
+        ClaimOutcome outcome =
+                failure.ran() == Ran.NO ? new ClaimOutcome.NotRun() : new ClaimOutcome.Unknown();
+        record(outcome, () -> mExchange.failed(failure));
     }
 
-    private CompletionStage<Boolean> record(ClaimOutcome outcome) {
+    private void record(ClaimOutcome outcome, Runnable passOn) {
         CompletionStage<Boolean> recorded = mClaims.recordOutcome(mClaim, outcome);
         mPending.accept(recorded);
-        return recorded;
+        CompletionStage<Boolean> waited =
+                recorded.toCompletableFuture()
+                        .copy()
+                        .completeOnTimeout(false, RECORD_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        waited.whenComplete((agreed, problem) -> passOn.run());
     }
 
     private static RecordedAnswer bounded(RecordedAnswer answer) {
--- a/program/src/main/java/dev/kumquatweir/program/Main.java
+++ b/program/src/main/java/dev/kumquatweir/program/Main.java
@@ -1,11 +1,14 @@
 package dev.kumquatweir.program;
 
 import com.github.rvesse.airline.annotations.Cli;
+import com.github.rvesse.airline.annotations.Group;
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import dev.kumquatweir.program.command.CheckCommand;
 import dev.kumquatweir.program.command.ExitStatus;
 import dev.kumquatweir.program.command.ServeCommand;
+import dev.kumquatweir.program.command.StandinEngineCommand;
+import dev.kumquatweir.program.command.StandinServiceCommand;
 import java.util.concurrent.Callable;
 
 /** Entry point of the one binary: parses the command line and runs a subcommand. */
@@ -13,7 +16,13 @@
         name = "kumquatweir",
         description = "Serving layer for prompts of very unlike lengths",
         defaultCommand = Help.class,
-        commands = {Help.class, ServeCommand.class, CheckCommand.class})
+        commands = {Help.class, ServeCommand.class, CheckCommand.class},
+        groups = {
+            @Group(
+                    name = "standin",
+                    description = "Stand-ins for development",
+                    commands = {StandinEngineCommand.class, StandinServiceCommand.class})
+        })
 public final class Main {
     private Main() {}
 
--- a/program/src/main/java/dev/kumquatweir/program/command/ServeCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/ServeCommand.java
@@ -4,26 +4,33 @@
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.help.Examples;
 import com.github.rvesse.airline.annotations.restrictions.Required;
-import dev.kumquatweir.core.configuration.ConfigurationDocument;
+import dev.kumquatweir.agreement.port.LogStore;
+import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.failure.Failure;
 import dev.kumquatweir.core.failure.FailureException;
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.time.Clocks;
-import dev.kumquatweir.program.control.FixedControl;
+import dev.kumquatweir.program.control.ReplicatedControl;
 import dev.kumquatweir.program.instance.InstanceDaemon;
+import dev.kumquatweir.program.instance.StartFailure;
 import dev.kumquatweir.settings.ConfigurationReader;
+import dev.kumquatweir.settings.ConfigurationWriter;
 import dev.kumquatweir.settings.InstanceSettings;
 import dev.kumquatweir.settings.InstanceSettingsReader;
 import dev.kumquatweir.settings.PeerSettings;
 import dev.kumquatweir.settings.SettingsFailure;
+import dev.kumquatweir.storage.DiskFolder;
+import dev.kumquatweir.storage.FileLogStore;
 import dev.kumquatweir.transport.ClusterKey;
 import dev.kumquatweir.transport.PeerNetwork;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.stream.Collectors;
@@ -60,18 +67,21 @@
 
     private static void serve(InstanceSettings settings) throws InterruptedException {
         Clocks clocks = Clocks.system();
-        PeerNetwork network = orThrow(network(settings, clocks));
-        ConfigurationDocument document =
+        Optional<Bytes> firstConfiguration =
                 settings.firstConfiguration()
                         .map(file -> orThrow(ConfigurationReader.readFile(file)))
-                        .orElse(ConfigurationDocument.EMPTY);
-        InstanceDaemon daemon =
-                new InstanceDaemon(
+                        .map(ConfigurationWriter::toStored);
+        PeerNetwork network = orThrow(network(settings, clocks));
+        ReplicatedControl control =
+                ReplicatedControl.open(
                         settings,
-                        new FixedControl(document, clocks.monotonicNanos()),
                         network,
                         clocks,
-                        clocks.nowMillis());
+                        settings.dataFolder().map(folder -> () -> store(folder)),
+                        firstConfiguration,
+                        ServeCommand::endProcess);
+        InstanceDaemon daemon =
+                new InstanceDaemon(settings, control, network, clocks, clocks.nowMillis());
         daemon.start();
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
@@ -86,6 +96,22 @@
         stopped.await();
     }
 
+    private static LogStore store(Path folder) {
+        try {
+            return new FileLogStore(DiskFolder.open(folder));
+        } catch (IOException exception) {
+            throw new FailureException(
+                    new StartFailure.NoDataFolder(
+                            folder.toString(), String.valueOf(exception.getMessage())));
+        }
+    }
+
+    /** Ends at once: what the replica would do next could contradict what it promised. */
+    private static void endProcess() {
+        LOG.warn("process_ended", "reason", "the replica can't go on safely");
+        Runtime.getRuntime().halt(ExitStatus.FAILED.code());
+    }
+
     private static Either<? extends Failure, PeerNetwork> network(
             InstanceSettings settings, Clocks clocks) {
         Map<InstanceId, InetSocketAddress> peers =
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/command/StandinEngineCommand.java
@@ -0,0 +1,59 @@
+package dev.kumquatweir.program.command;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.help.Examples;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import dev.kumquatweir.standin.StandinEngine;
+import dev.kumquatweir.standin.StandinEngineSettings;
+import dev.kumquatweir.standin.model.EngineSpeed;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+
+/** Runs a stand-in model engine until it gets SIGTERM. */
+@Command(name = "engine", description = "Run a stand-in model engine, for development")
+@Examples(
+        examples =
+                "kumquatweir standin engine --id engine-1 --listen 127.0.0.1:9001 "
+                        + "--domain klang-a --service quote-llm --model quote-7b "
+                        + "--announce-to 127.0.0.1:7201 --announce-key KEY",
+        descriptions = "Runs one engine that announces itself to one instance")
+public final class StandinEngineCommand extends StandinCommand implements Callable<Integer> {
+    @Option(
+            name = "--model",
+            title = "NAME",
+            description = "A model that is loaded from the start; may be given several times")
+    @Required
+    private List<String> mModels = new ArrayList<>();
+
+    @Option(name = "--cold", description = "Start cold")
+    private boolean mCold;
+
+    @Option(name = "--ignore-fencing", description = "Take orders with old fencing numbers")
+    private boolean mIgnoreFencing;
+
+    @Option(
+            name = "--time-scale",
+            title = "FACTOR",
+            description = "Run this many times as fast as the usual engine")
+    private double mTimeScale = 1;
+
+    @Override
+    public Integer call() throws Exception {
+        StandinEngineSettings settings =
+                StandinEngineSettings.builder(id())
+                        .listen(listen())
+                        .failureDomain(domain())
+                        .service(service())
+                        .models(mModels)
+                        .startsCold(mCold)
+                        .checksFencing(!mIgnoreFencing)
+                        .speed(EngineSpeed.USUAL.scaled(mTimeScale))
+                        .reports(reports())
+                        .build();
+        StandinEngine engine = new StandinEngine(settings, () -> Runtime.getRuntime().halt(137));
+        engine.start();
+        return runUntilTerminated(engine);
+    }
+}
--- a/program/src/main/java/dev/kumquatweir/program/control/ControlCodec.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ControlCodec.java
@@ -89,8 +89,7 @@
             case "add", "promote", "remove", "replace" ->
                     new ControlRequest.ChangeMembers(readChange(kind, reader));
             case "release" ->
-                    new ControlRequest.ReleaseLease(
-                            new InstanceId(reader.text()), reader.number());
+                    new ControlRequest.ReleaseLease(new InstanceId(reader.text()), reader.number());
             default -> throw new MalformedException("no request " + kind);
         };
     }
@@ -218,8 +217,7 @@
                 .orElseThrow(() -> new MalformedException("no role " + name));
     }
 
-    static <T> Either<MalformedContent, T> decode(
-            Bytes content, PackReader.Decoder<T> decoder) {
+    static <T> Either<MalformedContent, T> decode(Bytes content, PackReader.Decoder<T> decoder) {
         return PackReader.decode(
                 content,
                 reader -> {
--- a/program/src/main/java/dev/kumquatweir/program/control/Founding.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/Founding.java
@@ -17,9 +17,9 @@
  * Decides how an instance with an empty store takes part in its group. The store ids of the first
  * voters are random, so they have to be told to each other before the group can begin. Pure.
  *
- * <p>Only one instance, the first voter by name, founds the group, and only after each other voter of
- * the settings has answered with an empty store. So a voter that lost its disk can't found a second
- * group beside the one that its peers remember.
+ * <p>Only one instance, the first voter by name, founds the group, and only after each other voter
+ * of the settings has answered with an empty store. So a voter that lost its disk can't found a
+ * second group beside the one that its peers remember.
  */
 final class Founding {
     private final MemberId mSelf;
--- a/program/src/main/java/dev/kumquatweir/program/control/FoundingDuty.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/FoundingDuty.java
@@ -18,10 +18,12 @@
 import dev.kumquatweir.program.instance.FrameType;
 import dev.kumquatweir.settings.PeerSettings;
 import dev.kumquatweir.transport.PeerNetwork;
+import dev.kumquatweir.transport.TransportFailure;
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -29,8 +31,8 @@
 import java.util.function.Supplier;
 
 /**
- * Brings an instance with a data folder to the point where its replica can start: opens the store, and
- * if it is empty asks the other voters until {@link Founding} decides. Used by one thread.
+ * Brings an instance with a data folder to the point where its replica can start: opens the store,
+ * and if it is empty asks the other voters until {@link Founding} decides. Used by one thread.
  */
 final class FoundingDuty {
     private static final EventLog LOG = EventLog.of(FoundingDuty.class);
@@ -112,7 +114,8 @@
                         List.of(),
                         StorageWrite.NOTHING);
         orThrow(store.write(List.of(first)));
-        // Sequence numbers count from 1 for each opening of a store, and the replica uses them next.
+        // Sequence numbers count from 1 for each opening of a store, and the replica uses them
+        // next.
         store.close();
         LogStore reopened = mStores.get();
         StoredState state = orThrow(reopened.load());
@@ -130,26 +133,23 @@
     private void askOthers(Map<InstanceId, Founding.Answer> answers) {
         for (PeerSettings voter : mVoters) {
             if (!voter.id().equals(mSelf)) {
-                mNetwork.request(
-                                voter.id(),
-                                FrameType.FOUNDING.number(),
-                                Bytes.EMPTY,
-                                ANSWER_LIMIT_NANOS)
-                        .thenAccept(
-                                answer ->
-                                        answer.peek(
-                                                content ->
-                                                        decode(content)
-                                                                .peek(
-                                                                        told ->
-                                                                                answers.put(
-                                                                                        voter.id(),
-                                                                                        told))));
+                askOther(voter.id(), answers);
             }
         }
         LockSupport.parkNanos(PAUSE_NANOS);
     }
 
+    private void askOther(InstanceId voter, Map<InstanceId, Founding.Answer> answers) {
+        CompletionStage<Either<TransportFailure, Bytes>> answer =
+                mNetwork.request(
+                        voter, FrameType.FOUNDING.number(), Bytes.EMPTY, ANSWER_LIMIT_NANOS);
+        answer.thenAccept(
+                result ->
+                        result.toOption()
+                                .flatMap(content -> decode(content).toOption())
+                                .peek(told -> answers.put(voter, told)));
+    }
+
     private static Bytes encode(Founding.Answer answer) {
         PackWriter writer = new PackWriter();
         ControlCodec.writeMemberId(writer, answer.member());
--- a/program/src/main/java/dev/kumquatweir/program/control/LeaderClient.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/LeaderClient.java
@@ -105,8 +105,7 @@
         if (target.equals(mSelf) && replica != null) {
             return replica.handle(request);
         }
-        return mNetwork
-                .request(
+        return mNetwork.request(
                         target,
                         FrameType.COMMAND.number(),
                         ControlCodec.encode(request),
--- a/program/src/main/java/dev/kumquatweir/program/control/LeaseKeeper.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/LeaseKeeper.java
@@ -5,6 +5,7 @@
 import dev.kumquatweir.agreement.lease.LeaseAsk;
 import dev.kumquatweir.agreement.lease.LeaseGrant;
 import dev.kumquatweir.agreement.lease.LeaseTimes;
+import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.configuration.ConfigurationDocument;
 import dev.kumquatweir.core.control.ConfigurationPort;
 import dev.kumquatweir.core.control.LeasedConfiguration;
@@ -15,6 +16,8 @@
 import dev.kumquatweir.program.instance.FrameType;
 import dev.kumquatweir.settings.ConfigurationReader;
 import dev.kumquatweir.transport.PeerNetwork;
+import dev.kumquatweir.transport.TransportFailure;
+import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -59,8 +62,7 @@
         mReplica = replica;
         mClocks = clocks;
         long nowNanos = clocks.nowNanos();
-        mHolder =
-                new ConfigurationLeaseHolder(self, processNonce, LeaseTimes.STANDARD, nowNanos);
+        mHolder = new ConfigurationLeaseHolder(self, processNonce, LeaseTimes.STANDARD, nowNanos);
         mCurrent = new LeasedConfiguration(0, ConfigurationDocument.EMPTY, nowNanos);
         mDuty =
                 new Duty(
@@ -110,26 +112,23 @@
         InstanceId target = mLeader.believedLeader();
         ReplicaDuty replica = mReplica;
         if (target.equals(mSelf) && replica != null) {
-            replica.grant(ask)
-                    .thenAccept(grant -> mDuty.offer(() -> answered(target, grant, "")));
+            replica.grant(ask).thenAccept(grant -> mDuty.offer(() -> answered(target, grant, "")));
             return;
         }
-        mNetwork.request(
+        CompletionStage<Either<TransportFailure, Bytes>> answer =
+                mNetwork.request(
                         target,
                         FrameType.LEASE.number(),
                         LeaseCodec.encode(ask),
-                        ANSWER_LIMIT_NANOS)
-                .thenAccept(
-                        answer -> {
-                            LeaseAnswer decoded =
-                                    answer.fold(
-                                            failure -> LeaseAnswer.refused(""),
-                                            content ->
-                                                    LeaseAnswer.decode(content)
-                                                            .getOrElse(LeaseAnswer.refused("")));
-                            mDuty.offer(
-                                    () -> answered(target, decoded.grant(), decoded.leader()));
-                        });
+                        ANSWER_LIMIT_NANOS);
+        answer.thenAccept(
+                result -> {
+                    LeaseAnswer decoded =
+                            result.toOption()
+                                    .flatMap(content -> LeaseAnswer.decode(content).toOption())
+                                    .getOrElse(LeaseAnswer.refused(""));
+                    mDuty.offer(() -> answered(target, decoded.grant(), decoded.leader()));
+                });
     }
 
     private void answered(InstanceId target, Optional<LeaseGrant> grant, String leaderHint) {
@@ -163,8 +162,7 @@
     }
 
     private void publish(ConfigurationDocument document) {
-        mCurrent =
-                new LeasedConfiguration(mHolder.version(), document, mHolder.leaseEndNanos());
+        mCurrent = new LeasedConfiguration(mHolder.version(), document, mHolder.leaseEndNanos());
     }
 
     private void logChange(long nowNanos) {
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicatedControl.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicatedControl.java
@@ -69,8 +69,7 @@
                         network,
                         mReplica,
                         clocks);
-        mLeases =
-                new LeaseKeeper(settings.id(), processNonce, mLeader, network, mReplica, clocks);
+        mLeases = new LeaseKeeper(settings.id(), processNonce, mLeader, network, mReplica, clocks);
         mClaims = new ReplicatedClaims(settings.id(), processNonce, mLeader);
     }
 
@@ -100,8 +99,7 @@
                                                         opener)
                                                 .await(() -> false))
                         .orElse(null);
-        return new ReplicatedControl(
-                settings, network, clocks, ready, firstConfiguration, onFatal);
+        return new ReplicatedControl(settings, network, clocks, ready, firstConfiguration, onFatal);
     }
 
     @Override
@@ -205,8 +203,7 @@
                         });
     }
 
-    private static void command(
-            @Nullable ReplicaDuty replica, Bytes payload, Responder responder) {
+    private static void command(@Nullable ReplicaDuty replica, Bytes payload, Responder responder) {
         if (replica == null) {
             respond(responder, new ControlReply.Failed(new ControlFailure.NotLeader("")));
             return;
@@ -238,8 +235,7 @@
         replica.grant(ask)
                 .thenAccept(
                         grant -> {
-                            String leader =
-                                    replica.leader().map(InstanceId::value).orElse("");
+                            String leader = replica.leader().map(InstanceId::value).orElse("");
                             responder.respond(new LeaseAnswer(grant, leader).encode());
                         });
     }
--- a/program/src/main/java/dev/kumquatweir/program/instance/StartFailure.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/StartFailure.java
@@ -21,4 +21,22 @@
             return address + ": " + problem;
         }
     }
+
+    /**
+     * The data folder can't be opened.
+     *
+     * @param folder the folder
+     * @param problem reason given by the system
+     */
+    record NoDataFolder(String folder, String problem) implements StartFailure {
+        @Override
+        public String code() {
+            return "no_data_folder";
+        }
+
+        @Override
+        public String message() {
+            return folder + ": " + problem;
+        }
+    }
 }
--- /dev/null
+++ b/program/src/test/java/dev/kumquatweir/program/system/Caller.java
@@ -0,0 +1,159 @@
+package dev.kumquatweir.program.system;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.kumquatweir.standin.model.StandinTokens;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+/** A caller of the system. Requests carry the key of the test's team. */
+final class Caller {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final HttpClient CLIENT =
+            HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(5)).build();
+    private static final Duration LIMIT = Duration.ofMinutes(3);
+
+    private Caller() {}
+
+    /** What a caller got. */
+    record Answer(int status, String body) {
+        JsonNode json() {
+            try {
+                return JSON.readTree(body);
+            } catch (JsonProcessingException exception) {
+                throw new AssertionError(body, exception);
+            }
+        }
+
+        String ran() {
+            return json().path("error").path("ran").asText();
+        }
+
+        String type() {
+            return json().path("error").path("type").asText();
+        }
+    }
+
+    /** A streamed answer, and whether its end mark came. */
+    record Streamed(String text, boolean complete, String error) {}
+
+    /** Returns the status of a GET, 0 if nobody answers. */
+    static int status(String url) {
+        try {
+            return send(request(url).GET()).status();
+        } catch (IOException exception) {
+            return 0;
+        }
+    }
+
+    static Answer get(String url) {
+        return sendOrFail(request(url).GET());
+    }
+
+    static Answer post(String url, String idempotencyKey, String body) {
+        HttpRequest.Builder request = request(url).POST(HttpRequest.BodyPublishers.ofString(body));
+        return sendOrFail(
+                idempotencyKey.isEmpty()
+                        ? request
+                        : request.header("Idempotency-Key", idempotencyKey));
+    }
+
+    static Answer complete(String url, String profile, String prompt, int tokens) {
+        return sendOrFail(
+                request(url + "/v1/completions")
+                        .header("Kumquatweir-Profile", profile)
+                        .POST(HttpRequest.BodyPublishers.ofString(body(prompt, tokens, false))));
+    }
+
+    /** Streams a completion; the consumer is told of each piece of text as it comes. */
+    static Streamed stream(
+            String url, String profile, String prompt, int tokens, Consumer<String> onText) {
+        HttpRequest request =
+                request(url + "/v1/completions")
+                        .header("Kumquatweir-Profile", profile)
+                        .POST(HttpRequest.BodyPublishers.ofString(body(prompt, tokens, true)))
+                        .build();
+        StringBuilder text = new StringBuilder();
+        boolean complete = false;
+        String error = "";
+        try (Stream<String> lines =
+                CLIENT.send(request, HttpResponse.BodyHandlers.ofLines()).body()) {
+            boolean failed = false;
+            for (String line : (Iterable<String>) lines::iterator) {
+                if (line.equals("event: error")) {
+                    failed = true;
+                } else if (line.equals("data: [DONE]")) {
+                    complete = true;
+                } else if (line.startsWith("data: ") && failed) {
+                    error = line.substring("data: ".length());
+                } else if (line.startsWith("data: ")) {
+                    JsonNode event = JSON.readTree(line.substring("data: ".length()));
+                    String piece = event.path("choices").path(0).path("text").asText();
+                    text.append(piece);
+                    onText.accept(piece);
+                } else if (line.startsWith("{")) {
+                    error = line;
+                }
+            }
+        } catch (IOException exception) {
+            error = exception.toString();
+        } catch (InterruptedException exception) {
+            throw new AssertionError(exception);
+        }
+        return new Streamed(text.toString(), complete, error);
+    }
+
+    static CompletableFuture<Streamed> streamLater(
+            String url, String profile, String prompt, int tokens, Consumer<String> onText) {
+        return CompletableFuture.supplyAsync(
+                () -> stream(url, profile, prompt, tokens, onText),
+                task -> Thread.ofVirtual().start(task));
+    }
+
+    /** Returns the answer that every stand-in engine gives to a prompt. */
+    static String expected(String prompt, int tokens) {
+        long seed = StandinTokens.seed(prompt);
+        return StandinTokens.answer(seed, StandinTokens.answerLength(seed, tokens));
+    }
+
+    private static String body(String prompt, int tokens, boolean stream) {
+        ObjectNode body = JSON.createObjectNode();
+        body.put("model", "quote-7b").put("prompt", prompt);
+        body.put("max_tokens", tokens).put("stream", stream);
+        return body.toString();
+    }
+
+    private static HttpRequest.Builder request(String url) {
+        return HttpRequest.newBuilder(URI.create(url))
+                .timeout(LIMIT)
+                .header("Authorization", "Bearer " + LocalCluster.TEAM_KEY)
+                .header("Content-Type", "application/json");
+    }
+
+    private static Answer sendOrFail(HttpRequest.Builder request) {
+        try {
+            return send(request);
+        } catch (IOException exception) {
+            throw new AssertionError(exception);
+        }
+    }
+
+    private static Answer send(HttpRequest.Builder request) throws IOException {
+        try {
+            HttpResponse<String> response =
+                    CLIENT.send(request.build(), HttpResponse.BodyHandlers.ofString());
+            return new Answer(response.statusCode(), response.body());
+        } catch (InterruptedException exception) {
+            throw new AssertionError(exception);
+        }
+    }
+}
--- /dev/null
+++ b/program/src/test/java/dev/kumquatweir/program/system/LocalCluster.java
@@ -0,0 +1,220 @@
+package dev.kumquatweir.program.system;
+
+import dev.kumquatweir.core.configuration.ApiKeyHash;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/**
+ * Four instances in three failure domains and stand-in upstreams, each a process of the real binary
+ * on this machine. The fourth instance has no disk.
+ */
+final class LocalCluster implements AutoCloseable {
+    static final String TEAM_KEY = "ipoh.team-key";
+    static final String OPERATOR_KEY = "operator-key-of-the-test";
+    static final int INSTANCES = 4;
+    private static final String ANNOUNCE_KEY = "announce-key-of-the-test";
+    private static final int VOTERS = 3;
+    private static final List<String> DOMAINS = List.of("klang-a", "klang-b", "klang-c", "klang-a");
+    private static final int LISTENERS = 4;
+
+    private final Path mFolder;
+    private final int[][] mPorts = new int[INSTANCES][LISTENERS];
+    private final LocalProcess[] mInstances = new LocalProcess[INSTANCES];
+    private final Map<String, LocalProcess> mUpstreams = new LinkedHashMap<>();
+    private final Map<String, Integer> mUpstreamPorts = new LinkedHashMap<>();
+
+    private LocalCluster(Path folder) {
+        mFolder = folder;
+    }
+
+    /** Starts four instances and waits until all of them are ready. */
+    static LocalCluster start(Path folder) {
+        LocalCluster cluster = new LocalCluster(folder);
+        IntStream.range(0, INSTANCES).forEach(cluster::choosePorts);
+        cluster.write("configuration.toml", configuration());
+        IntStream.range(0, INSTANCES).forEach(cluster::startInstance);
+        cluster.awaitAllReady();
+        return cluster;
+    }
+
+    void awaitAllReady() {
+        IntStream.range(0, INSTANCES).forEach(this::awaitReady);
+    }
+
+    void awaitReady(int number) {
+        Waiting.until(
+                "instance " + number + " is ready",
+                () -> Caller.status(url(number) + "/health/ready") == 200);
+    }
+
+    LocalProcess instance(int number) {
+        return mInstances[number];
+    }
+
+    LocalProcess upstream(String id) {
+        return mUpstreams.get(id);
+    }
+
+    String url(int instance) {
+        return "http://127.0.0.1:" + mPorts[instance][0];
+    }
+
+    String operatorUrl(int instance) {
+        return "http://127.0.0.1:" + mPorts[instance][2];
+    }
+
+    int peerPort(int instance) {
+        return mPorts[instance][3];
+    }
+
+    String upstreamUrl(String id) {
+        return "http://127.0.0.1:" + mUpstreamPorts.get(id);
+    }
+
+    void startInstance(int number) {
+        String name = "entry-" + (number + 1);
+        write(name + ".toml", settings(number));
+        List<String> arguments = List.of("serve", mFolder.resolve(name + ".toml").toString());
+        mInstances[number] = LocalProcess.start(mFolder.resolve(name + ".log"), arguments);
+    }
+
+    /** Empties the data folder of an instance that does not run. */
+    void loseDisk(int number) {
+        Path data = mFolder.resolve("data-" + (number + 1));
+        try (Stream<Path> files = Files.walk(data)) {
+            files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    void startEngine(String id, String domain, String... more) {
+        List<String> options = new ArrayList<>(List.of("--model", "quote-7b"));
+        options.addAll(List.of(more));
+        startUpstream("engine", id, domain, "quote-llm", options);
+    }
+
+    void startService(String id, String domain) {
+        startUpstream("service", id, domain, "bookings", List.of());
+    }
+
+    private void startUpstream(
+            String kind, String id, String domain, String service, List<String> more) {
+        int port = freePort();
+        List<String> arguments = new ArrayList<>(List.of("standin", kind, "--id", id));
+        arguments.addAll(List.of("--listen", "127.0.0.1:" + port, "--domain", domain));
+        arguments.addAll(List.of("--service", service, "--announce-key", ANNOUNCE_KEY));
+        IntStream.range(0, INSTANCES)
+                .forEach(
+                        instance ->
+                                arguments.addAll(
+                                        List.of(
+                                                "--announce-to",
+                                                "127.0.0.1:" + mPorts[instance][1])));
+        arguments.addAll(more);
+        mUpstreamPorts.put(id, port);
+        mUpstreams.put(id, LocalProcess.start(mFolder.resolve(id + ".log"), arguments));
+    }
+
+    @Override
+    public void close() {
+        Stream.concat(Stream.of(mInstances), mUpstreams.values().stream())
+                .filter(process -> process != null)
+                .forEach(LocalProcess::close);
+    }
+
+    private void choosePorts(int number) {
+        IntStream.range(0, LISTENERS).forEach(kind -> mPorts[number][kind] = freePort());
+    }
+
+    private String settings(int number) {
+        StringBuilder text = new StringBuilder();
+        text.append("[instance]\nid = \"entry-").append(number + 1).append("\"\n");
+        text.append("failure_domain = \"").append(DOMAINS.get(number)).append("\"\n");
+        if (number < VOTERS) {
+            text.append("data_folder = \"data-").append(number + 1).append("\"\n");
+        }
+        text.append("[listen]\n");
+        text.append("caller = \"127.0.0.1:").append(mPorts[number][0]).append("\"\n");
+        text.append("upstream = \"127.0.0.1:").append(mPorts[number][1]).append("\"\n");
+        text.append("operator = \"127.0.0.1:").append(mPorts[number][2]).append("\"\n");
+        text.append("[cluster]\nname = \"test\"\nkey = \"cluster-key-of-the-test\"\n");
+        text.append("announce_key = \"").append(ANNOUNCE_KEY).append("\"\n");
+        text.append("first_configuration = \"configuration.toml\"\n");
+        for (int peer = 0; peer < INSTANCES; peer++) {
+            text.append("[[cluster.instances]]\nid = \"entry-").append(peer + 1).append("\"\n");
+            text.append("address = \"127.0.0.1:").append(mPorts[peer][3]).append("\"\n");
+            text.append("failure_domain = \"").append(DOMAINS.get(peer)).append("\"\n");
+            text.append("voter = ").append(peer < VOTERS).append("\n");
+        }
+        ApiKeyHash operator = ApiKeyHash.of("0a0b", OPERATOR_KEY);
+        text.append("[[operators]]\nname = \"tester\"\nkey_salt = \"0a0b\"\n");
+        text.append("key_sha256 = \"").append(operator.digest()).append("\"\n");
+        return text.toString();
+    }
+
+    private static String configuration() {
+        return """
+        [[services]]
+        name = "quote-llm"
+        kind = "engine"
+        profile = "quick"
+
+        [[services]]
+        name = "bookings"
+        kind = "service"
+        profile = "hold"
+
+        [[profiles]]
+        name = "quick"
+        service = "quote-llm"
+        class = "short"
+        models = ["quote-7b"]
+        time_limit_seconds = 120
+
+        [[profiles]]
+        name = "dossier"
+        service = "quote-llm"
+        class = "long"
+
+        [[profiles]]
+        name = "hold"
+        service = "bookings"
+        class = "action"
+
+        [[teams]]
+        name = "ipoh"
+        key_salt = "0a0b"
+        key_sha256 = "%s"
+        default_profile = "quick"
+        """
+                .formatted(ApiKeyHash.of("0a0b", TEAM_KEY).digest());
+    }
+
+    private void write(String name, String content) {
+        try {
+            Files.writeString(mFolder.resolve(name), content);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+}
