Add the log store on files with group commit

A replica must not forget its log, term and vote. Log records have a checksum for the header and one for the payload and a nonzero end mark, so that a flipped bit in the last record is refused and only a cut or zero-filled tail is removed. The batches of a group are combined before they are written: with one write per batch the fault injection found a group that could not be written again after a full disk, because its truncation had already happened. Before: no store.

--- /dev/null
+++ b/storage/src/main/java/dev/kumquatweir/storage/LogRecord.java
@@ -0,0 +1,75 @@
+package dev.kumquatweir.storage;
+
+import dev.kumquatweir.agreement.port.EntryKind;
+import dev.kumquatweir.agreement.port.LogEntry;
+import dev.kumquatweir.core.bytes.Bytes;
+import java.nio.ByteBuffer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Layout of one log entry in a segment. Thread-safe: holds no state.
+ *
+ * <p>Payload size (4 bytes), index (8), term (8), kind (4), CRC32C of the payload (4), CRC32C of
+ * the fields before it (4), payload, end mark (4). The header has its own checksum so that a
+ * changed size is recognised as damage instead of a record that goes beyond the end of the file.
+ * The end mark is not zero, so that a file that ends in zeros was not written completely.
+ */
+final class LogRecord {
+    static final int HEADER_BYTES = 32;
+    static final int END_BYTES = 4;
+
+    private static final int CHECKED_BYTES = 28;
+    private static final int END_MARK = 0x4B575245;
+
+    private LogRecord() {}
+
+    static int sizeBytes(LogEntry entry) {
+        return HEADER_BYTES + entry.payload().size() + END_BYTES;
+    }
+
+    static void write(LogEntry entry, ByteBuffer target) {
+        int start = target.position();
+        byte[] payload = entry.payload().toArray();
+        target.putInt(payload.length).putLong(entry.index()).putLong(entry.term());
+        target.putInt(entry.kind().code());
+        target.putInt(Checksum.of(ByteBuffer.wrap(payload), 0, payload.length));
+        target.putInt(Checksum.of(target, start, CHECKED_BYTES));
+        target.put(payload).putInt(END_MARK);
+    }
+
+    /** Returns whether a whole header with a right checksum begins here. */
+    static boolean headerValid(ByteBuffer content, int offset) {
+        return content.limit() - offset >= HEADER_BYTES
+                && content.getInt(offset) >= 0
+                && content.getInt(offset + CHECKED_BYTES)
+                        == Checksum.of(content, offset, CHECKED_BYTES);
+    }
+
+    /** Returns the offset after a record with a valid header, which may be beyond the file. */
+    static long end(ByteBuffer content, int offset) {
+        return (long) offset + HEADER_BYTES + content.getInt(offset) + END_BYTES;
+    }
+
+    /** Reads a whole record; null if any part of it is missing or wrong. */
+    static @Nullable LogEntry read(ByteBuffer content, int offset) {
+        if (!headerValid(content, offset) || end(content, offset) > content.limit()) {
+            return null;
+        }
+        int size = content.getInt(offset);
+        int payloadStart = offset + HEADER_BYTES;
+        EntryKind kind = EntryKind.ofCode(content.getInt(offset + 20));
+        boolean whole =
+                content.getInt(offset + 24) == Checksum.of(content, payloadStart, size)
+                        && content.getInt(payloadStart + size) == END_MARK;
+        if (!whole || kind == null) {
+            return null;
+        }
+        byte[] payload = new byte[size];
+        content.get(payloadStart, payload);
+        return new LogEntry(
+                content.getLong(offset + 4),
+                content.getLong(offset + 12),
+                Bytes.copyOf(payload),
+                kind);
+    }
+}
--- /dev/null
+++ b/storage/src/main/java/dev/kumquatweir/storage/StorageDuty.java
@@ -0,0 +1,146 @@
+package dev.kumquatweir.storage;
+
+import dev.kumquatweir.agreement.port.LogStore;
+import dev.kumquatweir.agreement.port.StorageCompletion;
+import dev.kumquatweir.agreement.port.StorageFailure;
+import dev.kumquatweir.agreement.port.StorageWrite;
+import dev.kumquatweir.core.duty.Duty;
+import dev.kumquatweir.core.event.EventLog;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * The duty {@code storage}: one thread that writes all waiting batches with one sync (group
+ * commit). {@link #submit} may be called from any thread, but batches must come in ascending
+ * sequence.
+ */
+public final class StorageDuty implements AutoCloseable {
+    private static final EventLog LOG = EventLog.of(StorageDuty.class);
+    // How often waiting batches are tried again while the disk is full.
+    private static final long RETRY_MILLIS = 250;
+
+    private final LogStore mStore;
+    private final StorageListener mListener;
+    private final int mCapacity;
+    private final Duty mDuty;
+    private final AtomicInteger mOutstanding = new AtomicInteger();
+    private final List<StorageWrite> mPending = new ArrayList<>();
+    private boolean mDiskFull;
+    private volatile boolean mFailed;
+
+    /**
+     * Makes a duty that is not yet running.
+     *
+     * @param store a store that has been loaded; closed with this duty
+     * @param capacity largest number of batches without a completion
+     * @param listener learns what became of the batches
+     */
+    public StorageDuty(LogStore store, int capacity, StorageListener listener) {
+        mStore = store;
+        mCapacity = capacity;
+        mListener = listener;
+        mDuty =
+                new Duty(
+                        "storage",
+                        capacity,
+                        RETRY_MILLIS,
+                        this::retry,
+                        (thread, fault) -> faulted(fault));
+    }
+
+    /** Starts the thread. */
+    public void start() {
+        mDuty.start();
+    }
+
+    /** Ends the thread after the group in hand and closes the store; waiting batches are lost. */
+    @Override
+    public void close() {
+        mDuty.stop();
+        mStore.close();
+    }
+
+    /**
+     * Hands over a batch.
+     *
+     * @return false if too many batches wait or the store has failed; the batch is not written
+     *     then, and since sequences have no gaps, it has to be submitted again before any later one
+     */
+    public boolean submit(StorageWrite write) {
+        if (mFailed) {
+            return false;
+        }
+        if (mOutstanding.incrementAndGet() > mCapacity || !mDuty.offer(() -> accept(write))) {
+            mOutstanding.decrementAndGet();
+            return false;
+        }
+        return true;
+    }
+
+    private void accept(StorageWrite write) {
+        mPending.add(write);
+        // While other batches wait in the ring, their tasks follow and the last one commits all.
+        if (mDuty.waiting() == 0 && !mDiskFull) {
+            commit();
+        }
+    }
+
+    private void retry() {
+        if (mDiskFull) {
+            commit();
+        }
+    }
+
+    private void commit() {
+        if (mFailed || mPending.isEmpty()) {
+            return;
+        }
+        List<StorageWrite> group = List.copyOf(mPending);
+        Either<StorageFailure, StorageCompletion> result = mStore.write(group);
+        if (result.isRight()) {
+            completed(group.size(), result.get());
+            return;
+        }
+        switch (result.getLeft()) {
+            case StorageFailure.DiskFull full -> refused(full);
+            case StorageFailure.SyncFailed fatal -> failed(fatal);
+            case StorageFailure.Corrupted fatal -> failed(fatal);
+            case StorageFailure.Unusable fatal -> failed(fatal);
+        }
+    }
+
+    private void completed(int count, StorageCompletion completion) {
+        mPending.clear();
+        mOutstanding.addAndGet(-count);
+        if (mDiskFull) {
+            mDiskFull = false;
+            LOG.info("disk_space_returned", "sequence", completion.sequence());
+            mListener.spaceReturned();
+        }
+        mListener.completed(completion);
+    }
+
+    private void refused(StorageFailure.DiskFull failure) {
+        if (!mDiskFull) {
+            mDiskFull = true;
+            LOG.failure("disk_full", failure, "waiting", mPending.size());
+            mListener.diskFull(failure);
+        }
+    }
+
+    private void failed(StorageFailure failure) {
+        if (!mFailed) {
+            mFailed = true;
+            LOG.failure("storage_failed", failure);
+            mListener.failed(failure);
+        }
+    }
+
+    /** A fault of the program leaves the store in an unknown state, like a failed sync. */
+    private void faulted(Throwable fault) {
+        LOG.fault("storage_fault", fault);
+        failed(new StorageFailure.SyncFailed("storage thread", String.valueOf(fault)));
+    }
+}
