Let the storage duty come to rest before it is stopped

Stopping a Duty interrupts its thread, and an interrupt during a write closes the FileChannel: a planned stop would have reported a failed sync and ended the process as a fault. Now close() refuses new batches, writes what waits, and stops the thread only when it is idle. Ignoring the failure during close was ruled out, since it would hide a real one. In the transport an Error thrown by a handler now closes its connection, whose remaining bytes are lost, and the log limit holds for each failure code, so that strangers can't flood the log by alternating failures.

--- a/storage/src/main/java/dev/kumquatweir/storage/DiskFolder.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/DiskFolder.java
@@ -57,18 +57,14 @@
         if (!HELD.add(mFolder)) {
             return false;
         }
-        FileChannel channel =
-                FileChannel.open(
-                        mFolder.resolve(LOCK_FILE),
-                        StandardOpenOption.CREATE,
-                        StandardOpenOption.WRITE);
-        if (channel.tryLock() != null) {
-            mLock = channel;
-            return true;
+        try {
+            mLock = lockFile();
+        } finally {
+            if (mLock == null) {
+                HELD.remove(mFolder);
+            }
         }
-        channel.close();
-        HELD.remove(mFolder);
-        return false;
+        return mLock != null;
     }
 
     @Override
@@ -122,6 +118,19 @@
         }
     }
 
+    private @Nullable FileChannel lockFile() throws IOException {
+        FileChannel channel =
+                FileChannel.open(
+                        mFolder.resolve(LOCK_FILE),
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.WRITE);
+        if (channel.tryLock() != null) {
+            return channel;
+        }
+        channel.close();
+        return null;
+    }
+
     private DataFile openFile(String name, StandardOpenOption... options) throws IOException {
         try {
             return new DiskFile(name, FileChannel.open(mFolder.resolve(name), options));
--- a/storage/src/main/java/dev/kumquatweir/storage/StorageDuty.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/StorageDuty.java
@@ -9,7 +9,10 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * The duty {@code storage}: one thread that writes all waiting batches with one sync (group
@@ -21,14 +24,21 @@
     // How often waiting batches are tried again while the disk is full.
     private static final long RETRY_MILLIS = 250;
 
+    private static final long CLOSE_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final long OFFER_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
     private final LogStore mStore;
     private final StorageListener mListener;
     private final int mCapacity;
     private final Duty mDuty;
     private final AtomicInteger mOutstanding = new AtomicInteger();
     private final List<StorageWrite> mPending = new ArrayList<>();
+    private final CountDownLatch mFinished = new CountDownLatch(1);
     private boolean mDiskFull;
-    private volatile boolean mFailed;
+    private volatile boolean mStarted;
+    private volatile boolean mClosing;
+    // Nothing is written any more: the store has failed or the duty is at rest.
+    private volatile boolean mEnded;
 
     /**
      * Makes a duty that is not yet running.
@@ -52,12 +62,20 @@
 
     /** Starts the thread. */
     public void start() {
+        mStarted = true;
         mDuty.start();
     }
 
-    /** Ends the thread after the group in hand and closes the store; waiting batches are lost. */
+    /**
+     * Writes what waits, ends the thread and closes the store. Waits up to 10 s; batches that wait
+     * for space on the disk are lost.
+     */
     @Override
     public void close() {
+        mClosing = true;
+        if (mStarted && !mDuty.onThread()) {
+            awaitFinished();
+        }
         mDuty.stop();
         mStore.close();
     }
@@ -69,7 +87,7 @@
      *     then, and since sequences have no gaps, it has to be submitted again before any later one
      */
     public boolean submit(StorageWrite write) {
-        if (mFailed) {
+        if (mEnded || mClosing) {
             return false;
         }
         if (mOutstanding.incrementAndGet() > mCapacity || !mDuty.offer(() -> accept(write))) {
@@ -79,6 +97,32 @@
         return true;
     }
 
+    /**
+     * Lets the thread come to rest before it is stopped: the stop interrupts it, and an interrupt
+     * during a write closes the file, which would count as a failed write.
+     */
+    private void awaitFinished() {
+        long limitNanos = System.nanoTime() + CLOSE_NANOS;
+        while (!mDuty.offer(this::finish) && System.nanoTime() - limitNanos < 0) {
+            LockSupport.parkNanos(OFFER_PAUSE_NANOS);
+        }
+        try {
+            if (!mFinished.await(limitNanos - System.nanoTime(), TimeUnit.NANOSECONDS)) {
+                LOG.warn("storage_close_timed_out", "waiting", mDuty.waiting());
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void finish() {
+        if (!mDiskFull) {
+            commit();
+        }
+        mEnded = true;
+        mFinished.countDown();
+    }
+
     private void accept(StorageWrite write) {
         mPending.add(write);
         // While other batches wait in the ring, their tasks follow and the last one commits all.
@@ -94,7 +138,7 @@
     }
 
     private void commit() {
-        if (mFailed || mPending.isEmpty()) {
+        if (mEnded || mPending.isEmpty()) {
             return;
         }
         List<StorageWrite> group = List.copyOf(mPending);
@@ -131,8 +175,8 @@
     }
 
     private void failed(StorageFailure failure) {
-        if (!mFailed) {
-            mFailed = true;
+        if (!mEnded) {
+            mEnded = true;
             LOG.failure("storage_failed", failure);
             mListener.failed(failure);
         }
--- a/storage/src/test/java/dev/kumquatweir/storage/StorageDutyTest.java
+++ b/storage/src/test/java/dev/kumquatweir/storage/StorageDutyTest.java
@@ -39,6 +39,9 @@
                 public Either<StorageFailure, StorageCompletion> write(List<StorageWrite> writes) {
                     mGroups.add(writes.size());
                     mPermits.acquireUninterruptibly();
+                    if (Thread.currentThread().isInterrupted()) {
+                        mEvents.add("interrupted");
+                    }
                     StorageFailure failure = mFailures.poll();
                     return failure != null
                             ? Either.left(failure)
@@ -141,6 +144,23 @@
         }
     }
 
+    /** Guards against a planned stop that interrupts a write, which would count as a failed one. */
+    @Test
+    void closeFinishesWhatWaitsUndisturbed() throws InterruptedException {
+        StorageDuty duty = started(8);
+        submit(duty, 1);
+        next(mGroups);
+        submit(duty, 2);
+        Thread closing = Thread.ofVirtual().start(duty::close);
+        while (closing.getState() != Thread.State.TIMED_WAITING) {
+            Thread.onSpinWait();
+        }
+        assertThat(submit(duty, 3), is(false));
+        mPermits.release(8);
+        closing.join();
+        assertThat(mEvents, contains("completed 1", "completed 2", "closed"));
+    }
+
     /** Guards against a write or completion after a failed sync. */
     @Test
     void nothingIsWrittenAfterFailure() throws InterruptedException {
--- a/transport/src/main/java/dev/kumquatweir/transport/Connection.java
+++ b/transport/src/main/java/dev/kumquatweir/transport/Connection.java
@@ -36,6 +36,8 @@
         void requestFlush(Connection connection);
     }
 
+    // Differences of monotonic times must not overflow.
+    private static final long LONGEST_TIMEOUT_NANOS = Long.MAX_VALUE / 4;
     // Bounds the time that one busy connection keeps the others waiting.
     private static final int ROUNDS_PER_EVENT = 8;
 
@@ -103,7 +105,7 @@
             mUnanswered.decrementAndGet();
             return failed(new TransportFailure.TooManyRequests(mRemote, limit));
         }
-        long deadlineNanos = mResources.nowNanos() + timeoutNanos;
+        long deadlineNanos = mResources.nowNanos() + Math.min(timeoutNanos, LONGEST_TIMEOUT_NANOS);
         PendingRequest request = new PendingRequest(mCorrelations.incrementAndGet(), deadlineNanos);
         Option<TransportFailure> refused =
                 offer(
--- a/transport/src/main/java/dev/kumquatweir/transport/LogLimiter.java
+++ b/transport/src/main/java/dev/kumquatweir/transport/LogLimiter.java
@@ -1,27 +1,26 @@
 package dev.kumquatweir.transport;
 
-/** Bounds the log lines about one recurring failure. Used by one thread. */
+import java.util.HashMap;
+import java.util.Map;
+
+/** Bounds the log lines about recurring failures. Used by one thread. */
 final class LogLimiter {
     private final long mIntervalNanos;
-    private String mLastCode = "";
-    private long mLastNanos;
+    private final Map<String, Long> mLastNanos = new HashMap<>();
     private long mSuppressed;
 
     LogLimiter(long intervalNanos) {
         mIntervalNanos = intervalNanos;
     }
 
-    /**
-     * Returns whether to log: the code differs from the last one logged, or the interval has
-     * passed.
-     */
+    /** Returns whether to log: once in each interval for each code of a failure. */
     boolean permits(String code, long nowNanos) {
-        if (code.equals(mLastCode) && nowNanos - mLastNanos < mIntervalNanos) {
+        Long last = mLastNanos.get(code);
+        if (last != null && nowNanos - last < mIntervalNanos) {
             mSuppressed++;
             return false;
         }
-        mLastCode = code;
-        mLastNanos = nowNanos;
+        mLastNanos.put(code, nowNanos);
         return true;
     }
 
--- a/transport/src/main/java/dev/kumquatweir/transport/PeerIo.java
+++ b/transport/src/main/java/dev/kumquatweir/transport/PeerIo.java
@@ -268,7 +268,8 @@
             if (key.isValid() && key.isWritable()) {
                 connection.write();
             }
-        } catch (IOException | RuntimeException fault) {
+        } catch (IOException | RuntimeException | Error fault) {
+            // Bytes of this read may be lost, so the frames that follow can't be told apart.
             connection.close(connectionLost(connection.remote(), fault));
         }
     }
@@ -420,7 +421,7 @@
         }
     }
 
-    private static TransportFailure connectionLost(String remote, Exception fault) {
+    private static TransportFailure connectionLost(String remote, Throwable fault) {
         String problem = fault.getMessage();
         return new TransportFailure.ConnectionLost(
                 remote, problem == null ? fault.getClass().getSimpleName() : problem);
