--- /dev/null
+++ b/agreement/src/test/java/dev/kumquatweir/agreement/state/StateMachineTest.java
@@ -0,0 +1,321 @@
+package dev.kumquatweir.agreement.state;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import dev.kumquatweir.agreement.codec.CommandCodec;
+import dev.kumquatweir.agreement.port.EntryKind;
+import dev.kumquatweir.agreement.port.LogEntry;
+import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.control.ClaimOutcome;
+import dev.kumquatweir.core.control.RecordedAnswer;
+import dev.kumquatweir.core.identity.CommandId;
+import dev.kumquatweir.core.identity.IdempotencyKey;
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.identity.RequestId;
+import dev.kumquatweir.core.identity.TeamName;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class StateMachineTest {
+    private static final long DAY = TimeUnit.HOURS.toMillis(24);
+    private static final long LIMIT = 1_000;
+    private static final ClaimKey KEY = key("key");
+    private static final RecordedAnswer ANSWER =
+            new RecordedAnswer(201, "application/json", Bytes.ofText("{}"), true);
+    private static final StateLimits SMALL = new StateLimits(3, 10, DAY, 2, 2, 3, 1, 100, 20, 4, 4);
+
+    private StateMachine mMachine = new StateMachine(StateLimits.STANDARD);
+    private long mIndex = 1;
+    private long mNow = 1_000_000;
+
+    // Guards against two winners under one version, and a conflict that does not say who won.
+    @Test
+    void oneOfTwoChangesFromTheSameVersionWins() {
+        assertThat(change("one", "anna", 0), equalTo(new StateResult.ConfigurationAccepted(1)));
+        assertThat(
+                change("two", "ben", 0),
+                equalTo(new StateResult.ConfigurationConflict(1, "anna", mNow)));
+        assertThat(mMachine.configurationDocument(), equalTo(Bytes.ofText("one")));
+    }
+
+    // Guards against a resent command that is applied twice or conflicts with itself.
+    @Test
+    void resentCommandGetsItsFirstResult() {
+        StateResult first = change("one", "anna", 0);
+        change("two", "ben", 1);
+        restart();
+        assertThat(change("one", "anna", 0), equalTo(first));
+        assertThat(mMachine.configurationVersion(), equalTo(2L));
+    }
+
+    // Guards against results, history and documents that grow without bound.
+    @Test
+    void configurationTablesAreBounded() {
+        mMachine = new StateMachine(SMALL);
+        for (int version = 0; version < 6; version++) {
+            change("change-" + version, "anna", version);
+        }
+        assertThat(mMachine.history().size(), equalTo(3));
+        assertThat(mMachine.history().getLast().baseVersion(), equalTo(5L));
+        assertThat(mMachine.configurationDocument(4).isPresent(), is(false));
+        assertThat(mMachine.configurationDocument(5).isPresent(), is(true));
+        assertThat(change("change-0", "anna", 0), instanceOf(conflict()));
+        assertThat(
+                change("a document that is too long", "anna", 6),
+                equalTo(new StateResult.DocumentTooLarge(20)));
+    }
+
+    // Guards against two claimants, and against a lost answer that blocks its own claimant.
+    @Test
+    void onlyTheFirstClaimantIsGranted() {
+        Claimant first = claimant("first", start("a"));
+        assertThat(claim(first, "hash"), instanceOf(StateResult.ClaimGranted.class));
+        assertThat(
+                claim(claimant("second", start("b")), "hash"),
+                equalTo(new StateResult.ClaimRunning()));
+        assertThat(claim(first, "hash"), instanceOf(StateResult.ClaimGranted.class));
+    }
+
+    // Guards against a second execution after an answer, also when it comes from elsewhere.
+    @Test
+    void repeatGetsTheRecordedAnswer() {
+        Claimant first = claimant("first", start("a"));
+        claim(first, "hash");
+        record(first, new ClaimOutcome.Finished(ANSWER));
+        restart();
+        assertThat(
+                claim(claimant("second", start("b")), "hash"),
+                equalTo(new StateResult.ClaimFinished(ANSWER)));
+    }
+
+    // Guards against a key that stands for two different requests.
+    @Test
+    void otherRequestUnderTheKeyConflicts() {
+        long life = start("a");
+        claim(claimant("first", life), "hash");
+        assertThat(
+                claim(claimant("second", life), "else"), equalTo(new StateResult.ClaimKeyReused()));
+    }
+
+    // Guards against an answer "in progress" for ever, or a second execution, after the time limit.
+    @Test
+    void outcomeIsUnknownOnceTheTimeLimitPassed() {
+        Claimant first = claimant("first", start("a"));
+        claim(first, "hash");
+        mNow += LIMIT;
+        assertThat(
+                claim(claimant("second", start("b")), "hash"),
+                equalTo(new StateResult.ClaimUnknown()));
+        assertThat(claim(first, "hash"), equalTo(new StateResult.ClaimUnknown()));
+    }
+
+    // Guards against a second execution while a claimant that died may have sent its request.
+    @Test
+    void outcomeIsUnknownOnceTheClaimantStartsAnew() {
+        claim(claimant("first", start("a")), "hash");
+        long other = start("b");
+        long again = start("a");
+        assertThat(
+                claim(claimant("second", other), "hash"), equalTo(new StateResult.ClaimUnknown()));
+        restart();
+        assertThat(
+                claim(claimant("third", again), "hash"), equalTo(new StateResult.ClaimUnknown()));
+    }
+
+    // Guards against claims by a process that has been replaced.
+    @Test
+    void earlierIncarnationCanNotClaim() {
+        long old = start("a");
+        start("a");
+        assertThat(
+                claim(claimant("first", old), "hash"),
+                equalTo(new StateResult.ClaimRefused(StateResult.Reason.STALE_INCARNATION)));
+    }
+
+    // Guards against a key that stays blocked although its request never ran.
+    @Test
+    void abandonedClaimMayBeClaimedByAnotherRequestOnly() {
+        long life = start("a");
+        Claimant first = claimant("first", life);
+        claim(first, "hash");
+        record(first, new ClaimOutcome.NotRun());
+        assertThat(
+                claim(first, "hash"),
+                equalTo(new StateResult.ClaimRefused(StateResult.Reason.ABANDONED)));
+        assertThat(
+                claim(claimant("second", life), "hash"),
+                instanceOf(StateResult.ClaimGranted.class));
+        assertThat(
+                record(first, new ClaimOutcome.Finished(ANSWER)),
+                equalTo(new StateResult.OutcomeRefused()));
+    }
+
+    // Guards against a claim that overtakes its own abandonment and blocks the key.
+    @Test
+    void abandonmentBeforeTheClaimHolds() {
+        Claimant first = claimant("first", start("a"));
+        record(first, new ClaimOutcome.NotRun());
+        assertThat(
+                claim(first, "hash"),
+                equalTo(new StateResult.ClaimRefused(StateResult.Reason.ABANDONED)));
+    }
+
+    // Guards against a recorded answer that is replaced or taken back.
+    @Test
+    void recordedOutcomeIsFinal() {
+        Claimant first = claimant("first", start("a"));
+        claim(first, "hash");
+        record(first, new ClaimOutcome.Unknown());
+        record(first, new ClaimOutcome.Finished(ANSWER));
+        assertThat(
+                record(first, new ClaimOutcome.NotRun()),
+                equalTo(new StateResult.OutcomeRefused()));
+        var other = new RecordedAnswer(500, "", Bytes.EMPTY, true);
+        record(first, new ClaimOutcome.Finished(other));
+        assertThat(claim(first, "hash"), equalTo(new StateResult.ClaimFinished(ANSWER)));
+    }
+
+    // Guards against expiry before 24 h after the outcome or the deadline, whichever is later.
+    @Test
+    void claimsExpireByEntryInBoundedSteps() {
+        mMachine = new StateMachine(SMALL);
+        Claimant claimant = claimant("first", start("a"));
+        for (String name : new String[] {"k1", "k2", "k3"}) {
+            claim(claimant, key(name), "hash");
+        }
+        mNow += LIMIT + DAY - 1;
+        assertThat(expire(), equalTo(new StateResult.Expired(0, false)));
+        assertThat(expire(), equalTo(new StateResult.Expired(0, true)));
+        mNow += 1;
+        assertThat(expire(), equalTo(new StateResult.Expired(2, false)));
+        restart();
+        assertThat(expire(), equalTo(new StateResult.Expired(1, true)));
+    }
+
+    // Guards against memory without bound: claims are refused, large answers lose their body.
+    @Test
+    void claimTableIsBounded() {
+        mMachine = new StateMachine(SMALL);
+        Claimant claimant = claimant("first", start("a"));
+        for (String name : new String[] {"k1", "k2", "k3"}) {
+            claim(claimant, key(name), "hash");
+        }
+        assertThat(
+                claim(claimant, key("k4"), "hash"),
+                equalTo(new StateResult.ClaimRefused(StateResult.Reason.FULL)));
+        var large = new RecordedAnswer(200, "", Bytes.ofText("eleven bytes"), true);
+        apply(
+                new StateCommand.RecordOutcome(
+                        mNow, claimant, key("k1"), new ClaimOutcome.Finished(large)));
+        assertThat(
+                claim(claimant, key("k1"), "hash"),
+                equalTo(
+                        new StateResult.ClaimFinished(
+                                new RecordedAnswer(200, "", Bytes.EMPTY, false))));
+    }
+
+    // Guards against a leader whose clock is behind and that revives an outcome.
+    @Test
+    void timeNeverGoesBack() {
+        Claimant first = claimant("first", start("a"));
+        claim(first, "hash");
+        mNow += LIMIT;
+        expire();
+        mNow -= LIMIT;
+        assertThat(claim(first, "hash"), equalTo(new StateResult.ClaimUnknown()));
+    }
+
+    // Guards against two holders of one fencing epoch.
+    @Test
+    void epochsRise() {
+        var first = (StateResult.EpochTaken) epoch("a");
+        restart();
+        var second = (StateResult.EpochTaken) epoch("b");
+        assertThat(second.epoch() > first.epoch(), is(true));
+        assertThat(mMachine.epoch("rollout").orElseThrow().holder(), equalTo(new InstanceId("b")));
+    }
+
+    // Guards against a start command that was sent twice and ends its own incarnation.
+    @Test
+    void resentStartKeepsTheIncarnation() {
+        var start = new StateCommand.StartInstance(mNow, new InstanceId("a"), 5);
+        assertThat(apply(start), equalTo(apply(start)));
+    }
+
+    // Guards against an entry that stops a replica.
+    @Test
+    void malformedEntryChangesNothing() {
+        Bytes before = mMachine.snapshot();
+        var entry = new LogEntry(2, 1, Bytes.ofText("junk"), EntryKind.COMMAND);
+        assertThat(mMachine.apply(entry), instanceOf(StateResult.Malformed.class));
+        assertThat(mMachine.snapshot(), equalTo(before));
+    }
+
+    private static Class<StateResult.ConfigurationConflict> conflict() {
+        return StateResult.ConfigurationConflict.class;
+    }
+
+    private static ClaimKey key(String name) {
+        return new ClaimKey(new TeamName("team"), new IdempotencyKey(name));
+    }
+
+    private static Claimant claimant(String request, long incarnation) {
+        String instance = incarnation % 2 == 0 ? "even" : "odd";
+        return new Claimant(new RequestId(request), new InstanceId(instance), incarnation);
+    }
+
+    private long start(String name) {
+        // Instances a and b get incarnations of different parity, so a claimant names its own.
+        boolean even = name.equals("a");
+        mIndex += (mIndex + 1) % 2 == 0 == even ? 0 : 1;
+        var instance = new InstanceId(even ? "even" : "odd");
+        var result = apply(new StateCommand.StartInstance(mNow, instance, mIndex));
+        return ((StateResult.InstanceStarted) result).incarnation();
+    }
+
+    private StateResult change(String document, String who, long base) {
+        return apply(
+                new StateCommand.ApplyConfiguration(
+                        mNow,
+                        new CommandId(document.replace(' ', '-')),
+                        who,
+                        base,
+                        Bytes.ofText(document)));
+    }
+
+    private StateResult claim(Claimant claimant, String hash) {
+        return claim(claimant, KEY, hash);
+    }
+
+    private StateResult claim(Claimant claimant, ClaimKey key, String hash) {
+        return apply(new StateCommand.Claim(mNow, claimant, key, hash, LIMIT));
+    }
+
+    private StateResult record(Claimant claimant, ClaimOutcome outcome) {
+        return apply(new StateCommand.RecordOutcome(mNow, claimant, KEY, outcome));
+    }
+
+    private StateResult expire() {
+        return apply(new StateCommand.Expire(mNow));
+    }
+
+    private StateResult epoch(String holder) {
+        return apply(new StateCommand.TakeEpoch(mNow, "rollout", new InstanceId(holder)));
+    }
+
+    private StateResult apply(StateCommand command) {
+        mIndex++;
+        Bytes payload = CommandCodec.encode(command);
+        return mMachine.apply(new LogEntry(mIndex, 1, payload, EntryKind.COMMAND));
+    }
+
+    /** Replaces the state machine by one restored from its snapshot. */
+    private void restart() {
+        Bytes snapshot = mMachine.snapshot();
+        mMachine = StateMachine.restore(snapshot).get();
+        assertThat(mMachine.snapshot(), equalTo(snapshot));
+    }
+}
