Add retry, hedge, silence and stream assembly policy

Cause: an attempt that breaks off must be tried again only where that is safe, and a stream must reach its caller without a lost or doubled token. Ruled out: a fixed number of retries (it multiplies the load of a failing fleet) and a fixed token gap (it takes a long prefill for silence). Before: no decision after a failed attempt.

--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/retry/AttemptEnd.java
@@ -0,0 +1,41 @@
+package dev.kumquatweir.policy.retry;
+
+import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.dispatch.AttemptEvent;
+
+/** How one attempt of a request ended without an answer. Implementations are immutable. */
+public sealed interface AttemptEnd {
+    /** Returns the upstream of the attempt. */
+    UpstreamId upstream();
+
+    /** Returns the failure domain of the upstream. */
+    FailureDomain domain();
+
+    /** Returns when the attempt ended. */
+    long endedNanos();
+
+    /**
+     * It is proved that the attempt did not run.
+     *
+     * @param upstream where it was sent
+     * @param domain failure domain of the upstream
+     * @param reason why it was not taken
+     * @param endedNanos when
+     */
+    record NotRun(
+            UpstreamId upstream, FailureDomain domain, AttemptEvent.Refusal reason, long endedNanos)
+            implements AttemptEnd {}
+
+    /**
+     * The attempt may have run in part.
+     *
+     * @param upstream where it ran
+     * @param domain failure domain of the upstream
+     * @param how what was seen
+     * @param endedNanos when
+     */
+    record MayHaveRun(
+            UpstreamId upstream, FailureDomain domain, AttemptEvent.Break how, long endedNanos)
+            implements AttemptEnd {}
+}
--- /dev/null
+++ b/policy/src/test/java/dev/kumquatweir/policy/retry/HedgePolicyTest.java
@@ -0,0 +1,95 @@
+package dev.kumquatweir.policy.retry;
+
+import static dev.kumquatweir.policy.RecoveryFixtures.MILLI;
+import static dev.kumquatweir.policy.RecoveryFixtures.SECOND;
+import static dev.kumquatweir.policy.RecoveryFixtures.request;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import dev.kumquatweir.core.configuration.RequestClass;
+import dev.kumquatweir.core.identity.AttemptId;
+import dev.kumquatweir.policy.dispatch.WorkRequest;
+import dev.kumquatweir.policy.retry.HedgePolicy.RunningAttempt;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class HedgePolicyTest {
+    private static final WorkRequest QUESTION = request(RequestClass.SHORT, 1_000, 30 * SECOND);
+    private static final RunningAttempt SLOW = new RunningAttempt(0, 200 * MILLI, 0, false, false);
+
+    private final RetryBudget mBudget = RetryBudget.builder().capacity(7).build(0);
+    private final HedgePolicy mPolicy = HedgePolicy.builder().build(mBudget);
+
+    static Stream<Arguments> unfit() {
+        return Stream.of(
+                Arguments.of(
+                        request(RequestClass.ACTION, 0, 30 * SECOND),
+                        SLOW,
+                        HedgeDecision.Reason.NOT_REPEATABLE),
+                Arguments.of(
+                        request(RequestClass.LONG, 1_000, 30 * SECOND),
+                        SLOW,
+                        HedgeDecision.Reason.NOT_SHORT),
+                Arguments.of(
+                        request(RequestClass.SHORT, 5_000, 30 * SECOND),
+                        SLOW,
+                        HedgeDecision.Reason.NOT_SHORT),
+                Arguments.of(
+                        QUESTION,
+                        new RunningAttempt(0, 1, 1, false, false),
+                        HedgeDecision.Reason.ANSWERING),
+                Arguments.of(
+                        QUESTION,
+                        new RunningAttempt(0, 1, 0, true, false),
+                        HedgeDecision.Reason.ALREADY_HEDGED),
+                Arguments.of(
+                        QUESTION,
+                        new RunningAttempt(0, 1, 0, false, true),
+                        HedgeDecision.Reason.SUSPECT),
+                Arguments.of(
+                        request(RequestClass.SHORT, 1_000, SECOND),
+                        SLOW,
+                        HedgeDecision.Reason.NO_TIME));
+    }
+
+    /** Guards against a second execution of work that is long, has effects or crashes engines. */
+    @ParameterizedTest
+    @MethodSource("unfit")
+    void hedgesOnlyShortRepeatableWork(
+            WorkRequest request, RunningAttempt running, HedgeDecision.Reason reason) {
+        assertThat(
+                mPolicy.decide(request, running, SECOND, 700 * MILLI),
+                is(new HedgeDecision.Never(reason)));
+    }
+
+    /** Guards against hedges that use up the budget of real failures. */
+    @Test
+    void hedgesLateAttemptsWithinTheBudget() {
+        assertThat(
+                mPolicy.decide(QUESTION, SLOW, SECOND, 0), is(new HedgeDecision.Wait(600 * MILLI)));
+        assertThat(
+                mPolicy.decide(QUESTION, SLOW, SECOND, 600 * MILLI), is(new HedgeDecision.Hedge()));
+        assertThat(
+                mPolicy.decide(QUESTION, SLOW, SECOND, 600 * MILLI), is(new HedgeDecision.Hedge()));
+        assertThat(
+                mPolicy.decide(QUESTION, SLOW, SECOND, 600 * MILLI),
+                instanceOf(HedgeDecision.Wait.class));
+        assertThat(mBudget.available(600 * MILLI), is(5.0));
+    }
+
+    /** Guards against the loser of a hedge still reaching the caller. */
+    @Test
+    void takesTokensOfTheWinnerOnly() {
+        StreamAssembler assembler = new StreamAssembler();
+        AttemptId loser = new AttemptId("a:1:1");
+        AttemptId winner = new AttemptId("a:1:2");
+        assembler.begin(loser);
+        assembler.begin(winner);
+        assertThat(assembler.token(loser, 0, "x"), is(new StreamStep.NotCurrent()));
+        assertThat(assembler.token(winner, 0, "y"), is(new StreamStep.Deliver(0)));
+    }
+}
