Add permits with a lease for limits that all instances share

Cause: a cold upstream, an engine's memory and the weight store bear a sum over all instances, which no instance knows. Ruled out: pools of amounts for each resource, since a cold start needs a slot and prefill tokens together and two holders could each keep one half; claims are granted whole instead. Before: no shared limits.

--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/permit/LoadRate.java
@@ -0,0 +1,45 @@
+package dev.kumquatweir.policy.permit;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Token bucket for loads from the weight store. Starts empty, so that a change of leader does not
+ * double the burst. Not thread-safe: part of {@link PermitLedger}.
+ */
+public final class LoadRate {
+    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final double mPerSecond;
+    private final double mBurst;
+    private double mTokens;
+    private long mRefilledNanos;
+
+    /**
+     * Makes an empty bucket.
+     *
+     * @param perSecond loads that the weight store bears per second
+     * @param burst loads that may start at once after a pause, at least 1
+     * @param nowNanos the current time
+     */
+    public LoadRate(double perSecond, double burst, long nowNanos) {
+        if (perSecond <= 0 || burst < 1) {
+            throw new IllegalArgumentException("load rate must be above 0 and burst at least 1");
+        }
+        mPerSecond = perSecond;
+        mBurst = burst;
+        mRefilledNanos = nowNanos;
+    }
+
+    boolean withdraw(long loads, long nowNanos) {
+        long elapsed = nowNanos - mRefilledNanos;
+        if (elapsed > 0) {
+            mTokens = Math.min(mBurst, mTokens + elapsed / NANOS_PER_SECOND * mPerSecond);
+            mRefilledNanos = nowNanos;
+        }
+        if (mTokens < loads) {
+            return false;
+        }
+        mTokens -= loads;
+        return true;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/permit/PermitLedger.java
@@ -0,0 +1,282 @@
+package dev.kumquatweir.policy.permit;
+
+import dev.kumquatweir.core.identity.InstanceId;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The leader's account of shared limits, in memory only. Each claim counts until its holder says
+ * that it no longer holds it, or until the lease of the last grant has ended. A claim is granted
+ * whole or not at all, and older waiting claims go first, so that claims on several resources
+ * neither deadlock nor starve.
+ *
+ * <p>Not thread-safe: owned by the duty that runs the agreement. Make a new one for each term; call
+ * it only under the leader lease.
+ */
+public final class PermitLedger {
+    /** Time for which a permit is valid, counted by its holder from when it asked. */
+    public static final long LEASE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+    private final long mGrantFromNanos;
+    private final LoadRate mLoadRate;
+    private final Map<PermitResource, ResourceAccount> mAccounts = new HashMap<>();
+    private final Map<InstanceId, Holder> mHolders = new HashMap<>();
+    private long mNextOrder;
+
+    /**
+     * Starts the ledger of a new leader.
+     *
+     * @param loadRate limit of the weight store; starts empty
+     * @param nowNanos when the leader was elected
+     */
+    public PermitLedger(LoadRate loadRate, long nowNanos) {
+        mLoadRate = loadRate;
+        mGrantFromNanos = nowNanos + LEASE_NANOS;
+    }
+
+    /**
+     * Sets the limit of a resource. With a newer incarnation the permits of the old one are not
+     * renewed any more; they count against the new limit until they have ended.
+     *
+     * @param amount the limit, or {@link Long#MAX_VALUE} once the upstream needs none any more
+     */
+    public void limit(PermitResource resource, long incarnation, long amount) {
+        account(resource).limit(incarnation, amount);
+    }
+
+    /** Grants no more of a resource, for example of an upstream that is forgotten. */
+    public void close(PermitResource resource) {
+        ResourceAccount account = mAccounts.get(resource);
+        if (account != null) {
+            account.close();
+            forgetIfUnused(resource, account);
+        }
+    }
+
+    /**
+     * Takes what the upstream itself reports as used. Use that no permit explains, such as that of
+     * an instance cut off from the leader, is left free for one lease.
+     */
+    public void observe(PermitResource resource, long amount, long nowNanos) {
+        account(resource).observe(amount, nowNanos);
+    }
+
+    /** Takes a request and decides on each of its claims. */
+    public PermitDecision renew(PermitRequest request, long nowNanos) {
+        Holder holder = current(request);
+        if (holder == null) {
+            return new PermitDecision.Outdated();
+        }
+        holder.mSequence = request.sequence();
+        holder.mHeardNanos = nowNanos;
+        Set<String> listed = new HashSet<>();
+        request.claims().forEach(claim -> listed.add(claim.name()));
+        List<Claim> givenBack =
+                holder.mClaims.values().stream()
+                        .filter(claim -> !listed.contains(claim.mName))
+                        .toList();
+        givenBack.forEach(claim -> drop(holder, claim));
+        boolean granting = nowNanos - mGrantFromNanos >= 0;
+        Set<String> granted = new HashSet<>();
+        for (PermitClaim asked : request.claims()) {
+            if (decide(holder, asked, granting, nowNanos)) {
+                granted.add(asked.name());
+            }
+        }
+        if (!granting) {
+            return new PermitDecision.NotYet(mGrantFromNanos);
+        }
+        return new PermitDecision.Answer(
+                new PermitGrant(
+                        request.holder(),
+                        request.holderIncarnation(),
+                        request.sequence(),
+                        granted));
+    }
+
+    /** Forgets claims of holders that have not renewed for two leases; call it now and then. */
+    public void expire(long nowNanos) {
+        List<InstanceId> silent =
+                mHolders.entrySet().stream()
+                        .filter(entry -> nowNanos - entry.getValue().mHeardNanos > 2 * LEASE_NANOS)
+                        .map(Map.Entry::getKey)
+                        .toList();
+        silent.forEach(instance -> dropAll(mHolders.remove(instance)));
+    }
+
+    /** Returns how much of a resource valid permits may allow now. */
+    public long exposure(PermitResource resource, long nowNanos) {
+        ResourceAccount account = mAccounts.get(resource);
+        return account == null ? 0 : account.exposure(nowNanos);
+    }
+
+    /** A new incarnation of a holder ends all that its dead predecessor held. */
+    private @Nullable Holder current(PermitRequest request) {
+        Holder known = mHolders.get(request.holder());
+        if (known != null && known.mIncarnation == request.holderIncarnation()) {
+            return known.mSequence < request.sequence() ? known : null;
+        }
+        if (known != null && known.mIncarnation > request.holderIncarnation()) {
+            return null;
+        }
+        dropAll(known);
+        Holder fresh = new Holder(request.holderIncarnation());
+        mHolders.put(request.holder(), fresh);
+        return fresh;
+    }
+
+    private boolean decide(Holder holder, PermitClaim asked, boolean granting, long nowNanos) {
+        Claim claim = holder.mClaims.get(asked.name());
+        if (claim != null && !claim.mParts.equals(asked.parts())) {
+            drop(holder, claim);
+            claim = null;
+        }
+        if (claim == null) {
+            claim = new Claim(asked, mNextOrder++, nowNanos);
+            holder.mClaims.put(asked.name(), claim);
+            for (PermitPart part : claim.mParts) {
+                account(part.resource()).add(claim, part);
+            }
+        }
+        claim.heard(asked, nowNanos);
+        if (!granting || !fits(claim, nowNanos)) {
+            claim.refuse();
+            return false;
+        }
+        long loads = claim.amountOf(new PermitResource.WeightStoreLoads());
+        if (loads > 0 && !claim.renewing(nowNanos) && !mLoadRate.withdraw(loads, nowNanos)) {
+            claim.refuse();
+            return false;
+        }
+        claim.grant(nowNanos + LEASE_NANOS);
+        return true;
+    }
+
+    private boolean fits(Claim claim, long nowNanos) {
+        for (PermitPart part : claim.mParts) {
+            boolean rated = part.resource() instanceof PermitResource.WeightStoreLoads;
+            if (!rated && !account(part.resource()).fits(claim, part, nowNanos)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void dropAll(@Nullable Holder holder) {
+        if (holder != null) {
+            List.copyOf(holder.mClaims.values()).forEach(claim -> drop(holder, claim));
+        }
+    }
+
+    private void drop(Holder holder, Claim claim) {
+        holder.mClaims.remove(claim.mName);
+        for (PermitPart part : claim.mParts) {
+            ResourceAccount account = mAccounts.get(part.resource());
+            if (account != null) {
+                account.remove(claim);
+                forgetIfUnused(part.resource(), account);
+            }
+        }
+    }
+
+    private void forgetIfUnused(PermitResource resource, ResourceAccount account) {
+        if (account.unused()) {
+            mAccounts.remove(resource);
+        }
+    }
+
+    private ResourceAccount account(PermitResource resource) {
+        return mAccounts.computeIfAbsent(resource, ResourceAccount::new);
+    }
+
+    private static final class Holder {
+        private final long mIncarnation;
+        private final Map<String, Claim> mClaims = new LinkedHashMap<>();
+        private long mSequence = Long.MIN_VALUE;
+        private long mHeardNanos;
+
+        Holder(long incarnation) {
+            mIncarnation = incarnation;
+        }
+    }
+
+    /** A claim with the time until which its holder may take it for valid. */
+    static final class Claim {
+        private final String mName;
+        private final List<PermitPart> mParts;
+        private final long mOrder;
+        private long mHeardNanos;
+        private long mExpiryNanos;
+        private boolean mExposed;
+        private boolean mInUse;
+        private boolean mGranted;
+
+        Claim(PermitClaim asked, long order, long nowNanos) {
+            mName = asked.name();
+            mParts = asked.parts();
+            mOrder = order;
+            mHeardNanos = nowNanos;
+        }
+
+        /**
+         * Takes the holder's word. What it does not hold when it asks can't become valid by an
+         * earlier grant, since a holder takes only the answer to its newest request.
+         */
+        void heard(PermitClaim asked, long nowNanos) {
+            mHeardNanos = nowNanos;
+            mInUse = asked.inUse();
+            mGranted = mGranted && asked.held();
+            mExposed = mExposed && asked.held();
+        }
+
+        void grant(long expiryNanos) {
+            mGranted = true;
+            mExposed = true;
+            mExpiryNanos = expiryNanos;
+        }
+
+        void refuse() {
+            mGranted = false;
+        }
+
+        boolean exposed(long nowNanos) {
+            return mExposed && mExpiryNanos - nowNanos > 0;
+        }
+
+        /** Whether the claim was granted and its holder still renews it. */
+        boolean renewing(long nowNanos) {
+            return mGranted && exposed(nowNanos);
+        }
+
+        boolean waiting(long nowNanos) {
+            return !renewing(nowNanos) && nowNanos - mHeardNanos < LEASE_NANOS;
+        }
+
+        boolean before(Claim other) {
+            return mInUse == other.mInUse ? mOrder < other.mOrder : mInUse;
+        }
+
+        boolean inUse() {
+            return mInUse;
+        }
+
+        long order() {
+            return mOrder;
+        }
+
+        long amountOf(PermitResource resource) {
+            for (PermitPart part : mParts) {
+                if (part.resource().equals(resource)) {
+                    return part.amount();
+                }
+            }
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/quarantine/package-info.java
@@ -0,0 +1,5 @@
+/** Requests that crash the upstreams which execute them. */
+@NullMarked
+package dev.kumquatweir.policy.quarantine;
+
+import org.jspecify.annotations.NullMarked;
