Add the quarantine of requests that crash their upstreams

Cause: a caller sends a crashing request again, and each retry takes one more upstream from a small fleet. Ruled out: blame by the last request started (it hits neighbours) and plain gossip of expiry times taken at their largest (instances would keep a mark alive for ever). Before: no memory of deaths.

--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/quarantine/MarkStore.java
@@ -0,0 +1,162 @@
+package dev.kumquatweir.policy.quarantine;
+
+import dev.kumquatweir.core.identity.UpstreamId;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
+
+/** Bounded store of marks with local expiry times. Not thread-safe: part of {@link Quarantine}. */
+final class MarkStore {
+    private final int mMaximumMarks;
+    private final long mLifetimeNanos;
+    private final long mProvisionalNanos;
+    private final long mSpreadFloorNanos;
+    private final Map<String, Map<UpstreamDeath, Entry>> mMarks = new HashMap<>();
+
+    MarkStore(int maximumMarks, long lifetimeNanos, long provisionalNanos, long spreadFloorNanos) {
+        mMaximumMarks = maximumMarks;
+        mLifetimeNanos = lifetimeNanos;
+        mProvisionalNanos = provisionalNanos;
+        mSpreadFloorNanos = spreadFloorNanos;
+    }
+
+    void blame(String hash, UpstreamDeath death, BlameState state, long nowNanos) {
+        long lifetime = state == BlameState.PROVISIONAL ? mProvisionalNanos : mLifetimeNanos;
+        put(hash, death, new Entry(state, nowNanos + lifetime), nowNanos);
+    }
+
+    /** Excuses a death; one that was never confirmed is forgotten, as it may yet happen. */
+    void excuse(UpstreamDeath death) {
+        mMarks.values()
+                .forEach(deaths -> deaths.computeIfPresent(death, (key, entry) -> entry.excused()));
+        mMarks.values().removeIf(Map::isEmpty);
+    }
+
+    void excuse(String hash) {
+        Map<UpstreamDeath, Entry> deaths = mMarks.get(hash);
+        if (deaths != null) {
+            deaths.replaceAll((death, entry) -> new Entry(BlameState.EXCUSED, entry.mExpiryNanos));
+        }
+    }
+
+    int count(String hash, BlameState state, long nowNanos) {
+        int count = 0;
+        for (Entry entry : mMarks.getOrDefault(hash, Map.of()).values()) {
+            count += entry.mState == state && entry.live(nowNanos) ? 1 : 0;
+        }
+        return count;
+    }
+
+    Set<UpstreamId> blamedUpstreams(String hash, long nowNanos) {
+        Set<UpstreamId> upstreams = new TreeSet<>();
+        mMarks.getOrDefault(hash, Map.of())
+                .forEach(
+                        (death, entry) -> {
+                            if (entry.live(nowNanos) && entry.mState != BlameState.EXCUSED) {
+                                upstreams.add(death.upstream());
+                            }
+                        });
+        return upstreams;
+    }
+
+    /** Marks near their end are not spread, so that late repeats can't bring them back. */
+    List<QuarantineMark> spread(long nowNanos) {
+        List<QuarantineMark> marks = new ArrayList<>();
+        mMarks.forEach(
+                (hash, deaths) -> {
+                    Map<UpstreamDeath, QuarantineMark.Blame> blames = new HashMap<>();
+                    deaths.forEach(
+                            (death, entry) -> {
+                                long remaining = entry.mExpiryNanos - nowNanos;
+                                if (remaining > mSpreadFloorNanos) {
+                                    blames.put(
+                                            death,
+                                            new QuarantineMark.Blame(entry.mState, remaining));
+                                }
+                            });
+                    if (!blames.isEmpty()) {
+                        marks.add(new QuarantineMark(hash, blames));
+                    }
+                });
+        return marks;
+    }
+
+    void absorb(QuarantineMark mark, long nowNanos) {
+        mark.deaths()
+                .forEach(
+                        (death, blame) -> {
+                            long remaining = Math.min(blame.remainingNanos(), mLifetimeNanos);
+                            if (remaining > mSpreadFloorNanos) {
+                                Entry entry = new Entry(blame.state(), nowNanos + remaining);
+                                put(mark.contentHash(), death, entry, nowNanos);
+                            }
+                        });
+    }
+
+    void expire(long nowNanos) {
+        mMarks.values().forEach(deaths -> deaths.values().removeIf(entry -> !entry.live(nowNanos)));
+        mMarks.values().removeIf(Map::isEmpty);
+    }
+
+    int size() {
+        return mMarks.size();
+    }
+
+    private void put(String hash, UpstreamDeath death, Entry entry, long nowNanos) {
+        if (!mMarks.containsKey(hash) && mMarks.size() >= mMaximumMarks) {
+            evict(nowNanos);
+        }
+        mMarks.computeIfAbsent(hash, key -> new HashMap<>()).merge(death, entry, Entry::merge);
+    }
+
+    /** Drops the mark that protects least: the fewest deaths, then the earliest to expire. */
+    private void evict(long nowNanos) {
+        expire(nowNanos);
+        if (mMarks.size() < mMaximumMarks) {
+            return;
+        }
+        Comparator<String> weakest =
+                Comparator.<String>comparingInt(hash -> blamedUpstreams(hash, nowNanos).size())
+                        .thenComparingLong(hash -> lastExpiry(hash) - nowNanos);
+        mMarks.keySet().stream().min(weakest).ifPresent(mMarks::remove);
+    }
+
+    private long lastExpiry(String hash) {
+        return mMarks.getOrDefault(hash, Map.of()).values().stream()
+                .mapToLong(entry -> entry.mExpiryNanos)
+                .max()
+                .orElse(Long.MIN_VALUE);
+    }
+
+    private static final class Entry {
+        private final BlameState mState;
+        private final long mExpiryNanos;
+
+        Entry(BlameState state, long expiryNanos) {
+            mState = state;
+            mExpiryNanos = expiryNanos;
+        }
+
+        boolean live(long nowNanos) {
+            return mExpiryNanos - nowNanos > 0;
+        }
+
+        @Nullable Entry excused() {
+            return mState == BlameState.PROVISIONAL
+                    ? null
+                    : new Entry(BlameState.EXCUSED, mExpiryNanos);
+        }
+
+        /** The same rule as {@link QuarantineMark.Blame#merge}. */
+        Entry merge(Entry other) {
+            int order = mState.compareTo(other.mState);
+            boolean first = order == 0 ? mExpiryNanos - other.mExpiryNanos <= 0 : order > 0;
+            return first ? this : other;
+        }
+    }
+}
