--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/oversize/OversizeRun.java
@@ -0,0 +1,158 @@
+package dev.kumquatweir.policy.oversize;
+
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.dispatch.AttemptEvent;
+import dev.kumquatweir.policy.memory.MemoryLedger;
+import dev.kumquatweir.policy.memory.ReserveDecision;
+import dev.kumquatweir.policy.permit.PermitHolder;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Runs one prompt over several engines. All engines are reserved by one permit, granted whole or
+ * not at all, before the first step; on each way out the permit, the memory, the attempts and the
+ * exports are released. Not thread-safe: owned by the dispatch duty.
+ */
+public final class OversizeRun {
+    private enum Phase {
+        WAITING,
+        RUNNING,
+        ENDED
+    }
+
+    private final OversizePlan mPlan;
+    private final List<OversizeStep> mSteps;
+    private final PermitHolder mPermits;
+    private final MemoryLedger mLedger;
+    private final String mPermit;
+    private final Map<PromptPart, String> mHandles = new LinkedHashMap<>();
+    private final Set<PromptPart> mStarted = new HashSet<>();
+    private final Set<UpstreamId> mLost = new HashSet<>();
+    private Phase mPhase = Phase.WAITING;
+    private int mNextStep;
+
+    /** Makes a run that waits for its engines; its first tick asks for them. */
+    public OversizeRun(OversizePlan plan, PermitHolder permits, MemoryLedger ledger) {
+        mPlan = plan;
+        mSteps = plan.steps();
+        mPermits = permits;
+        mLedger = ledger;
+        mPermit = plan.last().attempt().value();
+    }
+
+    /** Takes an event and returns what is to be done now, in order. */
+    public List<OversizeAction> on(OversizeEvent event, long nowNanos) {
+        return switch (event) {
+            case OversizeEvent.Tick tick -> tick(nowNanos);
+            case OversizeEvent.Done done -> done(done.step());
+            case OversizeEvent.Exported exported -> exported(exported.part(), exported.handle());
+            case OversizeEvent.Failed failed -> broken(failed.upstream(), failed.how());
+            case OversizeEvent.EngineLost lost -> lost(lost.upstream());
+            case OversizeEvent.Abandoned abandoned ->
+                    end(new OversizeAction.Fail(abandoned.failure()));
+        };
+    }
+
+    /** Returns whether the run has ended and holds nothing any more. */
+    public boolean ended() {
+        return mPhase == Phase.ENDED;
+    }
+
+    private List<OversizeAction> tick(long nowNanos) {
+        if (mPhase == Phase.RUNNING && mPermits.surplus().contains(mPermit)) {
+            return broken(mPlan.last().upstream(), AttemptEvent.Break.UPSTREAM_GONE);
+        }
+        if (mPhase != Phase.WAITING) {
+            return List.of();
+        }
+        mPermits.want(mPermit, mPlan.permitParts());
+        // Waiting for local memory with the permit in hand can't deadlock: what is in the way are
+        // single attempts, which end by themselves.
+        boolean reserved =
+                mPermits.valid(mPermit, nowNanos)
+                        && mLedger.reserveAll(mPlan.memoryParts(), nowNanos)
+                                instanceof ReserveDecision.Reserved;
+        if (!reserved) {
+            return List.of();
+        }
+        mPermits.use(mPermit, nowNanos);
+        mPhase = Phase.RUNNING;
+        return List.of(perform());
+    }
+
+    private List<OversizeAction> done(OversizeStep step) {
+        if (mPhase != Phase.RUNNING || !step.equals(mSteps.get(mNextStep))) {
+            return List.of();
+        }
+        mNextStep++;
+        return mNextStep == mSteps.size() ? end(new OversizeAction.Complete()) : List.of(perform());
+    }
+
+    /** An export whose answer comes after the end is released at once. */
+    private List<OversizeAction> exported(PromptPart part, String handle) {
+        if (mPhase != Phase.RUNNING) {
+            return mLost.contains(part.upstream())
+                    ? List.of()
+                    : List.of(new OversizeAction.ReleaseKv(part.upstream(), handle));
+        }
+        mHandles.put(part, handle);
+        mLedger.exported(part.upstream(), handle, mPlan.last().attempt());
+        return done(new OversizeStep.ExportKv(part));
+    }
+
+    private List<OversizeAction> lost(UpstreamId upstream) {
+        boolean used = mPlan.parts().stream().anyMatch(part -> part.upstream().equals(upstream));
+        if (!used) {
+            return List.of();
+        }
+        mLost.add(upstream);
+        return broken(upstream, AttemptEvent.Break.UPSTREAM_GONE);
+    }
+
+    private List<OversizeAction> broken(UpstreamId upstream, AttemptEvent.Break how) {
+        return end(new OversizeAction.Broken(upstream, how));
+    }
+
+    private OversizeAction perform() {
+        OversizeStep step = mSteps.get(mNextStep);
+        switch (step) {
+            case OversizeStep.Prefill prefill -> mStarted.add(prefill.part());
+            case OversizeStep.Generate generate -> mStarted.add(generate.part());
+            case OversizeStep.ExportKv export -> {}
+            case OversizeStep.ImportKv imported -> {}
+        }
+        return new OversizeAction.Perform(step, List.copyOf(mHandles.values()));
+    }
+
+    private List<OversizeAction> end(OversizeAction last) {
+        if (mPhase == Phase.ENDED) {
+            return List.of();
+        }
+        mPhase = Phase.ENDED;
+        List<OversizeAction> actions = new ArrayList<>();
+        for (PromptPart part : mPlan.parts()) {
+            boolean reachable = !mLost.contains(part.upstream());
+            String handle = mHandles.get(part);
+            if (handle != null) {
+                mLedger.exportReleased(part.upstream(), handle);
+                if (reachable) {
+                    actions.add(new OversizeAction.ReleaseKv(part.upstream(), handle));
+                }
+            }
+            // A completed answer needs no cancel on its own engine; a processed part does, as its
+            // attempt keeps the memory of the part until it is cancelled.
+            boolean finished = last instanceof OversizeAction.Complete && part.equals(mPlan.last());
+            if (reachable && mStarted.contains(part) && !finished) {
+                actions.add(new OversizeAction.Cancel(part.upstream(), part.attempt()));
+            }
+            mLedger.release(part.attempt());
+        }
+        mPermits.release(mPermit);
+        actions.add(last);
+        return actions;
+    }
+}
--- /dev/null
+++ b/policy/src/test/java/dev/kumquatweir/policy/oversize/OversizeRunTest.java
@@ -0,0 +1,224 @@
+package dev.kumquatweir.policy.oversize;
+
+import static dev.kumquatweir.policy.RecoveryFixtures.MILLI;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import dev.kumquatweir.core.failure.RequestFailure;
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.dispatch.AttemptEvent.Break;
+import dev.kumquatweir.policy.memory.AttemptIds;
+import dev.kumquatweir.policy.memory.InstanceDirectory;
+import dev.kumquatweir.policy.memory.MemoryLedger;
+import dev.kumquatweir.policy.permit.LoadRate;
+import dev.kumquatweir.policy.permit.PermitDecision;
+import dev.kumquatweir.policy.permit.PermitHolder;
+import dev.kumquatweir.policy.permit.PermitLedger;
+import dev.kumquatweir.policy.permit.PermitResource;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class OversizeRunTest {
+    private static final int ENGINES = 4;
+    private static final long MEMORY = 100;
+    private static final RequestFailure GONE = new RequestFailure.CallerGone();
+
+    private long mNow = PermitLedger.LEASE_NANOS;
+    private final PermitLedger mPermits = new PermitLedger(new LoadRate(1, 1, 0), 0);
+    private final List<Instance> mInstances = List.of(new Instance("a"), new Instance("b"));
+
+    OversizeRunTest() {
+        for (int engine = 0; engine < ENGINES; engine++) {
+            mPermits.limit(new PermitResource.EngineMemory(engine(engine)), 1, MEMORY);
+        }
+    }
+
+    /** Guards against steps out of order, and against memory or exports left after the answer. */
+    @Test
+    void runsAllStepsAndReleasesEverything() {
+        OversizeRun run = start(mInstances.getFirst(), 0, 1, 2);
+        List<OversizeAction> actions = complete(run);
+        assertThat(
+                actions.stream().map(OversizeRunTest::kind).toList(),
+                contains("ReleaseKv", "Cancel", "ReleaseKv", "Cancel", "Complete"));
+        assertFree();
+    }
+
+    /** Guards against reservations that stay when a run ends in the middle, at each step. */
+    @Test
+    void releasesEverythingOnEachWayOutAtEachStep() {
+        List<OversizeEvent> ends =
+                List.of(
+                        new OversizeEvent.Abandoned(GONE),
+                        new OversizeEvent.Failed(engine(1), Break.SILENT),
+                        new OversizeEvent.EngineLost(engine(1)));
+        for (OversizeEvent end : ends) {
+            for (int steps = 0; steps < 8; steps++) {
+                OversizeRun run = start(mInstances.getFirst(), 0, 1, 2);
+                List<OversizeAction> actions = run.on(new OversizeEvent.Tick(), mNow);
+                for (int step = 0; step < steps; step++) {
+                    actions = run.on(answer(actions), mNow);
+                }
+                List<OversizeAction> last = run.on(end, mNow);
+                assertThat(run.ended(), is(true));
+                long released =
+                        last.stream().filter(action -> kind(action).equals("ReleaseKv")).count();
+                boolean lostExport = end instanceof OversizeEvent.EngineLost && steps >= 5;
+                long exports = (steps >= 2 ? 1L : 0L) + (steps >= 5 ? 1L : 0L);
+                assertThat(released, is(exports - (lostExport ? 1 : 0)));
+                assertThat(run.on(new OversizeEvent.Tick(), mNow), empty());
+                assertFree();
+            }
+        }
+    }
+
+    /** Guards against an export that nobody knows because its answer came after the end. */
+    @Test
+    void releasesExportsAnsweredLate() {
+        OversizeRun run = start(mInstances.getFirst(), 0, 1);
+        List<OversizeAction> prefill = run.on(new OversizeEvent.Tick(), mNow);
+        List<OversizeAction> export = run.on(answer(prefill), mNow);
+        OversizeEvent late = answer(export);
+        run.on(new OversizeEvent.Abandoned(GONE), mNow);
+        assertThat(run.on(late, mNow).getFirst(), instanceOf(OversizeAction.ReleaseKv.class));
+    }
+
+    /** Guards against a run that starts on some of its engines while others are taken. */
+    @Test
+    void waitsUntilAllEnginesAreFree() {
+        OversizeRun first = start(mInstances.getFirst(), 0, 1);
+        first.on(new OversizeEvent.Tick(), mNow);
+        OversizeRun second = start(mInstances.getLast(), 1, 2);
+        assertThat(second.on(new OversizeEvent.Tick(), mNow), empty());
+        assertThat(mPermits.exposure(new PermitResource.EngineMemory(engine(2)), mNow), is(0L));
+        first.on(new OversizeEvent.Abandoned(GONE), mNow);
+        renew(0);
+        renew(1);
+        assertThat(kind(second.on(new OversizeEvent.Tick(), mNow).getFirst()), is("Perform"));
+    }
+
+    /** Guards against deadlock and starvation among prompts that need the same engines. */
+    @Property(seed = "2609", tries = 100)
+    void completesAllRunsOverRandomSchedules(@ForAll long seed) {
+        Random random = new Random(seed);
+        List<OversizeRun> runs = new ArrayList<>();
+        List<List<OversizeAction>> pending = new ArrayList<>();
+        for (int number = 0; number < 8; number++) {
+            List<Integer> engines = new ArrayList<>(List.of(0, 1, 2, 3));
+            Collections.shuffle(engines, random);
+            int[] chosen =
+                    engines.stream()
+                            .limit(2 + random.nextInt(3))
+                            .mapToInt(Integer::intValue)
+                            .toArray();
+            runs.add(run(mInstances.get(random.nextInt(2)), chosen));
+            pending.add(List.of());
+        }
+        for (int step = 0; step < 6_000; step++) {
+            mNow += 50 * MILLI;
+            renew(random.nextInt(2));
+            int number = random.nextInt(runs.size());
+            List<OversizeAction> actions = pending.get(number);
+            boolean running = !actions.isEmpty() && kind(actions.getFirst()).equals("Perform");
+            OversizeEvent event = running ? answer(actions) : new OversizeEvent.Tick();
+            if (running && random.nextInt(60) == 0) {
+                event = new OversizeEvent.Abandoned(GONE);
+            }
+            pending.set(number, runs.get(number).on(event, mNow));
+        }
+        for (OversizeRun run : runs) {
+            assertThat(run.ended(), is(true));
+        }
+        assertFree();
+    }
+
+    private OversizeRun start(Instance instance, int... engines) {
+        OversizeRun run = run(instance, engines);
+        run.on(new OversizeEvent.Tick(), mNow);
+        renew(mInstances.indexOf(instance));
+        return run;
+    }
+
+    private static OversizeRun run(Instance instance, int... engines) {
+        List<PromptPart> parts = new ArrayList<>();
+        for (int engine : engines) {
+            int number = parts.size();
+            parts.add(
+                    new PromptPart(
+                            number,
+                            engine(engine),
+                            1,
+                            instance.mIds.next(),
+                            number * 60L,
+                            number * 60L + 60,
+                            60));
+        }
+        return new OversizeRun(new OversizePlan(parts), instance.mHolder, instance.mLedger);
+    }
+
+    private List<OversizeAction> complete(OversizeRun run) {
+        List<OversizeAction> actions = run.on(new OversizeEvent.Tick(), mNow);
+        while (!run.ended()) {
+            actions = run.on(answer(actions), mNow);
+        }
+        return actions;
+    }
+
+    private void renew(int number) {
+        PermitHolder holder = mInstances.get(number).mHolder;
+        PermitDecision decision = mPermits.renew(holder.request(mNow), mNow);
+        holder.granted(((PermitDecision.Answer) decision).grant(), mNow);
+    }
+
+    private void assertFree() {
+        renew(0);
+        renew(1);
+        for (int engine = 0; engine < ENGINES; engine++) {
+            PermitResource memory = new PermitResource.EngineMemory(engine(engine));
+            assertThat(mPermits.exposure(memory, mNow), is(0L));
+            for (Instance instance : mInstances) {
+                assertThat(instance.mLedger.freeTokens(engine(engine)), is(MEMORY));
+            }
+        }
+    }
+
+    private static OversizeEvent answer(List<OversizeAction> actions) {
+        OversizeStep step = ((OversizeAction.Perform) actions.getFirst()).step();
+        return step instanceof OversizeStep.ExportKv export
+                ? new OversizeEvent.Exported(export.part(), export.part().attempt().value() + "/kv")
+                : new OversizeEvent.Done(step);
+    }
+
+    private static String kind(OversizeAction action) {
+        return action.getClass().getSimpleName();
+    }
+
+    private static UpstreamId engine(int number) {
+        return new UpstreamId("engine-" + number);
+    }
+
+    private static final class Instance {
+        private final PermitHolder mHolder;
+        private final MemoryLedger mLedger;
+        private final AttemptIds mIds;
+
+        Instance(String name) {
+            InstanceId id = new InstanceId(name);
+            mHolder = new PermitHolder(id, 1);
+            mIds = new AttemptIds(id, 1);
+            mLedger = MemoryLedger.builder(id, 1, new InstanceDirectory()).build();
+            for (int engine = 0; engine < ENGINES; engine++) {
+                mLedger.engine(engine(engine), 1, MEMORY);
+            }
+        }
+    }
+}
