--- a/standin/src/main/java/dev/kumquatweir/standin/EngineHttpService.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/EngineHttpService.java
@@ -14,6 +14,7 @@
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
 import io.servicetalk.http.api.StreamingHttpService;
 import io.vavr.control.Either;
+import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -70,6 +71,7 @@
             HttpServiceContext connection, HttpRequest request, HttpAnswers answers) {
         return switch (request.method().name() + " " + request.path()) {
             case "POST /engine/v1/generate" -> generate(connection, request, answers);
+            case "POST /v1/chat/completions" -> chat(connection, request, answers);
             case "POST /engine/v1/cancel" ->
                     with(request, answers, EngineMessages.AttemptName.class, this::cancel);
             case "GET /engine/v1/requests" ->
@@ -101,15 +103,35 @@
         return Json.read(HttpAnswers.bytes(request), GenerateRequest.class)
                 .fold(
                         failure -> succeeded(answers.refusal(EngineRefusal.MALFORMED)),
-                        body -> {
-                            Connections connections = mFaults.connections();
-                            TokenStream stream =
-                                    new TokenStream(
-                                            answers.allocator(),
-                                            () -> connections.isSilent(connection));
-                            return mRuntime.generate(body, stream)
-                                    .map(result -> streamed(body, stream, result, answers));
-                        });
+                        body -> start(connection, body, new EngineEventFormat(), answers));
+    }
+
+    /** Serves callers without kumquatweir in between, as a baseline for load runs. */
+    private Single<StreamingHttpResponse> chat(
+            HttpServiceContext connection, HttpRequest request, HttpAnswers answers) {
+        String attempt = "chat-" + UUID.randomUUID();
+        return Json.read(HttpAnswers.bytes(request), ChatMessages.class)
+                .fold(
+                        failure -> succeeded(answers.refusal(EngineRefusal.MALFORMED)),
+                        body ->
+                                start(
+                                        connection,
+                                        body.toRequest(attempt),
+                                        new ChatEventFormat(attempt, body.model()),
+                                        answers));
+    }
+
+    private Single<StreamingHttpResponse> start(
+            HttpServiceContext connection,
+            GenerateRequest request,
+            EventFormat format,
+            HttpAnswers answers) {
+        Connections connections = mFaults.connections();
+        TokenStream stream =
+                new TokenStream(
+                        format, answers.allocator(), () -> connections.isSilent(connection));
+        return mRuntime.generate(request, stream)
+                .map(result -> streamed(request, stream, result, answers));
     }
 
     private StreamingHttpResponse streamed(
--- a/standin/src/main/java/dev/kumquatweir/standin/TokenStream.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/TokenStream.java
@@ -9,7 +9,6 @@
 import io.servicetalk.concurrent.PublisherSource;
 import io.servicetalk.concurrent.api.Publisher;
 import java.nio.channels.ClosedChannelException;
-import java.nio.charset.StandardCharsets;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -22,13 +21,15 @@
 
     private final PublisherSource.Processor<Buffer, Buffer> mProcessor =
             newPublisherProcessor(LONGEST_BACKLOG);
+    private final EventFormat mFormat;
     private final BufferAllocator mAllocator;
     private final BooleanSupplier mSilent;
     private final StringBuilder mText = new StringBuilder();
     private boolean mEnded;
     private boolean mCompleted;
 
-    TokenStream(BufferAllocator allocator, BooleanSupplier silent) {
+    TokenStream(EventFormat format, BufferAllocator allocator, BooleanSupplier silent) {
+        mFormat = format;
         mAllocator = allocator;
         mSilent = silent;
     }
@@ -38,27 +39,16 @@
     }
 
     void token(EngineEvent.Token token) {
-        // Written by hand: the text has only letters and a space, and this is the busiest path.
-        mText.append("data: {\"index\":")
-                .append(token.index())
-                .append(",\"text\":\"")
-                .append(token.text())
-                .append("\"}\n\n");
+        mFormat.token(mText, token);
     }
 
     void finished(EngineEvent.Finished finished) {
-        append(
-                "data: ",
-                new FinishBody(
-                        finished.finish(),
-                        finished.promptTokens(),
-                        finished.cachedTokens(),
-                        finished.completionTokens()));
+        mFormat.finished(mText, finished);
         mEnded = true;
     }
 
     void aborted(String reason) {
-        append("event: error\ndata: ", ErrorBody.ran(reason, "the attempt ended early"));
+        mFormat.aborted(mText, reason);
         mEnded = true;
     }
 
@@ -86,13 +76,4 @@
     void breakOff() {
         mProcessor.onError(new ClosedChannelException());
     }
-
-    private void append(String prefix, Object body) {
-        mText.append(prefix)
-                .append(new String(Json.write(body), StandardCharsets.UTF_8))
-                .append("\n\n");
-    }
-
-    private record FinishBody(
-            String finish, long promptTokens, long cachedTokens, long completionTokens) {}
 }
