Make the stand-in tests independent of the machine's speed and cover more ends

Cause: several tests needed a stream to be still running when a fault came, and at twenty times the usual speed a busy machine could have let it end first; the lost caller's test did not lose its caller. Ruled out: longer answers at the same speed (they end by themselves at 2,048 tokens or more). Conclusion: none of these tests has a bound on wall-clock time but the generous polling limit.

--- a/standin/src/main/java/dev/kumquatweir/standin/StandinEngineSettings.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/StandinEngineSettings.java
@@ -18,7 +18,7 @@
  * @param checksFencing whether it refuses orders with an old fencing number
  * @param startsCold whether it is cold at the start
  * @param cancelsOnDisconnect whether a closed connection cancels the attempt that it carried
- * @param limits what it holds and bears
+ * @param limits what it can hold and handle
  * @param speed how fast it works
  * @param loadMillis time that an ordered load takes, scaled by the speed
  * @param restartMillis time from a crash until the engine listens again, cold
@@ -123,7 +123,7 @@
             return this;
         }
 
-        /** Sets what the engine holds and bears. */
+        /** Sets what the engine can hold and handle. */
         public Builder limits(EngineLimits limits) {
             mLimits = limits;
             return this;
--- a/standin/src/main/java/dev/kumquatweir/standin/model/EngineLimits.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/model/EngineLimits.java
@@ -1,12 +1,12 @@
 package dev.kumquatweir.standin.model;
 
 /**
- * What an engine can hold and bear. Immutable.
+ * What an engine can hold and handle. Immutable.
  *
  * @param memoryTokens KV cache memory in tokens
  * @param maxRunning largest batch
- * @param coldRequests accepted requests that a cold engine bears
- * @param coldPrefillTokens prompt tokens waiting for prefill that a cold engine bears
+ * @param coldRequests accepted requests that a cold engine can handle
+ * @param coldPrefillTokens prompt tokens waiting for prefill that a cold engine can handle
  * @param refusesBeyondColdLimit true if a cold engine refuses more, false if it crashes
  * @param coldMillis time until a cold engine is warm, scaled by the speed; 0 for never
  * @param retainMillis time that an attempt of prefill only waits for its export, scaled
--- a/standin/src/main/java/dev/kumquatweir/standin/model/EngineModel.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/model/EngineModel.java
@@ -43,7 +43,7 @@
     /**
      * Makes an idle, warm engine.
      *
-     * @param limits what it holds and bears
+     * @param limits what it can hold and handle
      * @param speed how fast it works
      * @param models models that it has loaded
      */
--- a/standin/src/test/java/dev/kumquatweir/standin/EngineFaultTest.java
+++ b/standin/src/test/java/dev/kumquatweir/standin/EngineFaultTest.java
@@ -30,7 +30,7 @@
                 new StandinEngine(
                         StandinEngineSettings.builder("engine-a")
                                 .limits(LIMITS)
-                                .speed(EngineSpeed.USUAL.scaled(0.05))
+                                .speed(EngineSpeed.USUAL.scaled(0.5))
                                 .restartMillis(10)
                                 .drainMillis(60_000)
                                 .build(),
@@ -61,7 +61,7 @@
 
     @Test
     void frozenEngineAnswersNothingAndGoesOnAfterwards() {
-        Calls.Reading reading = running("a", 2_000);
+        Calls.Reading reading = running("a", 300);
         Calls other = new Calls(mEngine.address());
         other.fault("freeze", "true");
         CompletableFuture<Calls.Answer> waiting =
@@ -71,7 +71,7 @@
         other.fault("freeze", "false");
         reading.end().join();
 
-        assertThat(reading.text(0), is(answer("question", 2_000)));
+        assertThat(reading.text(0), is(answer("question", 300)));
         assertThat(waiting.join().status(), is(200));
     }
 
@@ -131,12 +131,12 @@
 
     @Test
     void plannedStopLetsTheRunningAnswerEnd() {
-        Calls.Reading reading = running("a", 2_000);
+        Calls.Reading reading = running("a", 300);
         CompletableFuture<Void> stopped = CompletableFuture.runAsync(mEngine::close);
         reading.end().join();
         stopped.join();
 
-        assertThat(reading.text(0), is(answer("question", 2_000)));
+        assertThat(reading.text(0), is(answer("question", 300)));
     }
 
     @Test
--- a/standin/src/test/java/dev/kumquatweir/standin/EngineProtocolTest.java
+++ b/standin/src/test/java/dev/kumquatweir/standin/EngineProtocolTest.java
@@ -24,8 +24,8 @@
 
     @BeforeEach
     void start() throws Exception {
-        mEngine = engine("engine-a");
-        mSecond = engine("engine-b");
+        mEngine = engine("engine-a", true);
+        mSecond = engine("engine-b", false);
         mCalls = new Calls(mEngine.address());
     }
 
@@ -97,19 +97,32 @@
 
     @Test
     void lostCallerDoesNotLeakItsMemory() throws Exception {
-        String body = Calls.request("a", "question", 2_000);
-        String head = "POST /engine/v1/generate HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n";
-        try (Socket socket =
-                new Socket(mEngine.address().getAddress(), mEngine.address().getPort())) {
-            String call = head.formatted(body.length()) + body;
-            socket.getOutputStream().write(call.getBytes(StandardCharsets.UTF_8));
-            assertThat(socket.getInputStream().read(), is((int) 'H'));
-            assertThat(listed(mCalls), containsString("\"attempt\":\"a\""));
-        }
-        Calls.await("cancelled", () -> state().contains("\"aborted\":1"));
+        startAndDisconnect(mEngine, Calls.request("a", "question", 2_000));
+
+        Calls.await("cancelled", () -> state(mCalls).contains("\"aborted\":1"));
         assertThat(listed(mCalls), containsString("\"requests\":[]"));
     }
 
+    @Test
+    void engineThatIgnoresDisconnectsRunsTheOrphanedAttemptToItsEnd() throws Exception {
+        startAndDisconnect(mSecond, Calls.request("a", "question", 300));
+        Calls second = new Calls(mSecond.address());
+
+        Calls.await("ran to its end", () -> state(second).contains("\"finished\":1"));
+    }
+
+    @Test
+    void attemptPastItsDeadlineEndsWithAnErrorAndNotAsWhole() {
+        String body =
+                Calls.request("a", "question", 2_000)
+                        .replace("{\"attempt", "{\"deadline_ms\":100,\"attempt");
+        Calls.Reading reading = mCalls.generate(body);
+        reading.end().join();
+
+        assertThat(reading.hasLine("\"type\":\"deadline_exceeded\""), is(true));
+        assertThat(reading.hasLine("finish"), is(false));
+    }
+
     @Test
     void exportedCacheServesAnotherEngineAndIsReleased() {
         String whole = "word ".repeat(9_600);
@@ -148,12 +161,23 @@
                         "{\"fencing\":6,\"order\":\"set_role\",\"role\":\"decode\"}");
         assertThat(stale.status(), is(409));
         assertThat(stale.errorType(), is("stale_fencing"));
-        Calls.await("version loaded", () -> state().contains("\"models\":[\"standin\",\"m@2\"]"));
-        assertThat(state(), containsString("\"role\":\"mixed\""));
+        Calls.await(
+                "version loaded", () -> state(mCalls).contains("\"models\":[\"standin\",\"m@2\"]"));
+        assertThat(state(mCalls), containsString("\"role\":\"mixed\""));
+    }
+
+    private static void startAndDisconnect(StandinEngine engine, String body) throws Exception {
+        String head = "POST /engine/v1/generate HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n";
+        try (Socket socket =
+                new Socket(engine.address().getAddress(), engine.address().getPort())) {
+            String call = head.formatted(body.length()) + body;
+            socket.getOutputStream().write(call.getBytes(StandardCharsets.UTF_8));
+            assertThat(socket.getInputStream().read(), is((int) 'H'));
+        }
     }
 
-    private String state() {
-        return mCalls.get("/standin/v1/state").body().toString();
+    private static String state(Calls calls) {
+        return calls.get("/standin/v1/state").body().toString();
     }
 
     private void assertRefused(String body, int status, String type) {
@@ -171,13 +195,14 @@
         return StandinTokens.answer(StandinTokens.seed(prompt), tokens);
     }
 
-    private static StandinEngine engine(String id) throws Exception {
+    private static StandinEngine engine(String id, boolean cancels) throws Exception {
         StandinEngine engine =
                 new StandinEngine(
                         StandinEngineSettings.builder(id)
+                                .cancelsOnDisconnect(cancels)
                                 .models(List.of("standin"))
                                 .limits(LIMITS)
-                                .speed(EngineSpeed.USUAL.scaled(0.05))
+                                .speed(EngineSpeed.USUAL.scaled(0.25))
                                 .build());
         engine.start();
         return engine;
--- a/standin/src/test/java/dev/kumquatweir/standin/EngineReportTest.java
+++ b/standin/src/test/java/dev/kumquatweir/standin/EngineReportTest.java
@@ -28,7 +28,7 @@
                         StandinEngineSettings.builder("engine-a")
                                 .failureDomain("klang-a")
                                 .service("quote-llm")
-                                .speed(EngineSpeed.USUAL.scaled(0.05))
+                                .speed(EngineSpeed.USUAL.scaled(0.5))
                                 .restartMillis(10)
                                 .reports(
                                         ReportSettings.to(
--- a/standin/src/test/java/dev/kumquatweir/standin/StandinServiceTest.java
+++ b/standin/src/test/java/dev/kumquatweir/standin/StandinServiceTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.io.UncheckedIOException;
+import java.net.ConnectException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
@@ -106,6 +107,14 @@
         assertThat(unanswered.isDone(), is(false));
     }
 
+    @Test
+    void deadServiceRefusesConnections() {
+        hold("key-1");
+        mCalls.fault("die", "true");
+
+        Calls.await("connection refused", this::refused);
+    }
+
     @Test
     void serviceAnnouncesItselfWithItsKind() throws Exception {
         try (FakeKumquatweir kumquatweir = new FakeKumquatweir();
@@ -127,6 +136,15 @@
         }
     }
 
+    private boolean refused() {
+        try {
+            ledger();
+            return false;
+        } catch (UncheckedIOException exception) {
+            return exception.getCause() instanceof ConnectException;
+        }
+    }
+
     private Calls.Answer hold(String key) {
         return mCalls.post("/app/deposit-holds", "{\"key\":\"" + key + "\"}");
     }
--- a/standin/src/test/java/dev/kumquatweir/standin/model/EngineModelTest.java
+++ b/standin/src/test/java/dev/kumquatweir/standin/model/EngineModelTest.java
@@ -155,30 +155,27 @@
     }
 
     @Test
-    void promptBeyondOneEnginesMemoryRunsOverExportsOfOthers() {
-        EngineModel first = new EngineModel(LIMITS, EngineSpeed.USUAL, List.of("model-a"));
-        String whole = prompt("whole", 15_000);
+    void promptBeyondTwiceOneEnginesMemoryRunsOverExportsOfOthers() {
+        String whole = prompt("whole", 25_000);
         assertThat(refusal("too-long", whole, "model-a"), is(EngineRefusal.MEMORY_FULL));
-        first.submit(request("part", whole.substring(0, 9_000 * 4), 0, 5, 0, null), mNow);
-        drive(first, SECOND * 3 / 2);
-        KvHandle handle = first.export("part").get();
-        assertThat(first.load().memoryUsedTokens(), is(9_000L));
-
-        mModel.include(handle);
-        submit(
-                new GenerateRequest(
-                        "rest",
-                        "model-a",
-                        whole,
-                        5,
-                        5,
-                        0,
-                        List.of(),
-                        null,
-                        List.of(handle.handle())));
+        List<String> handles = new ArrayList<>();
+        List<EngineModel> partners = new ArrayList<>();
+        for (int part = 1; part <= 2; part++) {
+            EngineModel partner = new EngineModel(LIMITS, EngineSpeed.USUAL, List.of("model-a"));
+            handles.forEach(handle -> partner.include(new KvHandle(handle, 9_000)));
+            String prompt = whole.substring(0, part * 9_000 * 4);
+            partner.submit(split("part-" + part, prompt, 0, handles), mNow).get();
+            drive(partner, SECOND * 3 / 2);
+            handles.add(partner.export("part-" + part).get().handle());
+            partners.add(partner);
+        }
+        partners.forEach(partner -> assertThat(partner.load().memoryUsedTokens(), is(9_000L)));
+
+        handles.forEach(handle -> mModel.include(new KvHandle(handle, 9_000)));
+        submit(split("rest", whole, 5, handles));
         assertThat(text(run(SECOND * 2), "rest"), is(answer(whole, 5)));
-        assertThat(first.release(handle.handle()), is(true));
-        assertThat(first.load().memoryUsedTokens(), is(0L));
+        partners.forEach(partner -> handles.forEach(partner::release));
+        partners.forEach(partner -> assertThat(partner.load().memoryUsedTokens(), is(0L)));
     }
 
     @Test
@@ -248,6 +245,12 @@
                 List.of());
     }
 
+    private static GenerateRequest split(
+            String attempt, String prompt, long maxTokens, List<String> handles) {
+        return new GenerateRequest(
+                attempt, "model-a", prompt, maxTokens, 5, 0, List.of(), null, handles);
+    }
+
     private static GenerateRequest cached(String attempt, int tokens, long firstHash) {
         List<Long> hashes = LongStream.range(firstHash, firstHash + tokens / 256).boxed().toList();
         String prompt = prompt("same", tokens);
