Share one MessagePack reader between all protocols

Ruled out: catching it in each codec, which two codecs of the daemon already did. Conclusion: one reader in the core, none in the modules.

--- a/agreement/src/test/java/dev/kumquatweir/agreement/codec/CodecTest.java
+++ b/agreement/src/test/java/dev/kumquatweir/agreement/codec/CodecTest.java
@@ -26,6 +26,7 @@
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.identity.RequestId;
 import dev.kumquatweir.core.identity.TeamName;
+import dev.kumquatweir.core.pack.MalformedContent;
 import io.vavr.control.Either;
 import java.util.Arrays;
 import java.util.List;
--- a/core/src/main/java/dev/kumquatweir/core/pack/PackReader.java
+++ b/core/src/main/java/dev/kumquatweir/core/pack/PackReader.java
@@ -1,6 +1,7 @@
 package dev.kumquatweir.core.pack;
 
 import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.identity.InvalidIdentifierException;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -32,7 +33,10 @@
                 throw new MalformedException("left-over bytes");
             }
             return Either.right(value);
-        } catch (MalformedException | MessagePackException | IOException fault) {
+        } catch (MalformedException
+                | InvalidIdentifierException
+                | MessagePackException
+                | IOException fault) {
             return Either.left(
                     new MalformedContent(
                             reader.mUnpacker.getTotalReadBytes(),
--- a/program/src/main/java/dev/kumquatweir/program/control/ControlCodec.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ControlCodec.java
@@ -10,7 +10,6 @@
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.identity.CommandId;
 import dev.kumquatweir.core.identity.InstanceId;
-import dev.kumquatweir.core.identity.InvalidIdentifierException;
 import dev.kumquatweir.core.pack.MalformedContent;
 import dev.kumquatweir.core.pack.MalformedException;
 import dev.kumquatweir.core.pack.PackReader;
@@ -42,7 +41,7 @@
     }
 
     static Either<MalformedContent, ControlRequest> request(Bytes content) {
-        return decode(content, ControlCodec::readRequest);
+        return PackReader.decode(content, ControlCodec::readRequest);
     }
 
     static Bytes encode(ControlReply reply) {
@@ -75,7 +74,7 @@
     }
 
     static Either<MalformedContent, ControlReply> reply(Bytes content) {
-        return decode(content, ControlCodec::readReply);
+        return PackReader.decode(content, ControlCodec::readReply);
     }
 
     private static ControlRequest readRequest(PackReader reader)
@@ -216,16 +215,4 @@
                 .findFirst()
                 .orElseThrow(() -> new MalformedException("no role " + name));
     }
-
-    static <T> Either<MalformedContent, T> decode(Bytes content, PackReader.Decoder<T> decoder) {
-        return PackReader.decode(
-                content,
-                reader -> {
-                    try {
-                        return decoder.decode(reader);
-                    } catch (InvalidIdentifierException exception) {
-                        throw new MalformedException(String.valueOf(exception.getMessage()));
-                    }
-                });
-    }
 }
--- a/program/src/main/java/dev/kumquatweir/program/control/LeaseAnswer.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/LeaseAnswer.java
@@ -30,7 +30,7 @@
     }
 
     static Either<MalformedContent, LeaseAnswer> decode(Bytes content) {
-        return ControlCodec.decode(content, LeaseAnswer::read);
+        return PackReader.decode(content, LeaseAnswer::read);
     }
 
     private static LeaseAnswer read(PackReader reader) throws IOException, MalformedException {
--- a/program/src/main/java/dev/kumquatweir/program/spread/RegistryCodec.java
+++ b/program/src/main/java/dev/kumquatweir/program/spread/RegistryCodec.java
@@ -3,7 +3,6 @@
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.configuration.UpstreamKind;
 import dev.kumquatweir.core.identity.FailureDomain;
-import dev.kumquatweir.core.identity.InvalidIdentifierException;
 import dev.kumquatweir.core.identity.ModelName;
 import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.identity.UpstreamId;
@@ -60,7 +59,7 @@
     }
 
     static Either<MalformedContent, Announcement> announcement(Bytes content) {
-        return decode(content, RegistryCodec::readAnnouncement);
+        return PackReader.decode(content, RegistryCodec::readAnnouncement);
     }
 
     static Bytes encode(LoadReport report) {
@@ -78,7 +77,7 @@
     }
 
     static Either<MalformedContent, LoadReport> load(Bytes content) {
-        return decode(
+        return PackReader.decode(
                 content,
                 reader -> {
                     reader.array(LOAD_FIELDS);
@@ -111,7 +110,7 @@
     }
 
     static Either<MalformedContent, CacheEvents> cacheEvents(Bytes content) {
-        return decode(
+        return PackReader.decode(
                 content,
                 reader -> {
                     reader.array(CACHE_FIELDS);
@@ -132,7 +131,7 @@
     }
 
     static Either<MalformedContent, Start> start(Bytes content) {
-        return decode(
+        return PackReader.decode(
                 content,
                 reader -> {
                     reader.array(LEAVE_FIELDS);
@@ -172,17 +171,4 @@
                 .findFirst()
                 .orElseThrow(() -> new MalformedException("no constant " + name));
     }
-
-    private static <T> Either<MalformedContent, T> decode(
-            Bytes content, PackReader.Decoder<T> decoder) {
-        return PackReader.decode(
-                content,
-                reader -> {
-                    try {
-                        return decoder.decode(reader);
-                    } catch (InvalidIdentifierException exception) {
-                        throw new MalformedException(String.valueOf(exception.getMessage()));
-                    }
-                });
-    }
 }
