Let an engine's models tell what an order changes

Cause: the planner and its test each carried out orders by their own code, which could differ. Before: two copies.

--- a/policy/src/main/java/dev/kumquatweir/policy/model/EngineModels.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/model/EngineModels.java
@@ -3,7 +3,9 @@
 import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.policy.registry.UpstreamRole;
+import java.util.HashSet;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /**
  * An engine as the planner sees it. Immutable.
@@ -28,4 +30,25 @@
     public EngineModels {
         loaded = Set.copyOf(loaded);
     }
+
+    /** Returns the engine as it is once it has carried out an order. */
+    public EngineModels after(ModelOrder order) {
+        return switch (order) {
+            case ModelOrder.LoadModel load -> loaded(load.variant(), load.replaced(), role);
+            case ModelOrder.LoadVersion load -> loaded(load.variant(), load.replaced(), role);
+            case ModelOrder.LoadAdapter load -> loaded(load.variant(), null, role);
+            case ModelOrder.SetRole changed -> loaded(null, null, changed.role());
+        };
+    }
+
+    /** A model takes its adapters with it. */
+    private EngineModels loaded(
+            @Nullable ModelVariant added, @Nullable ModelVariant replaced, UpstreamRole newRole) {
+        Set<ModelVariant> variants = new HashSet<>(loaded);
+        variants.removeIf(variant -> variant.base().equals(replaced));
+        if (added != null) {
+            variants.add(added);
+        }
+        return new EngineModels(upstream, domain, variants, modelSlots, newRole, usable, false);
+    }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/model/ModelPlanner.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/model/ModelPlanner.java
@@ -155,18 +155,12 @@
     private static final class Pool {
         private final Map<ModelVariant, Integer> mNeeded;
         private final List<EngineModels> mEngines;
-        private final Map<UpstreamId, Set<ModelVariant>> mLoaded = new HashMap<>();
         private final Set<UpstreamId> mBusy = new HashSet<>();
 
         Pool(Collection<EngineModels> engines, Map<ModelVariant, Integer> needed) {
             mNeeded = needed;
-            mEngines =
-                    engines.stream()
-                            .filter(EngineModels::usable)
-                            .sorted(Comparator.comparing(EngineModels::upstream))
-                            .toList();
+            mEngines = new ArrayList<>(engines.stream().filter(EngineModels::usable).toList());
             for (EngineModels engine : mEngines) {
-                mLoaded.put(engine.upstream(), new HashSet<>(engine.loaded()));
                 if (engine.loading()) {
                     mBusy.add(engine.upstream());
                 }
@@ -174,7 +168,8 @@
         }
 
         int count(ModelVariant variant) {
-            return (int) mLoaded.values().stream().filter(set -> set.contains(variant)).count();
+            return (int)
+                    mEngines.stream().filter(engine -> engine.loaded().contains(variant)).count();
         }
 
         double filled(ModelVariant variant) {
@@ -195,12 +190,12 @@
                                             .thenComparingLong(
                                                     found -> replicas(found.domain(), variant))
                                             .thenComparing(found -> found.order().upstream()));
-            best.ifPresent(candidate -> apply(candidate, variant));
+            best.ifPresent(candidate -> apply(candidate.order()));
             return best.map(Candidate::order);
         }
 
         private Optional<Candidate> candidate(EngineModels engine, ModelVariant variant) {
-            Set<ModelVariant> loaded = loaded(engine.upstream());
+            Set<ModelVariant> loaded = engine.loaded();
             if (loaded.contains(variant)) {
                 return Optional.empty();
             }
@@ -220,7 +215,7 @@
                 return Optional.of(new Candidate(order, engine.domain(), 0));
             }
             return loaded.stream()
-                    .filter(held -> held.adapter() == null && dispensable(upstream, held))
+                    .filter(held -> held.adapter() == null && dispensable(engine, held))
                     .min(Comparator.comparingInt(this::missing).thenComparing(BY_NAME))
                     .map(held -> replace(engine, variant, held));
         }
@@ -235,8 +230,8 @@
         }
 
         /** A model takes its adapters with it, so all of them must have engines to spare. */
-        private boolean dispensable(UpstreamId upstream, ModelVariant held) {
-            return loaded(upstream).stream()
+        private boolean dispensable(EngineModels engine, ModelVariant held) {
+            return engine.loaded().stream()
                     .filter(variant -> variant.base().equals(held))
                     .allMatch(variant -> missing(variant) < 0 || !mNeeded.containsKey(variant));
         }
@@ -244,30 +239,18 @@
         private long replicas(FailureDomain domain, ModelVariant variant) {
             return mEngines.stream()
                     .filter(engine -> engine.domain().equals(domain))
-                    .filter(engine -> loaded(engine.upstream()).contains(variant))
+                    .filter(engine -> engine.loaded().contains(variant))
                     .count();
         }
 
-        private void apply(Candidate candidate, ModelVariant variant) {
-            ModelOrder order = candidate.order();
-            Set<ModelVariant> loaded = loaded(order.upstream());
-            ModelVariant replaced =
-                    switch (order) {
-                        case ModelOrder.LoadModel load -> load.replaced();
-                        case ModelOrder.LoadVersion load -> load.replaced();
-                        case ModelOrder.LoadAdapter load -> null;
-                        case ModelOrder.SetRole role -> null;
-                    };
-            if (replaced != null) {
-                loaded.removeIf(held -> held.base().equals(replaced));
-            }
-            loaded.add(variant);
+        private void apply(ModelOrder order) {
+            mEngines.replaceAll(
+                    engine ->
+                            engine.upstream().equals(order.upstream())
+                                    ? engine.after(order)
+                                    : engine);
             mBusy.add(order.upstream());
         }
-
-        private Set<ModelVariant> loaded(UpstreamId upstream) {
-            return mLoaded.computeIfAbsent(upstream, key -> new HashSet<>());
-        }
     }
 
     private record Candidate(ModelOrder order, FailureDomain domain, int cost) {}
--- a/policy/src/test/java/dev/kumquatweir/policy/model/ModelPlannerTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/model/ModelPlannerTest.java
@@ -16,7 +16,6 @@
 import dev.kumquatweir.policy.registry.UpstreamRole;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -92,7 +91,7 @@
                 mPlanner.plan(longPrompts, engines, 5).orders(),
                 contains(new ModelOrder.SetRole(id(7), UpstreamRole.PREFILL)));
         assertThat(mPlanner.plan(longPrompts, engines.subList(0, 5), 5).orders(), empty());
-        engines.set(7, with(engines.get(7), UpstreamRole.PREFILL));
+        engines.set(7, engines.get(7).after(new ModelOrder.SetRole(id(7), UpstreamRole.PREFILL)));
         assertThat(mPlanner.plan(longPrompts, engines, 5).orders(), empty());
         assertThat(
                 mPlanner.plan(List.of(demand(QUOTE, 0, 2_000)), engines, 5).orders(),
@@ -123,7 +122,7 @@
                             .filter(order -> !(order instanceof ModelOrder.SetRole))
                             .count(),
                     lessThanOrEqualTo((long) permits));
-            plan.orders().forEach(order -> apply(order, engines));
+            plan.orders().forEach(order -> engines.replaceAll(engine -> carryOut(engine, order)));
             Map<ModelVariant, Long> after = counts(variants, engines);
             for (ModelVariant variant : variants) {
                 long bound =
@@ -134,6 +133,10 @@
         assertThat(mPlanner.plan(demands, engines, 9).orders(), empty());
     }
 
+    private static EngineModels carryOut(EngineModels engine, ModelOrder order) {
+        return engine.upstream().equals(order.upstream()) ? engine.after(order) : engine;
+    }
+
     private static Map<ModelVariant, Long> counts(
             List<ModelVariant> variants, List<EngineModels> engines) {
         Map<ModelVariant, Long> counts = new HashMap<>();
@@ -145,49 +148,6 @@
         return counts;
     }
 
-    private static void apply(ModelOrder order, List<EngineModels> engines) {
-        for (int place = 0; place < engines.size(); place++) {
-            EngineModels engine = engines.get(place);
-            if (!engine.upstream().equals(order.upstream())) {
-                continue;
-            }
-            Set<ModelVariant> loaded = new HashSet<>(engine.loaded());
-            switch (order) {
-                case ModelOrder.LoadModel load -> {
-                    loaded.removeIf(held -> held.base().equals(load.replaced()));
-                    loaded.add(load.variant());
-                }
-                case ModelOrder.LoadVersion load -> {
-                    loaded.removeIf(held -> held.base().equals(load.replaced()));
-                    loaded.add(load.variant());
-                }
-                case ModelOrder.LoadAdapter load -> loaded.add(load.variant());
-                case ModelOrder.SetRole role -> engine = with(engine, role.role());
-            }
-            engines.set(
-                    place,
-                    new EngineModels(
-                            engine.upstream(),
-                            engine.domain(),
-                            loaded,
-                            engine.modelSlots(),
-                            engine.role(),
-                            true,
-                            false));
-        }
-    }
-
-    private static EngineModels with(EngineModels engine, UpstreamRole role) {
-        return new EngineModels(
-                engine.upstream(),
-                engine.domain(),
-                engine.loaded(),
-                engine.modelSlots(),
-                role,
-                true,
-                false);
-    }
-
     private static EngineModels engine(
             int number, String domain, int slots, ModelVariant... loaded) {
         return new EngineModels(
