--- a/policy/src/main/java/dev/kumquatweir/policy/routing/PrefixIndex.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/routing/PrefixIndex.java
@@ -17,12 +17,15 @@
     /** Tokens of one block of a prompt. */
     public static final long BLOCK_TOKENS = 256;
 
+    /** The number of the next event after a whole list, which carries no number. */
+    private static final long UNKNOWN_SEQUENCE = -1;
+
     private final Map<Long, List<UpstreamId>> mHolders = new HashMap<>();
     private final Map<UpstreamId, Engine> mEngines = new HashMap<>();
 
     /**
-     * Takes cache events. Events already seen are skipped. After a gap the engine's entries are
-     * kept as hints, and the next events are taken as its whole list, whatever their numbers.
+     * Takes cache events. Events already seen are skipped. After a gap the events still count as
+     * hints, and the whole list is asked for until it arrives.
      *
      * @return false if events are missing and the engine has to send its whole list
      */
@@ -32,25 +35,23 @@
             return true;
         }
         if (events.incarnation() > engine.mIncarnation) {
-            boolean first = engine.mIncarnation == Long.MIN_VALUE;
-            forget(events.id());
-            engine = new Engine();
+            remove(events.id(), engine);
             engine.mIncarnation = events.incarnation();
-            engine.mAwaitsList = first && events.firstSequence() > 1;
             engine.mNext = 1;
-            mEngines.put(events.id(), engine);
-            if (engine.mAwaitsList) {
-                return false;
-            }
+            engine.mAwaitsList = false;
         }
-        if (engine.mAwaitsList) {
+        if (events.firstSequence() == CacheEvents.WHOLE_LIST) {
             remove(events.id(), engine);
+            events.events().forEach(event -> apply(events.id(), engine, event));
             engine.mAwaitsList = false;
+            engine.mNext = UNKNOWN_SEQUENCE;
+            return true;
+        }
+        if (engine.mNext == UNKNOWN_SEQUENCE) {
             engine.mNext = events.firstSequence();
         }
         if (events.firstSequence() > engine.mNext) {
             engine.mAwaitsList = true;
-            return false;
         }
         long sequence = events.firstSequence();
         for (CacheEvents.CacheEvent event : events.events()) {
@@ -60,7 +61,7 @@
             sequence++;
         }
         engine.mNext = Math.max(engine.mNext, sequence);
-        return true;
+        return !engine.mAwaitsList;
     }
 
     /** Forgets an engine that died or left. */
