Translate claim results for the port and let the leader set a command's time

The daemon needs two small things from the state: the claim port's decision for a result, where everything that is not a grant must never read as one, and a command with the time of the leader that appends it, since an instance that forwards a command has another clock. Before, each caller would have had to write both.

--- a/agreement/src/main/java/dev/kumquatweir/agreement/state/StateCommand.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/state/StateCommand.java
@@ -13,6 +13,23 @@
     /** Returns the leader's wall-clock time. */
     long nowMillis();
 
+    /** Returns the same command with the time of the leader that appends it. */
+    default StateCommand withTime(long millis) {
+        return switch (this) {
+            case ApplyConfiguration(var _, var command, var changedBy, var base, var document) ->
+                    new ApplyConfiguration(millis, command, changedBy, base, document);
+            case StartInstance(var _, var instance, var nonce) ->
+                    new StartInstance(millis, instance, nonce);
+            case Claim(var _, var claimant, var key, var requestHash, var timeLimit) ->
+                    new Claim(millis, claimant, key, requestHash, timeLimit);
+            case RecordOutcome(var _, var claimant, var key, var outcome) ->
+                    new RecordOutcome(millis, claimant, key, outcome);
+            case Expire _ -> new Expire(millis);
+            case TakeEpoch(var _, var purpose, var holder) ->
+                    new TakeEpoch(millis, purpose, holder);
+        };
+    }
+
     /**
      * Replaces the configuration if it still has the base version. A command id already seen
      * returns its first result.
--- a/agreement/src/test/java/dev/kumquatweir/agreement/codec/CodecTest.java
+++ b/agreement/src/test/java/dev/kumquatweir/agreement/codec/CodecTest.java
@@ -96,6 +96,9 @@
     @MethodSource("commands")
     void commandsSurviveAndDamageFails(StateCommand command) {
         check(CommandCodec.encode(command), CommandCodec::decode, command);
+        StateCommand later = command.withTime(99);
+        assertThat(later.nowMillis(), equalTo(99L));
+        assertThat(later.withTime(command.nowMillis()), equalTo(command));
     }
 
     // The same for leases.
--- a/agreement/src/test/java/dev/kumquatweir/agreement/state/StateMachineTest.java
+++ b/agreement/src/test/java/dev/kumquatweir/agreement/state/StateMachineTest.java
@@ -9,6 +9,7 @@
 import dev.kumquatweir.agreement.port.EntryKind;
 import dev.kumquatweir.agreement.port.LogEntry;
 import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.control.ClaimDecision;
 import dev.kumquatweir.core.control.ClaimOutcome;
 import dev.kumquatweir.core.control.RecordedAnswer;
 import dev.kumquatweir.core.identity.CommandId;
@@ -195,6 +196,18 @@
         assertThat(expire(), equalTo(new StateResult.Expired(1, true)));
     }
 
+    // Guards against a claimant that sends although its claim was not granted.
+    @Test
+    void onlyGrantedClaimsMayBeSent() {
+        var granted = new StateResult.ClaimGranted(5);
+        assertThat(ClaimDecisions.of(granted, 70), equalTo(new ClaimDecision.Granted(70)));
+        var refused = new StateResult.ClaimRefused(StateResult.Reason.FULL);
+        assertThat(ClaimDecisions.of(refused, 70), equalTo(new ClaimDecision.Unavailable()));
+        assertThat(
+                ClaimDecisions.of(new StateResult.Malformed(""), 70),
+                equalTo(new ClaimDecision.Unavailable()));
+    }
+
     // Guards against memory without bound: claims are refused, large answers lose their body.
     @Test
     void claimTableIsBounded() {
