--- a/agreement/src/test/java/dev/kumquatweir/agreement/codec/CodecTest.java
+++ b/agreement/src/test/java/dev/kumquatweir/agreement/codec/CodecTest.java
@@ -65,7 +65,8 @@
                 new MessageBody.AppendResponse(true, 1, 2, 3, 4),
                 new MessageBody.SnapshotChunk(9, 4, MEMBERS, 100, Bytes.ofText("data"), true, 5),
                 new MessageBody.SnapshotResponse(1, 2, 3),
-                new MessageBody.TimeoutNow());
+                new MessageBody.TimeoutNow(),
+                new MessageBody.StaleTerm());
     }
 
     static Stream<StateCommand> commands() {
@@ -96,6 +97,9 @@
     @MethodSource("commands")
     void commandsSurviveAndDamageFails(StateCommand command) {
         check(CommandCodec.encode(command), CommandCodec::decode, command);
+        StateCommand later = command.withTime(99);
+        assertThat(later.nowMillis(), equalTo(99L));
+        assertThat(later.withTime(command.nowMillis()), equalTo(command));
     }
 
     // The same for leases.
