Send learners committed entries only

A leader sent uncommitted entries to a learner and lost its disk; one remaining voter held an uncommitted membership that makes the learner a voter and needed its vote, the learner refused since its log was newer, and it could not be elected itself. Electing by the older membership was ruled out, since the newer one may be committed. Learners now get entries once they are committed, so no learner is ahead of all voters; they are told at once when the commit index advances.

--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/Leader.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/Leader.java
@@ -178,6 +178,7 @@
         if (index > mReplica.commitIndex() && ownTerm) {
             mReplica.commitTo(index);
             mRequests.onAcknowledged(nowNanos);
+            mPeers.forEach((peer, progress) -> replicate(peer, progress, nowNanos));
         }
     }
 
@@ -265,16 +266,25 @@
             progress.onProbeSent();
             sendAppend(peer, progress, List.of(), nowNanos);
         }
-        while (progress.canSendBatch(mSettings.windowBatches())
-                && progress.nextIndex() <= mLog.lastIndex()) {
+        long last = lastIndexFor(peer);
+        while (progress.canSendBatch(mSettings.windowBatches()) && progress.nextIndex() <= last) {
+            long room = Math.min(mSettings.batchEntries(), last - progress.nextIndex() + 1);
             List<LogEntry> entries =
-                    mLog.slice(
-                            progress.nextIndex(), mSettings.batchEntries(), mSettings.batchBytes());
+                    mLog.slice(progress.nextIndex(), (int) room, mSettings.batchBytes());
             sendAppend(peer, progress, entries, nowNanos);
             progress.onBatchSent(entries);
         }
     }
 
+    /**
+     * Learners get committed entries only. A learner with entries that were never committed would
+     * refuse its vote to a voter without them when an uncommitted membership makes it a voter, and
+     * could not be elected itself: the group would be stuck once their leader's disk is lost.
+     */
+    private long lastIndexFor(MemberId peer) {
+        return mLog.membership().isVoter(peer) ? mLog.lastIndex() : mReplica.commitIndex();
+    }
+
     private void sendAppend(
             MemberId peer, Progress progress, List<LogEntry> entries, long nowNanos) {
         long previous = progress.nextIndex() - 1;
--- a/agreement/src/test/java/dev/kumquatweir/agreement/raft/RaftNodeTest.java
+++ b/agreement/src/test/java/dev/kumquatweir/agreement/raft/RaftNodeTest.java
@@ -12,6 +12,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import dev.kumquatweir.agreement.port.LogEntry;
 import dev.kumquatweir.agreement.port.MemberId;
 import dev.kumquatweir.agreement.port.Membership;
 import dev.kumquatweir.agreement.port.StoredState;
@@ -180,6 +181,26 @@
         assertThat(toPeer.stream().allMatch(append -> append.entries().size() <= 2), is(true));
     }
 
+    // Guards against a group stuck by a learner whose log is newer than that of all voters (seed
+    // 11133 with learners that got uncommitted entries and a leader whose disk was lost).
+    @Test
+    void learnersGetCommittedEntriesOnly() {
+        LoneNode node = LoneNode.leading(LoneNode.standard());
+        node.acknowledge(LEARNER, node.node().lastIndex());
+        assertThat(entriesTo(LEARNER, node.propose("command")), empty());
+        var outputs = node.receive(PEER, 2, new AppendResponse(true, 3, 4, 0, node.now()));
+        assertThat(entriesTo(LEARNER, outputs), hasSize(1));
+    }
+
+    private static List<LogEntry> entriesTo(MemberId member, List<RaftOutput> outputs) {
+        return LoneNode.of(outputs, RaftOutput.Send.class).stream()
+                .filter(send -> send.message().to().equals(member))
+                .map(send -> send.message().body())
+                .filter(AppendRequest.class::isInstance)
+                .flatMap(body -> ((AppendRequest) body).entries().stream())
+                .toList();
+    }
+
     // Guards against proposals that pile up in memory while the disk takes nothing.
     @Test
     void fullDiskRefusesProposalsAndKeepsLeading() {
