--- a/transport/src/test/java/dev/kumquatweir/transport/RawPeer.java
+++ b/transport/src/test/java/dev/kumquatweir/transport/RawPeer.java
@@ -7,11 +7,15 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 
 /** The far end of one connection, written by hand so that a test can break the protocol. */
 final class RawPeer implements AutoCloseable {
     private static final byte[] CHALLENGE = new byte[Handshake.CHALLENGE_BYTES];
 
+    // Only a fault reaches it.
+    private static final int LIMIT_MILLIS = 60_000;
+
     private final Socket mSocket;
     private final DataInputStream mInput;
     private final FrameCodec mCodec = new FrameCodec();
@@ -19,6 +23,7 @@
 
     private RawPeer(Socket socket, boolean dialler, InstanceId self) throws IOException {
         mSocket = socket;
+        mSocket.setSoTimeout(LIMIT_MILLIS);
         mInput = new DataInputStream(socket.getInputStream());
         Handshake.Identity identity =
                 new Handshake.Identity(TestSupport.CLUSTER, self.value(), TestSupport.KEY);
@@ -78,6 +83,8 @@
             while (mInput.read(buffer) >= 0) {
                 // Hellos and pings are of no interest here.
             }
+        } catch (SocketTimeoutException open) {
+            throw new AssertionError("the connection stays open", open);
         } catch (IOException reset) {
             // A reset is a way to close, too.
         }
