--- a/program/src/main/java/dev/kumquatweir/program/Main.java
+++ b/program/src/main/java/dev/kumquatweir/program/Main.java
@@ -4,8 +4,10 @@
 import com.github.rvesse.airline.annotations.Group;
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
+import dev.kumquatweir.program.command.BenchCommand;
 import dev.kumquatweir.program.command.CheckCommand;
 import dev.kumquatweir.program.command.ExitStatus;
+import dev.kumquatweir.program.command.LoadCommand;
 import dev.kumquatweir.program.command.ServeCommand;
 import dev.kumquatweir.program.command.StandinEngineCommand;
 import dev.kumquatweir.program.command.StandinServiceCommand;
@@ -16,7 +18,13 @@
         name = "kumquatweir",
         description = "Serving layer for prompts of very unlike lengths",
         defaultCommand = Help.class,
-        commands = {Help.class, ServeCommand.class, CheckCommand.class},
+        commands = {
+            Help.class,
+            ServeCommand.class,
+            CheckCommand.class,
+            LoadCommand.class,
+            BenchCommand.class
+        },
         groups = {
             @Group(
                     name = "standin",
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/command/LoadCommand.java
@@ -0,0 +1,82 @@
+package dev.kumquatweir.program.command;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.help.Examples;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import dev.kumquatweir.bench.load.LoadReport;
+import dev.kumquatweir.bench.load.LoadRunner;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+
+/** Sends a load of mixed requests and checks every answer token by token. */
+@Command(name = "load", description = "Send a load of mixed requests and verify every answer")
+@Examples(
+        examples =
+                "kumquatweir load --target http://127.0.0.1:7101 --target http://127.0.0.1:7102 "
+                        + "--key ipoh-workshops.example-key --model quote-7b --seconds 20",
+        descriptions = "Loads two instances for 20 s; ends with status 1 if an answer is wrong")
+public final class LoadCommand implements Callable<Integer> {
+    @Option(
+            name = "--target",
+            title = "URL",
+            description = "Caller listener of an instance; may be given several times")
+    @Required
+    private List<String> mTargets = new ArrayList<>();
+
+    @Option(name = "--key", title = "KEY", description = "API key of a team")
+    private String mKey = "";
+
+    @Option(name = "--model", title = "NAME", description = "Model to ask for")
+    @Required
+    private String mModel = "";
+
+    @Option(name = "--seconds", title = "N", description = "Length of the run")
+    private long mSeconds = 20;
+
+    @Option(name = "--rate", title = "PER SECOND", description = "Completions a second")
+    private double mRate = 10;
+
+    @Option(name = "--actions", title = "PER SECOND", description = "Actions a second")
+    private double mActions;
+
+    @Option(
+            name = "--action-path",
+            title = "PATH",
+            description = "Path of an action, such as /services/bookings/deposit-holds")
+    private List<String> mActionPaths = new ArrayList<>();
+
+    @Option(
+            name = "--ledger",
+            title = "URL",
+            description = "Address of each stand-in service behind the actions, for counting")
+    private List<String> mLedgers = new ArrayList<>();
+
+    @Option(name = "--seed", title = "N", description = "Seed of the schedule")
+    private long mSeed = 1;
+
+    @Override
+    public Integer call() {
+        LoadRunner.Builder builder =
+                LoadRunner.builder(uris(mTargets))
+                        .apiKey(mKey)
+                        .model(mModel)
+                        .seed(mSeed)
+                        .durationMillis(mSeconds * 1_000)
+                        .chatsPerSecond(mRate)
+                        .ledgers(uris(mLedgers))
+                        .output(System.out::println);
+        if (mActions > 0) {
+            builder.actions(mActions, mActionPaths);
+        }
+        LoadReport report = builder.build().run();
+        report.lines().forEach(System.out::println);
+        return report.exitStatus();
+    }
+
+    private static List<URI> uris(List<String> texts) {
+        return texts.stream().map(URI::create).toList();
+    }
+}
