--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
@@ -1,6 +1,7 @@
 package dev.kumquatweir.program.control;
 
 import dev.kumquatweir.agreement.codec.CommandCodec;
+import dev.kumquatweir.agreement.codec.StateCodec;
 import dev.kumquatweir.agreement.lease.ConfigurationLeaseTable;
 import dev.kumquatweir.agreement.lease.ForceStatus;
 import dev.kumquatweir.agreement.lease.LeaseAsk;
@@ -22,6 +23,7 @@
 import dev.kumquatweir.agreement.raft.RaftRole;
 import dev.kumquatweir.agreement.raft.RaftSettings;
 import dev.kumquatweir.agreement.state.StateCommand;
+import dev.kumquatweir.agreement.state.StateImage;
 import dev.kumquatweir.agreement.state.StateLimits;
 import dev.kumquatweir.agreement.state.StateMachine;
 import dev.kumquatweir.agreement.state.StateResult;
@@ -58,6 +60,7 @@
     private static final int STORAGE_CAPACITY = 1_024;
     private static final int LARGEST_LEASE_TABLE = 1_024;
     private static final long TICK_MILLIS = 20;
+    private static final long IDLE_TICK_MILLIS = 1_000;
     private static final long EXPIRE_NANOS = TimeUnit.SECONDS.toNanos(10);
 
     private final Clocks mClocks;
@@ -66,6 +69,7 @@
     private final RaftNode mNode;
     private final StorageDuty mStorage;
     private final Duty mDuty;
+    private final Duty mSnapshots;
     private final ConfigurationLeaseTable mLeases =
             new ConfigurationLeaseTable(LeaseTimes.STANDARD, LARGEST_LEASE_TABLE);
     private final Map<Long, Pending> mPending = new HashMap<>();
@@ -116,6 +120,13 @@
                         RandomGenerator.getDefault(),
                         mClocks.nowNanos());
         mStorage = new StorageDuty(store, STORAGE_CAPACITY, new Listener(ports.onFatal()));
+        mSnapshots =
+                new Duty(
+                        "snapshot",
+                        1,
+                        IDLE_TICK_MILLIS,
+                        () -> {},
+                        (thread, fault) -> LOG.fault("snapshot_fault", fault));
         mDuty =
                 new Duty(
                         "control",
@@ -130,12 +141,14 @@
 
     void start() {
         mStorage.start();
+        mSnapshots.start();
         mDuty.start();
         offer(() -> carryOut(mNode.start()));
     }
 
     void stop() {
         mDuty.stop();
+        mSnapshots.stop();
         mStorage.close();
     }
 
@@ -221,7 +234,7 @@
 
     private void propose(StateCommand command, CompletableFuture<ControlReply> reply) {
         long id = await(reply, state -> new ControlReply.Done());
-        StateCommand stamped = StampedCommand.at(command, mClocks.nowMillis());
+        StateCommand stamped = command.withTime(mClocks.nowMillis());
         stepNow(new RaftInput.Propose(id, CommandCodec.encode(stamped)));
     }
 
@@ -331,8 +344,7 @@
                 case RaftOutput.Write write -> mUnsubmitted.add(write.write());
                 case RaftOutput.Apply apply -> apply(apply.entry(), apply.requestId());
                 case RaftOutput.Restore restore -> restore(restore.snapshot().data());
-                case RaftOutput.TakeSnapshot take ->
-                        step(new RaftInput.SnapshotTaken(take.index(), mState.snapshot()));
+                case RaftOutput.TakeSnapshot take -> takeSnapshot(take.index());
                 case RaftOutput.RequestFailed failed -> fail(failed);
                 case RaftOutput.ReadReady ready -> ready(ready.requestId());
                 case RaftOutput.TransferDone done -> ready(done.requestId());
@@ -350,6 +362,17 @@
         }
     }
 
+    /** Encodes on a thread of its own: a large state takes longer than a heartbeat may wait. */
+    private void takeSnapshot(long index) {
+        StateImage image = mState.image();
+        boolean taken =
+                mSnapshots.offer(
+                        () -> step(new RaftInput.SnapshotTaken(index, StateCodec.encode(image))));
+        if (!taken) {
+            LOG.warn("snapshot_skipped", "index", index);
+        }
+    }
+
     private void ready(long requestId) {
         Pending pending = mPending.remove(requestId);
         if (pending != null) {
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicatedClaims.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicatedClaims.java
@@ -1,5 +1,6 @@
 package dev.kumquatweir.program.control;
 
+import dev.kumquatweir.agreement.state.ClaimDecisions;
 import dev.kumquatweir.agreement.state.ClaimKey;
 import dev.kumquatweir.agreement.state.Claimant;
 import dev.kumquatweir.agreement.state.StateCommand;
@@ -98,19 +99,10 @@
             abandon(request);
             return new ClaimDecision.Unavailable();
         }
-        return switch (applied.result()) {
-            case StateResult.ClaimGranted _ -> new ClaimDecision.Granted(sendByNanos);
-            case StateResult.ClaimFinished finished ->
-                    new ClaimDecision.AlreadyFinished(finished.answer());
-            case StateResult.ClaimRunning _ -> new ClaimDecision.StillRunning();
-            case StateResult.ClaimUnknown _ -> new ClaimDecision.OutcomeUnknown();
-            case StateResult.ClaimKeyReused _ -> new ClaimDecision.KeyReused();
-            case StateResult.ClaimRefused refused -> {
-                LOG.warn("claim_refused", "request", request.request(), "reason", refused.reason());
-                yield new ClaimDecision.Unavailable();
-            }
-            default -> new ClaimDecision.Unavailable();
-        };
+        if (applied.result() instanceof StateResult.ClaimRefused refused) {
+            LOG.warn("claim_refused", "request", request.request(), "reason", refused.reason());
+        }
+        return ClaimDecisions.of(applied.result(), sendByNanos);
     }
 
     /** The claim may be in the log without our knowing; it will never be used. */
