--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
@@ -325,10 +325,27 @@
         }
         if (mState.claimCount() > 0 && nowNanos - mExpiredNanos >= EXPIRE_NANOS) {
             mExpiredNanos = nowNanos;
-            propose(new StateCommand.Expire(0), new CompletableFuture<>());
+            expire();
         }
     }
 
+    /**
+     * Removes expired claims in bounded steps, one log entry after the other, to the table's end.
+     */
+    private void expire() {
+        CompletableFuture<ControlReply> done = new CompletableFuture<>();
+        CompletionStage<ControlReply> step = done;
+        step.thenAccept(
+                reply -> {
+                    if (reply instanceof ControlReply.Applied applied
+                            && applied.result() instanceof StateResult.Expired expired
+                            && !expired.wrapped()) {
+                        offer(this::expire);
+                    }
+                });
+        propose(new StateCommand.Expire(0), done);
+    }
+
     private void step(RaftInput input) {
         offer(() -> stepNow(input));
     }
