--- a/settings/src/main/java/dev/kumquatweir/settings/TomlDocument.java
+++ b/settings/src/main/java/dev/kumquatweir/settings/TomlDocument.java
@@ -32,17 +32,21 @@
     /** Parses a text and reads it; a value is returned only if the reader noted no fault. */
     static <T> Either<SettingsFailure, T> read(
             String file, String text, Function<TomlTable, T> reader) {
-        JsonNode tree;
+        return parse(file, text).flatMap(root -> readTree(file, root, LineIndex.of(text), reader));
+    }
+
+    /** Parses a text without reading it; an empty text gives an empty tree. */
+    static Either<SettingsFailure, ObjectNode> parse(String file, String text) {
         try {
-            tree = MAPPER.readTree(text);
+            JsonNode tree = MAPPER.readTree(text);
+            return Either.right(
+                    tree instanceof ObjectNode object ? object : MAPPER.createObjectNode());
         } catch (JacksonException exception) {
             JsonLocation location = exception.getLocation();
             int line = location == null ? 0 : location.getLineNr();
             return Either.left(
                     new SettingsFailure.NotToml(file, line, exception.getOriginalMessage()));
         }
-        ObjectNode root = tree instanceof ObjectNode object ? object : MAPPER.createObjectNode();
-        return readTree(file, root, LineIndex.of(text), reader);
     }
 
     static <T> Either<SettingsFailure, T> readTree(
