Serve operators over HTTP

Operators had no way to change anything in a running system: the settings named an operators' address and keys, but nothing listened. The listener offers status, configuration, history, differences, changes of profiles, failure domains, upstreams and members. A change without a base version is made again from the newest document when another comes between, each try under an id derived from the command's; reusing one id was ruled out, because a recorded conflict would be its result for ever. Names that nobody knows are refused, so that a typing error is not taken for a domain out of service.

--- a/program/src/main/java/dev/kumquatweir/program/control/FoundingDuty.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/FoundingDuty.java
@@ -158,7 +158,7 @@
                 .finish();
     }
 
-    private static Either<MalformedContent, Founding.Answer> decode(Bytes content) {
+    static Either<MalformedContent, Founding.Answer> decode(Bytes content) {
         return PackReader.decode(
                 content,
                 reader ->
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -16,6 +16,9 @@
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
 import dev.kumquatweir.policy.routing.RoutingOptions;
 import dev.kumquatweir.program.control.ControlPlane;
+import dev.kumquatweir.program.control.StoreQuestion;
+import dev.kumquatweir.program.operator.OperatorListener;
+import dev.kumquatweir.program.operator.OperatorRoutes;
 import dev.kumquatweir.program.spread.RegistrySpread;
 import dev.kumquatweir.settings.InstanceSettings;
 import dev.kumquatweir.settings.PeerSettings;
@@ -53,6 +56,7 @@
     private final InstanceHealth mHealth;
     private final CallerServer mCallers;
     private final UpstreamListener mUpstreams;
+    private final OperatorListener mOperators;
     private List<HttpServerContext> mServers = List.of();
 
     /**
@@ -94,6 +98,10 @@
                         settings.limits().bodyBytes());
         RegistrySpread spread = new RegistrySpread(mDispatch, network, otherInstances(settings));
         mUpstreams = new UpstreamListener(settings.announceKey(), spread);
+        OperatorRoutes routes =
+                new OperatorRoutes(
+                        settings, control, mDispatch, new StoreQuestion(network), clocks);
+        mOperators = new OperatorListener(settings.id(), settings.operators(), routes);
     }
 
     /**
@@ -108,7 +116,8 @@
         mServers =
                 List.of(
                         listen(mSettings.listen().caller(), mCallers),
-                        listen(mSettings.listen().upstream(), mUpstreams));
+                        listen(mSettings.listen().upstream(), mUpstreams),
+                        listen(mSettings.listen().operator(), mOperators));
         LOG.info(
                 "instance_started",
                 "instance",
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/operator/OperatorCall.java
@@ -0,0 +1,71 @@
+package dev.kumquatweir.program.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.kumquatweir.core.identity.InvalidIdentifierException;
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.function.Function;
+
+/**
+ * One authenticated request of an operator. Numbers are read from the query of a GET and from the
+ * body of a POST.
+ *
+ * @param operator name of the operator
+ * @param route method and path, such as {@code GET /operator/v1/status}
+ * @param query query parameters
+ * @param body the body, empty for a GET
+ */
+record OperatorCall(String operator, String route, Map<String, String> query, ObjectNode body) {
+
+    /** Returns a text of the body; a missing one is a failure. */
+    Either<OperatorFailure, String> text(String key) {
+        JsonNode value = body.path(key);
+        return value.isTextual() && !value.textValue().isEmpty()
+                ? Either.right(value.textValue())
+                : Either.left(new OperatorFailure.Malformed(key, "a text is needed"));
+    }
+
+    /** Returns a text of the body, empty if it is missing. */
+    String textOrEmpty(String key) {
+        return body.path(key).asText("");
+    }
+
+    /** Returns a flag of the body. */
+    boolean flag(String key, boolean otherwise) {
+        return body.path(key).asBoolean(otherwise);
+    }
+
+    /** Returns an identifier of the body. */
+    <T> Either<OperatorFailure, T> identifier(String key, Function<String, T> constructor) {
+        return text(key)
+                .flatMap(
+                        value -> {
+                            try {
+                                return Either.right(constructor.apply(value));
+                            } catch (InvalidIdentifierException exception) {
+                                return Either.left(
+                                        new OperatorFailure.Malformed(
+                                                key, String.valueOf(exception.getMessage())));
+                            }
+                        });
+    }
+
+    /** Returns a whole number from 0, or the default if it is missing. */
+    Either<OperatorFailure, Long> number(String key, long otherwise) {
+        String text = query.getOrDefault(key, body.path(key).asText(""));
+        if (text.isEmpty()) {
+            return Either.right(otherwise);
+        }
+        try {
+            long value = Long.parseLong(text);
+            return value >= 0 ? Either.right(value) : notNumber(key);
+        } catch (NumberFormatException exception) {
+            return notNumber(key);
+        }
+    }
+
+    private static Either<OperatorFailure, Long> notNumber(String key) {
+        return Either.left(new OperatorFailure.Malformed(key, "a whole number from 0 is needed"));
+    }
+}
