Add the operators' commands

Whoever operates the system for a quarter should not have to write HTTP requests by hand. The commands ask the named instances in turn, print the command id before they send a change, wait with progress on standard error until it is in force, and name the instance and the next step when they fail. A conflict, an outage and a fault of the input have statuses of their own. 'domain out' counts the remaining upstreams of each profile first and asks only when one would be left without any; asking always was ruled out, because people then answer without reading. The unit tests of OperatorCommandsTest passed; each command was then run by hand.

--- a/program/src/main/java/dev/kumquatweir/program/Main.java
+++ b/program/src/main/java/dev/kumquatweir/program/Main.java
@@ -5,10 +5,27 @@
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import dev.kumquatweir.program.command.CheckCommand;
+import dev.kumquatweir.program.command.ConfigApplyCommand;
+import dev.kumquatweir.program.command.ConfigDiffCommand;
+import dev.kumquatweir.program.command.ConfigHistoryCommand;
+import dev.kumquatweir.program.command.DomainInCommand;
+import dev.kumquatweir.program.command.DomainListCommand;
+import dev.kumquatweir.program.command.DomainOutCommand;
 import dev.kumquatweir.program.command.ExitStatus;
+import dev.kumquatweir.program.command.MemberAddCommand;
+import dev.kumquatweir.program.command.MemberListCommand;
+import dev.kumquatweir.program.command.MemberRemoveCommand;
+import dev.kumquatweir.program.command.MemberReplaceCommand;
+import dev.kumquatweir.program.command.ProfileApplyCommand;
+import dev.kumquatweir.program.command.ProfileExplainCommand;
+import dev.kumquatweir.program.command.ProfileListCommand;
+import dev.kumquatweir.program.command.ProfileShowCommand;
 import dev.kumquatweir.program.command.ServeCommand;
 import dev.kumquatweir.program.command.StandinEngineCommand;
 import dev.kumquatweir.program.command.StandinServiceCommand;
+import dev.kumquatweir.program.command.StatusCommand;
+import dev.kumquatweir.program.command.UpstreamListCommand;
+import dev.kumquatweir.program.command.UpstreamRetireCommand;
 import java.util.concurrent.Callable;
 
 /** Entry point of the one binary: parses the command line and runs a subcommand. */
@@ -16,8 +33,46 @@
         name = "kumquatweir",
         description = "Serving layer for prompts of very unlike lengths",
         defaultCommand = Help.class,
-        commands = {Help.class, ServeCommand.class, CheckCommand.class},
+        commands = {Help.class, ServeCommand.class, CheckCommand.class, StatusCommand.class},
         groups = {
+            @Group(
+                    name = "profile",
+                    description = "Profiles: how classes of work are served",
+                    commands = {
+                        ProfileListCommand.class,
+                        ProfileShowCommand.class,
+                        ProfileExplainCommand.class,
+                        ProfileApplyCommand.class
+                    }),
+            @Group(
+                    name = "upstream",
+                    description = "Upstreams: engines and services",
+                    commands = {UpstreamListCommand.class, UpstreamRetireCommand.class}),
+            @Group(
+                    name = "domain",
+                    description = "Failure domains",
+                    commands = {
+                        DomainListCommand.class,
+                        DomainOutCommand.class,
+                        DomainInCommand.class
+                    }),
+            @Group(
+                    name = "member",
+                    description = "Members of the group that agrees on the configuration",
+                    commands = {
+                        MemberListCommand.class,
+                        MemberAddCommand.class,
+                        MemberRemoveCommand.class,
+                        MemberReplaceCommand.class
+                    }),
+            @Group(
+                    name = "config",
+                    description = "Versions of the configuration",
+                    commands = {
+                        ConfigHistoryCommand.class,
+                        ConfigDiffCommand.class,
+                        ConfigApplyCommand.class
+                    }),
             @Group(
                     name = "standin",
                     description = "Stand-ins for development",
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/command/ConfigHistoryCommand.java
@@ -0,0 +1,36 @@
+package dev.kumquatweir.program.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.help.Examples;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Lists the kept changes. */
+@Command(name = "history", description = "List the kept changes of the configuration")
+@Examples(
+        examples = "kumquatweir config history",
+        descriptions = "Lists who changed the configuration when")
+public final class ConfigHistoryCommand extends OperatorCommand {
+    @Override
+    ExitStatus run(OperatorClient client) {
+        JsonNode answer = client.get("configuration/history");
+        List<List<String>> rows = new ArrayList<>();
+        rows.add(List.of("VERSION", "BASE", "BY", "AT", "COMMAND"));
+        answer.path("changes")
+                .forEach(
+                        entry ->
+                                rows.add(
+                                        List.of(
+                                                entry.path("version").asText(),
+                                                entry.path("base_version").asText(),
+                                                entry.path("changed_by").asText(),
+                                                Instant.ofEpochMilli(
+                                                                entry.path("changed_at_ms")
+                                                                        .asLong())
+                                                        .toString(),
+                                                entry.path("command_id").asText())));
+        return print(answer, rows);
+    }
+}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/command/OperatorClient.java
@@ -0,0 +1,115 @@
+package dev.kumquatweir.program.command;
+
+import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.kumquatweir.core.failure.FailureException;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Asks the operators' listeners of instances, in turn until one answers. A change may reach two of
+ * them, which its command id makes harmless. Not thread-safe.
+ */
+final class OperatorClient {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Duration CONNECT_LIMIT = Duration.ofSeconds(2);
+    private static final Duration ANSWER_LIMIT = Duration.ofSeconds(40);
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final List<String> mInstances;
+    private final String mKey;
+    private final HttpClient mClient =
+            HttpClient.newBuilder().connectTimeout(CONNECT_LIMIT).build();
+
+    /**
+     * @param instances base URLs, at least one
+     * @param key the operator's key
+     */
+    OperatorClient(List<String> instances, String key) {
+        mInstances = List.copyOf(instances);
+        mKey = key;
+    }
+
+    JsonNode get(String path) {
+        return send(path, HttpRequest.newBuilder().GET());
+    }
+
+    JsonNode post(String path, ObjectNode body) {
+        return send(
+                path,
+                HttpRequest.newBuilder()
+                        .POST(HttpRequest.BodyPublishers.ofString(body.toString())));
+    }
+
+    private JsonNode send(String path, HttpRequest.Builder request) {
+        List<String> problems = new ArrayList<>();
+        for (String instance : mInstances) {
+            try {
+                HttpResponse<String> response = send(instance, path, request);
+                if (response.statusCode() == OK) {
+                    return JSON.readTree(response.body());
+                }
+                ClientFailure.Refused refused = refused(instance, response);
+                if (response.statusCode() != UNAVAILABLE) {
+                    throw new FailureException(refused);
+                }
+                problems.add(refused.message());
+            } catch (IOException | IllegalArgumentException exception) {
+                problems.add(instance + ": " + exception);
+            }
+        }
+        throw new FailureException(new ClientFailure.Unreachable(problems));
+    }
+
+    private HttpResponse<String> send(String instance, String path, HttpRequest.Builder request)
+            throws IOException {
+        try {
+            return mClient.send(
+                    request.copy()
+                            .uri(URI.create(instance + "/operator/v1/" + path))
+                            .timeout(ANSWER_LIMIT)
+                            .header("Authorization", "Bearer " + mKey)
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", exception);
+        }
+    }
+
+    private static ClientFailure.Refused refused(String instance, HttpResponse<String> response) {
+        JsonNode error;
+        try {
+            error = JSON.readTree(response.body()).path("error");
+        } catch (JacksonException exception) {
+            error = JSON.createObjectNode();
+        }
+        List<String> difference = new ArrayList<>();
+        error.path("difference").forEach(entry -> difference.add(differenceLine(entry)));
+        return new ClientFailure.Refused(
+                instance,
+                response.statusCode(),
+                error.path("type").asText("http_" + response.statusCode()),
+                error.path("message").asText("no explanation"),
+                difference);
+    }
+
+    /** Returns one entry of a difference as a line. */
+    static String differenceLine(JsonNode entry) {
+        return "  %-8s %s: %s -> %s"
+                .formatted(
+                        entry.path("kind").asText(),
+                        entry.path("path").asText(),
+                        entry.path("before").asText(),
+                        entry.path("after").asText());
+    }
+}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/command/ProfileExplainCommand.java
@@ -0,0 +1,84 @@
+package dev.kumquatweir.program.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.help.Examples;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.configuration.ConfigurationDocument;
+import dev.kumquatweir.core.configuration.Profile;
+import dev.kumquatweir.core.failure.FailureException;
+import dev.kumquatweir.core.identity.TeamName;
+import dev.kumquatweir.settings.ConfigurationReader;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** Says in words what a profile does and what it would do with a request. */
+@Command(name = "explain", description = "Say in words what a profile does")
+@Examples(
+        examples = "kumquatweir profile explain dossier --prompt-tokens 400000 --team ipoh",
+        descriptions = "Says what happens to a prompt of 400,000 tokens of team ipoh")
+public final class ProfileExplainCommand extends OperatorCommand {
+    @Arguments(title = "NAME", description = "Name of the profile")
+    @Required
+    private String mName = "";
+
+    @Option(
+            name = "--prompt-tokens",
+            title = "N",
+            description = "Length of the prompt of a request")
+    private long mPromptTokens;
+
+    @Option(name = "--team", title = "NAME", description = "Team of a request")
+    private String mTeam = "";
+
+    @Override
+    ExitStatus run(OperatorClient client) {
+        JsonNode configuration = client.get("configuration").path("document");
+        ConfigurationDocument document =
+                ConfigurationReader.readStored(Bytes.ofText(configuration.toString()))
+                        .getOrElseThrow(FailureException::new);
+        Profile profile =
+                document.profiles().values().stream()
+                        .filter(known -> known.name().value().equals(mName))
+                        .findFirst()
+                        .orElseThrow(
+                                () ->
+                                        new FailureException(
+                                                new ClientFailure.Input(
+                                                        "no profile is named " + mName,
+                                                        "see 'profile list'")));
+        List<String> lines = new ArrayList<>(ProfileExplanation.describe(profile));
+        lines.addAll(
+                ProfileExplanation.request(
+                        document,
+                        profile,
+                        engines(client.get("status").path("upstreams"), profile),
+                        mPromptTokens > 0 ? OptionalLong.of(mPromptTokens) : OptionalLong.empty(),
+                        mTeam.isEmpty() ? Optional.empty() : Optional.of(new TeamName(mTeam))));
+        ObjectNode answer = body().put("profile", mName);
+        ArrayNode sentences = answer.putArray("sentences");
+        lines.forEach(sentences::add);
+        return print(answer, lines.stream().map(List::of).toList());
+    }
+
+    private static ProfileExplanation.Engines engines(JsonNode upstreams, Profile profile) {
+        int engines = 0;
+        long memory = 0;
+        for (JsonNode upstream : upstreams) {
+            if (upstream.path("service").asText().equals(profile.service().value())
+                    && upstream.path("kind").asText().equals("engine")
+                    && upstream.path("state").asText().equals("serving")) {
+                engines++;
+                memory = Math.max(memory, upstream.path("memory_tokens").asLong());
+            }
+        }
+        return new ProfileExplanation.Engines(engines, memory);
+    }
+}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/command/StatusCommand.java
@@ -0,0 +1,39 @@
+package dev.kumquatweir.program.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.help.Examples;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Shows what one instance knows of itself and of the system. */
+@Command(name = "status", description = "Show instances, configuration and running work")
+@Examples(
+        examples = "kumquatweir status",
+        descriptions = "Shows what the first instance that answers knows")
+public final class StatusCommand extends OperatorCommand {
+    @Override
+    ExitStatus run(OperatorClient client) {
+        JsonNode answer = client.get("status");
+        JsonNode configuration = answer.path("configuration");
+        JsonNode group = answer.path("group");
+        List<List<String>> rows = new ArrayList<>();
+        rows.add(List.of("WHAT", "VALUE"));
+        rows.add(List.of("asked", answer.path("instance").asText()));
+        rows.add(List.of("running requests here", answer.path("running").asText()));
+        rows.add(List.of("leader", group.path("leader").asText("none: " + group.path("message"))));
+        rows.add(List.of("configuration version", configuration.path("version").asText("unknown")));
+        rows.add(List.of("in force everywhere", configuration.path("in_force").asText("unknown")));
+        rows.add(List.of("behind", configuration.path("behind").toString()));
+        rows.add(List.of("domains out", configuration.path("domains_out").toString()));
+        rows.add(List.of("upstreams known here", "" + answer.path("upstreams").size()));
+        group.path("members")
+                .forEach(
+                        member ->
+                                rows.add(
+                                        List.of(
+                                                "member " + member.path("name").asText(),
+                                                member.path("role").asText())));
+        return print(answer, rows);
+    }
+}
--- /dev/null
+++ b/program/src/test/java/dev/kumquatweir/program/command/OperatorCommandsTest.java
@@ -0,0 +1,112 @@
+package dev.kumquatweir.program.command;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.kumquatweir.core.configuration.ConfigurationDocument;
+import dev.kumquatweir.core.configuration.Profile;
+import dev.kumquatweir.core.configuration.RequestClass;
+import dev.kumquatweir.core.identity.ProfileName;
+import dev.kumquatweir.core.identity.ServiceName;
+import dev.kumquatweir.core.identity.TeamName;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The pure parts of the operators' commands. */
+class OperatorCommandsTest {
+    private static final JsonNode DOCUMENT =
+            json(
+                    "{'profiles':["
+                            + "{'name':'quick','service':'llm'},"
+                            + "{'name':'hold','service':'book'}]}");
+    private static final JsonNode UPSTREAMS =
+            json(
+                    "["
+                            + "{'service':'llm','failure_domain':'klang-a','state':'serving'},"
+                            + "{'service':'llm','failure_domain':'klang-b','state':'serving'},"
+                            + "{'service':'book','failure_domain':'klang-a','state':'serving'},"
+                            + "{'service':'book','failure_domain':'klang-b','state':'retired'}]");
+    private static final Profile LONG =
+            Profile.builder(new ProfileName("dossier"), new ServiceName("llm"), RequestClass.LONG)
+                    .build();
+
+    private static JsonNode json(String text) {
+        try {
+            return new ObjectMapper().readTree(text.replace('\'', '"'));
+        } catch (JsonProcessingException exception) {
+            throw new AssertionError(text, exception);
+        }
+    }
+
+    /** Guards against a domain taken out unasked when it holds a profile's last upstream. */
+    @Test
+    void retiredUpstreamsDoNotCountAsRemaining() {
+        assertThat(
+                RemainingCapacity.without(DOCUMENT, UPSTREAMS, "klang-a"),
+                contains(
+                        new RemainingCapacity("hold", "book", 1, 0),
+                        new RemainingCapacity("quick", "llm", 2, 1)));
+        assertThat(new RemainingCapacity("hold", "book", 1, 0).leavesNone(), is(true));
+        assertThat(new RemainingCapacity("quick", "llm", 2, 1).leavesNone(), is(false));
+    }
+
+    /** Guards against scripts that take a conflict or an outage for a fault of their input. */
+    @ParameterizedTest
+    @CsvSource({
+        "409, version_conflict, CONFLICT",
+        "503, no_quorum, UNREACHABLE",
+        "422, settings_invalid, BAD_INPUT",
+        "401, not_authenticated, FAILED",
+        "404, unknown_name, FAILED"
+    })
+    void failuresHaveTheirExitStatus(int status, String type, ExitStatus expected) {
+        ClientFailure failure = new ClientFailure.Refused("url", status, type, "why", List.of());
+        assertThat(failure.exit(), equalTo(expected));
+    }
+
+    /** Guards against an explanation that promises an engine to a prompt that fits none. */
+    @ParameterizedTest
+    @CsvSource({
+        "100, 'A prompt of 100 tokens fits one engine (the largest of 2 holds 1000 tokens).'",
+        "2500, 'A prompt of 2500 tokens exceeds one engine (1000 tokens): 3 engines are reserved"
+                + " together, and 2 serve now.'"
+    })
+    void promptIsComparedWithTheLargestEngine(long tokens, String sentence) {
+        assertThat(
+                ProfileExplanation.request(
+                        ConfigurationDocument.EMPTY,
+                        LONG,
+                        new ProfileExplanation.Engines(2, 1_000),
+                        OptionalLong.of(tokens),
+                        Optional.of(new TeamName("nobody"))),
+                contains("There is no team nobody; its requests are refused.", sentence));
+    }
+
+    /** Guards against shares that are rounded to another objective. */
+    @Test
+    void objectiveKeepsItsDigits() {
+        assertThat(
+                ProfileExplanation.describe(LONG),
+                hasItem(
+                        "Its objective: 99.9% finish in time, and 95% get their first token within"
+                                + " 860 ms."));
+    }
+
+    /** Guards against columns that run into each other. */
+    @Test
+    void columnsAreAsWideAsTheirWidestCell() {
+        assertThat(
+                TextTable.lines(List.of(List.of("A", "BB"), List.of("long", "x"))),
+                contains("A     BB", "long  x"));
+    }
+}
