Take applied member changes as done and keep domains out

Running 'member replace' by hand against four instances showed "the leader's answer does not fit": the log answers a member change with an applied entry, not with done, so every change looked failed although it was made. A whole document applied from a file would also have returned domains that are out, since such files rarely name them; it now keeps them unless the file has the key. Refusing such files was ruled out, as every example file would be refused.

--- a/program/src/main/java/dev/kumquatweir/program/command/OperatorClient.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/OperatorClient.java
@@ -23,7 +23,9 @@
     private static final Duration CONNECT_LIMIT = Duration.ofSeconds(2);
     private static final Duration ANSWER_LIMIT = Duration.ofSeconds(40);
     private static final int OK = 200;
-    private static final int UNAVAILABLE = 503;
+
+    /** The instance could not reach another one, or the leader; the next instance may. */
+    private static final List<Integer> ASK_NEXT = List.of(502, 503);
 
     private final List<String> mInstances;
     private final String mKey;
@@ -59,7 +61,7 @@
                     return JSON.readTree(response.body());
                 }
                 ClientFailure.Refused refused = refused(instance, response);
-                if (response.statusCode() != UNAVAILABLE) {
+                if (!ASK_NEXT.contains(response.statusCode())) {
                     throw new FailureException(refused);
                 }
                 problems.add(refused.message());
--- a/program/src/main/java/dev/kumquatweir/program/command/ProfileExplanation.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/ProfileExplanation.java
@@ -110,9 +110,9 @@
                     .formatted(tokens, memory);
         }
         long needed = (tokens + memory - 1) / memory;
-        return "A prompt of %d tokens exceeds one engine (%d tokens): %d engines are reserved"
+        return "A prompt of %d tokens exceeds one engine (%d tokens): it needs %d engines together,"
                         .formatted(tokens, memory, needed)
-                + " together, and %d serve now.".formatted(engines.engines());
+                + " and %d serve now.".formatted(engines.engines());
     }
 
     private static String objective(Objective objective) {
--- a/program/src/main/java/dev/kumquatweir/program/operator/AgreedState.java
+++ b/program/src/main/java/dev/kumquatweir/program/operator/AgreedState.java
@@ -39,6 +39,16 @@
         return Either.left(new OperatorFailure.Control(failure));
     }
 
+    /** Makes a change whose answer says no more than that it is done. */
+    Either<OperatorFailure, ControlReply> carryOut(ControlRequest request) {
+        return ask(request, ControlReply.class)
+                .flatMap(
+                        reply ->
+                                reply instanceof ControlReply.Failed failed
+                                        ? Either.left(new OperatorFailure.Control(failed.failure()))
+                                        : Either.right(reply));
+    }
+
     /** Reads a document; version 0 is the newest. */
     Either<OperatorFailure, Kept> configuration(long version) {
         return ask(new ControlRequest.ReadConfiguration(version), ControlReply.Configuration.class)
--- a/program/src/main/java/dev/kumquatweir/program/operator/MemberEdits.java
+++ b/program/src/main/java/dev/kumquatweir/program/operator/MemberEdits.java
@@ -168,7 +168,7 @@
     private Either<OperatorFailure, ObjectNode> promote(OperatorCall call, MemberId id) {
         Optional<Member> present = find(id.name()).getOrElse(Optional.empty());
         boolean wanted = call.flag("voter", true) && present.filter(Member::isVoter).isEmpty();
-        Either<OperatorFailure, ControlReply.Done> promoted =
+        Either<OperatorFailure, ControlReply> promoted =
                 wanted
                         ? persist(call, new MembershipChange.Promote(id))
                         : Either.right(new ControlReply.Done());
@@ -186,12 +186,12 @@
     }
 
     /** Makes a change, again and again while its refusal is one that passes. */
-    private Either<OperatorFailure, ControlReply.Done> persist(
+    private Either<OperatorFailure, ControlReply> persist(
             OperatorCall call, MembershipChange change) {
         long startNanos = mClocks.nowNanos();
         while (true) {
-            Either<OperatorFailure, ControlReply.Done> result =
-                    mState.ask(new ControlRequest.ChangeMembers(change), ControlReply.Done.class);
+            Either<OperatorFailure, ControlReply> result =
+                    mState.carryOut(new ControlRequest.ChangeMembers(change));
             if (result.isRight()) {
                 LOG.info("members_change", "operator", call.operator(), "change", change);
                 return result;
--- a/program/src/main/java/dev/kumquatweir/program/operator/OperatorRoutes.java
+++ b/program/src/main/java/dev/kumquatweir/program/operator/OperatorRoutes.java
@@ -13,7 +13,7 @@
 import dev.kumquatweir.program.control.ControlPlane;
 import dev.kumquatweir.program.control.StoreQuestion;
 import dev.kumquatweir.settings.ConfigurationDifference;
-import dev.kumquatweir.settings.ConfigurationReader;
+import dev.kumquatweir.settings.ConfigurationMerge;
 import dev.kumquatweir.settings.ConfigurationWriter;
 import dev.kumquatweir.settings.InstanceSettings;
 import dev.kumquatweir.settings.PeerSettings;
@@ -130,9 +130,12 @@
         return call.text("toml")
                 .flatMap(
                         toml ->
-                                ConfigurationReader.readToml(REQUEST_FILE, toml)
-                                        .<OperatorFailure>mapLeft(OperatorFailure.Invalid::new))
-                .flatMap(document -> mEdits.apply(call, present -> Either.right(document)));
+                                mEdits.apply(
+                                        call,
+                                        present ->
+                                                ConfigurationMerge.replace(
+                                                                present, REQUEST_FILE, toml)
+                                                        .mapLeft(OperatorFailure.Invalid::new)));
     }
 
     private Either<OperatorFailure, ObjectNode> applyProfile(OperatorCall call) {
--- a/program/src/test/java/dev/kumquatweir/program/command/OperatorCommandsTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/command/OperatorCommandsTest.java
@@ -78,7 +78,7 @@
     @ParameterizedTest
     @CsvSource({
         "100, 'A prompt of 100 tokens fits one engine (the largest of 2 holds 1000 tokens).'",
-        "2500, 'A prompt of 2500 tokens exceeds one engine (1000 tokens): 3 engines are reserved"
+        "2500, 'A prompt of 2500 tokens exceeds one engine (1000 tokens): it needs 3 engines"
                 + " together, and 2 serve now.'"
     })
     void promptIsComparedWithTheLargestEngine(long tokens, String sentence) {
--- a/program/src/test/java/dev/kumquatweir/program/system/OperatorIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/OperatorIt.java
@@ -251,4 +251,33 @@
                 () -> sCluster.instance(0).log().contains("operator_refused"));
         assertThat(sCluster.instance(0).log(), not(containsString(wrong)));
     }
+
+    /** Guards against a lost disk that leaves the group with one voter less for ever. */
+    @Test
+    void memberThatLostItsDiskIsReplacedAndVotesAgain() {
+        String lost = store("entry-2");
+        sCluster.instance(1).kill();
+        sCluster.loseDisk(1);
+        sCluster.instance(1).startAgain();
+        ObjectNode body = JSON.createObjectNode().put("name", "entry-2");
+        Waiting.until(
+                "the new store votes",
+                () -> {
+                    Caller.Answer answer =
+                            change(0, LocalCluster.OPERATOR_KEY, "members/replace", body);
+                    return answer.status() == 200 && answer.json().path("complete").asBoolean();
+                });
+        assertThat(store("entry-2"), not(equalTo(lost)));
+        sCluster.awaitReady(1);
+    }
+
+    private static String store(String member) {
+        for (JsonNode known : status(0).path("group").path("members")) {
+            if (known.path("name").asText().equals(member)
+                    && known.path("role").asText().equals("voter")) {
+                return known.path("store").asText();
+            }
+        }
+        return "no voter";
+    }
 }
--- a/settings/src/test/java/dev/kumquatweir/settings/ConfigurationDifferenceTest.java
+++ b/settings/src/test/java/dev/kumquatweir/settings/ConfigurationDifferenceTest.java
@@ -9,6 +9,7 @@
 import dev.kumquatweir.core.configuration.ConfigurationDocument;
 import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.ProfileName;
+import dev.kumquatweir.core.identity.UpstreamId;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -23,17 +24,16 @@
             class = "short"
             time_limit_seconds = 30
             """;
+    private static final String TEXT =
+            """
+            [[services]]
+            name = "quote-llm"
+            kind = "engine"
+            profile = "quick"
+            """
+                    + QUICK;
     private static final ConfigurationDocument BASE =
-            ConfigurationReader.readToml(
-                            "base.toml",
-                            """
-                            [[services]]
-                            name = "quote-llm"
-                            kind = "engine"
-                            profile = "quick"
-                            """
-                                    + QUICK)
-                    .get();
+            ConfigurationReader.readToml("base.toml", TEXT).get();
 
     private static ConfigurationDocument merged(String profile) {
         return ProfileMerge.merge(BASE, "profile.toml", profile).get();
@@ -95,4 +95,15 @@
         String text = QUICK.replace("quote-llm", "nowhere");
         assertThat(ProfileMerge.merge(BASE, "profile.toml", text).isLeft(), is(true));
     }
+
+    /** Guards against a file applied as a whole that returns a domain or upstream to service. */
+    @Test
+    void wholeDocumentKeepsWhatIsOutUnlessItNamesIt() {
+        ConfigurationDocument present =
+                BASE.withDomainsOut(Set.of(new FailureDomain("klang-a")))
+                        .withRetiredUpstreams(Set.of(new UpstreamId("engine-1")));
+        assertThat(ConfigurationMerge.replace(present, "base.toml", TEXT).get(), equalTo(present));
+        String named = "domains_out = []\nretired_upstreams = []\n" + TEXT;
+        assertThat(ConfigurationMerge.replace(present, "base.toml", named).get(), equalTo(BASE));
+    }
 }
