--- a/bench/src/main/java/dev/kumquatweir/bench/Contender.java
+++ b/bench/src/main/java/dev/kumquatweir/bench/Contender.java
@@ -36,7 +36,7 @@
 
     /** The policy with a share of engines for short prompts. */
     static final Contender RESERVED_SHARE =
-            policy("reserved-share", with(new LengthStrategy.ReservedShare(0.34)));
+            policy("reserved-share", with(new LengthStrategy.ReservedShare(0.46)));
 
     /** Each upstream in turn. */
     static final Contender ROUND_ROBIN = baseline(Baseline.ROUND_ROBIN);
--- a/bench/src/main/java/dev/kumquatweir/bench/IdealScheduler.java
+++ b/bench/src/main/java/dev/kumquatweir/bench/IdealScheduler.java
@@ -258,7 +258,13 @@
                     }
                 }
                 case AttemptEvent.Refused refused -> again(refused.attempt());
-                case AttemptEvent.Broken broken -> again(broken.attempt());
+                case AttemptEvent.Broken broken -> {
+                    Open open = mCurrent.get(broken.attempt());
+                    again(broken.attempt());
+                    if (open != null && !open.mRequest.repeatable()) {
+                        fail(open);
+                    }
+                }
                 case AttemptEvent.Finished finished -> {
                     Open open = mCurrent.remove(finished.attempt());
                     if (open != null) {
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/Placer.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/Placer.java
@@ -19,8 +19,8 @@
  * thread-safe: owned by the dispatch duty.
  */
 final class Placer {
-    private static final long MEDIUM_PROMPT_TOKENS = 16_384;
-    private static final long LONG_PROMPT_TOKENS = 65_536;
+    /** Longest prompts, in tokens, of the steps by which the priority on an engine falls. */
+    private static final long[] PRIORITY_STEPS_TOKENS = {2_048, 8_192, 65_536};
 
     private final Router mRouter;
     private final ColdAllowance mColdAllowance;
@@ -120,12 +120,9 @@
 
     /** Returns the priority on the engine: shorter prompts first within an urgency. */
     private static int priority(TrackedRequest tracked) {
-        long tokens = tracked.mRequest.promptTokens();
         int lower = 0;
-        if (tokens > LONG_PROMPT_TOKENS) {
-            lower = 2;
-        } else if (tokens > MEDIUM_PROMPT_TOKENS) {
-            lower = 1;
+        for (long step : PRIORITY_STEPS_TOKENS) {
+            lower += tracked.mRequest.promptTokens() > step ? 1 : 0;
         }
         return Math.clamp(tracked.mRequest.profile().priority() - lower, 0, 9);
     }
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/WorkQueues.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/WorkQueues.java
@@ -201,7 +201,7 @@
                 key(tracked.mRequest),
                 key ->
                         new Line(
-                                new FairQueue<>(this::weight),
+                                new FairQueue<>(this::weight, key.length() == LengthClass.LONG),
                                 new DrainRate(PRIOR_DRAIN, nowNanos)));
     }
 
--- a/policy/src/main/java/dev/kumquatweir/policy/fairness/FairQueue.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/fairness/FairQueue.java
@@ -24,17 +24,30 @@
     static final long QUANTUM_TOKENS = 1_024;
 
     private final ToIntFunction<TeamName> mWeight;
+    private final boolean mShortestFirst;
     private final TreeMap<Integer, Level<T>> mLevels = new TreeMap<>(Collections.reverseOrder());
     private int mSize;
 
-    /** Makes an empty queue. */
-    public FairQueue(ToIntFunction<TeamName> weight) {
+    /**
+     * Makes an empty queue.
+     *
+     * @param weight weight of each team
+     * @param shortestFirst whether a team's cheapest work is served first, else its oldest
+     */
+    public FairQueue(ToIntFunction<TeamName> weight, boolean shortestFirst) {
         mWeight = weight;
+        mShortestFirst = shortestFirst;
     }
 
-    /** Adds work behind that of its team. */
+    /** Adds work behind that of its team, or behind the cheaper work of its team. */
     public void add(T work) {
-        lane(work).mWork.addLast(work);
+        Deque<T> queue = lane(work).mWork;
+        Deque<T> dearer = new ArrayDeque<>();
+        while (mShortestFirst && !queue.isEmpty() && queue.getLast().tokens() > work.tokens()) {
+            dearer.addFirst(queue.removeLast());
+        }
+        queue.addLast(work);
+        queue.addAll(dearer);
         added(work);
     }
 
--- a/policy/src/main/java/dev/kumquatweir/policy/routing/Capacity.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/routing/Capacity.java
@@ -23,6 +23,9 @@
     /** Calls that a plain service may have waiting for each one that it runs. */
     private static final int SERVICE_QUEUE_FACTOR = 2;
 
+    /** Longest prompt that engines process before the long ones. */
+    private static final long MEDIUM_PROMPT_TOKENS = 65_536;
+
     /** Slowdown of decoding on an engine whose running slots are all in use. */
     private static final double OCCUPANCY_WEIGHT = 0.5;
 
@@ -83,11 +86,17 @@
     /** Returns the tokens that the engine is likely to process before those of the request. */
     long waitingTokens(Pool.Member member, PlacementQuery query, long nowNanos) {
         UpstreamLoad load = member.load();
-        if (query.length() == LengthClass.SHORT && member.lane() != LengthStrategy.Lane.SHORT) {
-            // The report does not tell short backlog from long, which the engine puts behind.
-            return load.ownShortBacklogTokens();
-        }
-        return load.backlogTokens(nowNanos);
+        boolean overtakes =
+                query.length() == LengthClass.SHORT
+                        ? member.lane() != LengthStrategy.Lane.SHORT
+                        : query.prefillTokens() <= MEDIUM_PROMPT_TOKENS;
+        // The report does not tell the backlog that the engine puts behind from the other one.
+        return overtakes
+                ? load.ownBacklogTokens(
+                        query.length() == LengthClass.SHORT
+                                ? LengthClass.SHORT_PROMPT_TOKENS
+                                : MEDIUM_PROMPT_TOKENS)
+                : load.backlogTokens(nowNanos);
     }
 
     private double waitNanos(Pool.Member member, PlacementQuery query, long nowNanos) {
--- a/policy/src/main/java/dev/kumquatweir/policy/routing/RoutingOptions.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/routing/RoutingOptions.java
@@ -24,7 +24,7 @@
     public static RoutingOptions of(FailureDomain ownDomain, long seed) {
         return new RoutingOptions(
                 ownDomain,
-                new LengthStrategy.LengthSeparation(0.34, 32_768, 0.25),
+                new LengthStrategy.LengthSeparation(0.46, 32_768, 0.25),
                 seed,
                 2,
                 2_000_000,
--- a/policy/src/main/java/dev/kumquatweir/policy/routing/UpstreamLoad.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/routing/UpstreamLoad.java
@@ -137,11 +137,14 @@
         return reported;
     }
 
-    /** Returns the prompt tokens of short prompts that this instance placed and that still wait. */
-    public long ownShortBacklogTokens() {
+    /**
+     * Returns the prompt tokens that this instance placed, that still wait, and that belong to
+     * attempts with at most so many tokens each. Engines process shorter prompts first.
+     */
+    public long ownBacklogTokens(long mostTokens) {
         long tokens = 0;
         for (Hold hold : mHolds.values()) {
-            tokens += hold.length() == LengthClass.SHORT ? hold.pendingTokens() : 0;
+            tokens += hold.pendingTokens() <= mostTokens ? hold.pendingTokens() : 0;
         }
         return tokens;
     }
