--- a/bench/src/main/java/dev/kumquatweir/bench/BaselineDispatcher.java
+++ b/bench/src/main/java/dev/kumquatweir/bench/BaselineDispatcher.java
@@ -33,6 +33,7 @@
  */
 final class BaselineDispatcher implements Dispatcher {
     private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final long SCAN_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
     private static final long MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
 
     private static final class Open {
@@ -57,6 +58,8 @@
     private final List<DispatchAction> mOutbox = new ArrayList<>();
     private ConfigurationDocument mDocument = ConfigurationDocument.EMPTY;
     private long mAttempts;
+    private long mScannedNanos;
+    private boolean mChanged;
     private int mTurn;
 
     BaselineDispatcher(String prefix, Baseline rule) {
@@ -99,6 +102,7 @@
     @Override
     public Either<RequestFailure, Void> admit(WorkRequest request, long nowNanos) {
         mOpen.put(request.id(), new Open(request));
+        mChanged = true;
         return Either.right(null);
     }
 
@@ -123,6 +127,7 @@
                 Open open = mCurrent.get(broken.attempt());
                 if (open != null) {
                     broken(open);
+                    mChanged = true;
                 }
             }
             case AttemptEvent.Finished finished -> {
@@ -138,6 +143,17 @@
 
     @Override
     public List<DispatchAction> actions(long nowNanos) {
+        if (nowNanos - mScannedNanos >= SCAN_NANOS || mChanged) {
+            mScannedNanos = nowNanos;
+            mChanged = false;
+            scan(nowNanos);
+        }
+        List<DispatchAction> actions = List.copyOf(mOutbox);
+        mOutbox.clear();
+        return actions;
+    }
+
+    private void scan(long nowNanos) {
         mRegistry.expire(nowNanos);
         for (Open open : List.copyOf(mOpen.values())) {
             if (nowNanos >= open.mRequest.deadlineNanos() - MARGIN_NANOS) {
@@ -146,9 +162,6 @@
                 start(open, nowNanos);
             }
         }
-        List<DispatchAction> actions = List.copyOf(mOutbox);
-        mOutbox.clear();
-        return actions;
     }
 
     private void start(Open open, long nowNanos) {
--- a/bench/src/main/java/dev/kumquatweir/bench/BenchMain.java
+++ b/bench/src/main/java/dev/kumquatweir/bench/BenchMain.java
@@ -6,7 +6,8 @@
 
 /**
  * Entry point of the bench. Arguments, all of them optional and in any order: {@code seconds=120
- * seed=1 user=kain-baru|tendal|both scenario=NAME policy=NAME|all strategies=true}.
+ * seed=1 user=kain-baru|tendal|both scenario=NAME policy=NAME|all}. The scenario decision-cost
+ * measures the processor time of one decision instead.
  */
 public final class BenchMain {
     private static final int USAGE_ERROR = 2;
@@ -31,6 +32,10 @@
             out.println(problem.getMessage());
             return USAGE_ERROR;
         }
+        if (parsed.scenario().equals("decision-cost")) {
+            DecisionCost.run(out);
+            return 0;
+        }
         BenchTable table = new BenchTable(out);
         out.println("seconds=" + parsed.seconds() + " seed=" + parsed.seed());
         table.header();
--- a/bench/src/main/java/dev/kumquatweir/bench/Report.java
+++ b/bench/src/main/java/dev/kumquatweir/bench/Report.java
@@ -19,6 +19,9 @@
     /** Longest prompt whose prefill fits the bound on the time to first token, in tokens. */
     static final long PROMPT_TOKENS_WITHIN_BOUND = 16_000;
 
+    /** Bound on the time to first token. */
+    static final double FIRST_TOKEN_MILLIS = 860;
+
     /** Returns the share of requests of a kind that ended in time; 1 if there is none. */
     double inTimeShare(Predicate<Outcome> kind) {
         List<Outcome> chosen = select(kind);
@@ -79,6 +82,23 @@
         return tokens * (double) TimeUnit.SECONDS.toNanos(1) / schedule.nanos();
     }
 
+    /**
+     * Returns the share of requests that arrived in a time, ended in time and, where the prefill
+     * fits the bound, had their first token within it.
+     */
+    double servedWellShare(long fromNanos, long toNanos) {
+        List<Outcome> chosen = select(arrived(fromNanos, toNanos));
+        long good =
+                chosen.stream()
+                        .filter(Outcome::inTime)
+                        .filter(
+                                outcome ->
+                                        !fitsBound(outcome)
+                                                || firstTokenMillis(outcome) <= FIRST_TOKEN_MILLIS)
+                        .count();
+        return chosen.isEmpty() ? 1 : (double) good / chosen.size();
+    }
+
     /** Returns the number of admitted requests of a kind that ended with a failure. */
     long lost(Predicate<Outcome> kind) {
         return select(kind.and(outcome -> outcome.mAdmitted && !outcome.inTime())).size();
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/Attempts.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/Attempts.java
@@ -24,8 +24,8 @@
 
     /** What follows from the end of an attempt. */
     sealed interface Sequel {
-        /** The attempt goes on. */
-        record Running() implements Sequel {}
+        /** The attempt goes on; its first token shows that the upstream may take more. */
+        record Running(boolean firstToken) implements Sequel {}
 
         /** The request waits for another upstream. */
         record Requeue(boolean ran) implements Sequel {}
@@ -78,7 +78,7 @@
     Sequel observed(TrackedRequest tracked, AttemptEvent event, long nowNanos) {
         RunningAttempt attempt = tracked.mCurrent;
         if (attempt == null) {
-            return new Sequel.Running();
+            return new Sequel.Running(false);
         }
         return switch (event) {
             case AttemptEvent.Accepted accepted -> accepted(tracked, attempt, nowNanos);
@@ -89,7 +89,7 @@
             case AttemptEvent.Broken broken -> broken(tracked, attempt, broken.how(), nowNanos);
             case AttemptEvent.Finished finished ->
                     finished(tracked, attempt, finished.outputTokens(), nowNanos);
-            case AttemptEvent.CallerGone gone -> new Sequel.Running();
+            case AttemptEvent.CallerGone gone -> new Sequel.Running(false);
         };
     }
 
@@ -103,7 +103,7 @@
         attempt.mAccepted = true;
         tracked.mMayHaveRun = true;
         attempt.mProgressNanos = nowNanos;
-        return new Sequel.Running();
+        return new Sequel.Running(false);
     }
 
     /** Takes note of tokens. The count never goes back, so that no token is sent twice. */
@@ -118,6 +118,7 @@
             attempt.mFirstToken = true;
             attempt.mFirstTokenNanos = nowNanos;
             mTeacher.firstToken(tracked, attempt, nowNanos);
+            return new Sequel.Running(true);
         }
         return running;
     }
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
@@ -42,7 +42,10 @@
     /** A request fails this long before its deadline, so that the caller hears of it in time. */
     static final long DEADLINE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
 
-    private static final long CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final long CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** Waiting work is tried again after this time even if nothing shows that it now fits. */
+    private static final long SERVE_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
     /**
      * A document with less time left than this multiple of its own time is served before all other
@@ -70,6 +73,8 @@
     private final Attempts mAttempts;
     private ConfigurationDocument mDocument = ConfigurationDocument.EMPTY;
     private long mCheckedNanos = Long.MIN_VALUE;
+    private long mServedNanos = Long.MIN_VALUE;
+    private boolean mCapacityChanged = true;
 
     private PolicyDispatcher(Builder builder) {
         mFleet = new Fleet(new UpstreamRegistry(), builder.mRouting.strategy());
@@ -96,10 +101,12 @@
         mDocument = document;
         mQueues.configure(document);
         mFleet.configure(document);
+        mCapacityChanged = true;
     }
 
     @Override
     public void announced(Announcement announcement, long nowNanos) {
+        mCapacityChanged = true;
         UpstreamLoad former = mFleet.announced(announcement, nowNanos);
         if (former != null) {
             mPrefixes.forget(announcement.id());
@@ -109,6 +116,7 @@
 
     @Override
     public boolean reported(LoadReport load, long nowNanos) {
+        mCapacityChanged = true;
         boolean known = mFleet.reported(load, nowNanos);
         UpstreamLoad upstream = mFleet.find(load.id());
         if (upstream != null && upstream.cold()) {
@@ -152,6 +160,7 @@
             mDeadlines.add(tracked);
             mRecovery.admitted(request, nowNanos);
             mQueues.add(tracked, nowNanos);
+            mCapacityChanged = true;
         }
         return decision;
     }
@@ -175,7 +184,14 @@
             mCheckedNanos = nowNanos;
             check(nowNanos);
         }
-        mQueues.serve(tracked -> place(tracked, nowNanos), nowNanos);
+        // Most calls follow a token of a running answer, after which no more work fits than before.
+        if (mCapacityChanged
+                || mServedNanos == Long.MIN_VALUE
+                || nowNanos - mServedNanos >= SERVE_NANOS) {
+            mCapacityChanged = false;
+            mServedNanos = nowNanos;
+            mQueues.serve(tracked -> place(tracked, nowNanos), nowNanos);
+        }
         List<DispatchAction> actions = List.copyOf(mOutbox);
         mOutbox.clear();
         return actions;
@@ -243,11 +259,15 @@
 
     private void follow(TrackedRequest tracked, Attempts.Sequel sequel, long nowNanos) {
         switch (sequel) {
-            case Attempts.Sequel.Running running -> {}
+            case Attempts.Sequel.Running running -> {
+                mCapacityChanged |= running.firstToken();
+                return;
+            }
             case Attempts.Sequel.Requeue again -> mQueues.addAgain(tracked, again.ran(), nowNanos);
             case Attempts.Sequel.Done done -> forget(tracked);
             case Attempts.Sequel.Failed failed -> fail(tracked, failed.failure(), nowNanos);
         }
+        mCapacityChanged = true;
     }
 
     private void breakOff(
@@ -260,6 +280,7 @@
         if (tracked != null) {
             withdraw(tracked, nowNanos);
             forget(tracked);
+            mCapacityChanged = true;
         }
     }
 
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/WorkQueues.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/WorkQueues.java
@@ -3,6 +3,7 @@
 import dev.kumquatweir.core.configuration.ConfigurationDocument;
 import dev.kumquatweir.core.configuration.Team;
 import dev.kumquatweir.core.identity.ModelName;
+import dev.kumquatweir.core.identity.ProfileName;
 import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.identity.TeamName;
 import dev.kumquatweir.policy.admission.DrainRate;
@@ -36,7 +37,7 @@
 
     private record Key(ServiceName service, @Nullable ModelName model, LengthClass length) {}
 
-    private record Holder(Key key, TeamName team) {}
+    private record Holder(ProfileName profile, TeamName team) {}
 
     private static final class Line {
         private final FairQueue<TrackedRequest> mQueue;
@@ -50,7 +51,7 @@
 
     private final Map<Key, Line> mLines = new LinkedHashMap<>();
     private final Map<Holder, Long> mHeldByTeam = new HashMap<>();
-    private final Map<Key, Long> mHeld = new HashMap<>();
+    private final Map<ProfileName, Long> mHeld = new HashMap<>();
     private ConfigurationDocument mDocument = ConfigurationDocument.EMPTY;
 
     /** Takes a newer configuration; weights of waiting teams change with their next work. */
@@ -175,23 +176,26 @@
     }
 
     /**
-     * Returns whether a team may hold more. Shares count within one kind of work: a team that has
-     * one long document running would otherwise get none of its short questions answered.
+     * Returns whether a team may hold more. Shares count within one profile: a team that has one
+     * long document running would otherwise get none of its short questions answered. Documents
+     * that have little time left are served in any case.
      */
     private boolean withinShare(Line line, TrackedRequest head) {
-        Key key = key(head.mRequest);
-        long heldByTeam = mHeldByTeam.getOrDefault(new Holder(key, head.team()), 0L);
-        if (heldByTeam == 0 || !line.mQueue.othersWait(head.team())) {
+        ProfileName profile = head.mRequest.profile().name();
+        long heldByTeam = mHeldByTeam.getOrDefault(new Holder(profile, head.team()), 0L);
+        if (heldByTeam == 0
+                || head.mUrgency == TrackedRequest.URGENT
+                || !line.mQueue.othersWait(head.team())) {
             return true;
         }
-        return heldByTeam <= mHeld.getOrDefault(key, 0L) * head.mRequest.profile().teamShare();
+        return heldByTeam <= mHeld.getOrDefault(profile, 0L) * head.mRequest.profile().teamShare();
     }
 
     private void change(TrackedRequest tracked, long tokens) {
-        Key key = key(tracked.mRequest);
-        mHeld.merge(key, tokens, Long::sum);
+        ProfileName profile = tracked.mRequest.profile().name();
+        mHeld.merge(profile, tokens, Long::sum);
         mHeldByTeam.merge(
-                new Holder(key, tracked.team()),
+                new Holder(profile, tracked.team()),
                 tokens,
                 (held, change) -> held + change == 0 ? null : held + change);
     }
