Carry a planned stop to its end and exit with status 0

Cause: closing a listener asked its future for a result before the close had ended, so the shutdown thread died with an IllegalStateException: leadership was not handed over, leases were not returned, and the JVM ended with status 143. Ruled out: the exit status alone; with only the close repaired the status stays 143, with only the halt the exception stays (both tried). Before: ControlFailureIt#plannedStopOfTheLeaderRefusesNoClaim and ServingFailureIt#terminatedInstanceEndsItsStreamsFirst saw status 143.

--- a/program/src/main/java/dev/kumquatweir/program/command/ServeCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/ServeCommand.java
@@ -83,17 +83,17 @@
         InstanceDaemon daemon =
                 new InstanceDaemon(settings, control, network, clocks, clocks.nowMillis());
         daemon.start();
-        CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
                 .addShutdownHook(
                         new Thread(
                                 () -> {
                                     daemon.stop();
                                     network.close();
-                                    stopped.countDown();
+                                    // After SIGTERM the JVM would end with status 143.
+                                    Runtime.getRuntime().halt(ExitStatus.SUCCESS.code());
                                 },
                                 "shutdown"));
-        stopped.await();
+        new CountDownLatch(1).await();
     }
 
     private static LogStore store(Path folder) {
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -29,6 +29,7 @@
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
@@ -41,6 +42,8 @@
     private static final int IO_THREADS = 2;
     private static final long DRAIN_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
+    private static final long CLOSE_LIMIT_SECONDS = 5;
+
     /** Time for the balancer to see that readiness fails before connections are refused. */
     private static final long BALANCER_NOTICE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -169,11 +172,17 @@
     }
 
     private static void closeGracefully(HttpServerContext server) {
-        server.closeAsyncGracefully()
-                .timeout(5, TimeUnit.SECONDS)
-                .onErrorComplete()
-                .toFuture()
-                .resultNow();
+        try {
+            server.closeAsyncGracefully()
+                    .timeout(CLOSE_LIMIT_SECONDS, TimeUnit.SECONDS)
+                    .onErrorComplete()
+                    .toFuture()
+                    .get();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException exception) {
+            LOG.fault("listener_not_closed", exception);
+        }
     }
 
     private static List<InstanceId> otherInstances(InstanceSettings settings) {
