Let claims wait out a leadership transfer

Cause: a leader that hands over, or one that has not yet committed in its term, refuses proposals, and the refusal was passed on as final, so a planned stop of the leader answered claims with no_quorum at once instead of asking the next leader within the 2 s of a claim. Ruled out: the time of an election; the test ended 2.4 s after it began, before a claim's limit could have passed twice. Before: ControlFailureIt#plannedStopOfTheLeaderRefusesNoClaim saw no_quorum. After: such a refusal counts as not leading and is asked again; a trial run of the test passed.

--- a/program/src/main/java/dev/kumquatweir/program/control/ControlFailure.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ControlFailure.java
@@ -1,5 +1,7 @@
 package dev.kumquatweir.program.control;
 
+import dev.kumquatweir.agreement.port.MemberId;
+import dev.kumquatweir.agreement.raft.RaftFailure;
 import dev.kumquatweir.core.failure.Failure;
 
 /** Why the agreed state could not be asked or changed. */
@@ -81,4 +83,26 @@
             return problem;
         }
     }
+
+    /**
+     * Translates a failure of the agreement core.
+     *
+     * @param knownLeader name of the leader as far as the replica knows it, else empty
+     */
+    static ControlFailure of(RaftFailure failure, String knownLeader) {
+        return switch (failure) {
+            case RaftFailure.NotLeader none ->
+                    new NotLeader(none.leader().map(MemberId::name).orElse(knownLeader));
+            case RaftFailure.OutcomeUncertain _ -> new Uncertain();
+            case RaftFailure.Refused refused when betweenLeaders(refused.reason()) ->
+                    new NotLeader("");
+            default -> new Refused(failure.code(), failure.message());
+        };
+    }
+
+    /** The asker finds the next leader well within its time limit, so it is told to go on. */
+    private static boolean betweenLeaders(RaftFailure.Reason reason) {
+        return reason == RaftFailure.Reason.TRANSFER_IN_PROGRESS
+                || reason == RaftFailure.Reason.LEADER_NOT_READY;
+    }
 }
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
@@ -14,7 +14,6 @@
 import dev.kumquatweir.agreement.port.StorageFailure;
 import dev.kumquatweir.agreement.port.StorageWrite;
 import dev.kumquatweir.agreement.port.StoredState;
-import dev.kumquatweir.agreement.raft.RaftFailure;
 import dev.kumquatweir.agreement.raft.RaftInput;
 import dev.kumquatweir.agreement.raft.RaftMessage;
 import dev.kumquatweir.agreement.raft.RaftNode;
@@ -360,20 +359,10 @@
     private void fail(RaftOutput.RequestFailed failed) {
         Pending pending = mPending.remove(failed.requestId());
         if (pending != null) {
-            pending.failed(failure(failed.failure()));
+            pending.failed(ControlFailure.of(failed.failure(), leaderName()));
         }
     }
 
-    private ControlFailure failure(RaftFailure failure) {
-        return switch (failure) {
-            case RaftFailure.NotLeader none ->
-                    new ControlFailure.NotLeader(
-                            none.leader().map(MemberId::name).orElse(leaderName()));
-            case RaftFailure.OutcomeUncertain _ -> new ControlFailure.Uncertain();
-            default -> new ControlFailure.Refused(failure.code(), failure.message());
-        };
-    }
-
     private void restore(Bytes data) {
         mState =
                 StateMachine.restore(data)
