Prove the instances under kills, freezes, cuts and service faults

Cause: the process tests covered one engine's death and no failure of an instance, so nothing guarded claims, leases and planned stops under failure.

--- a/program/src/test/java/dev/kumquatweir/program/system/Caller.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/Caller.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.kumquatweir.standin.model.StandinTokens;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -67,6 +68,27 @@
                         : request.header("Idempotency-Key", idempotencyKey));
     }
 
+    /** As {@link #post}, with a time limit shorter than the profile's. */
+    static Answer post(String url, String idempotencyKey, String body, long limitMillis) {
+        return sendOrFail(
+                request(url)
+                        .header("Idempotency-Key", idempotencyKey)
+                        .header("Kumquatweir-Timeout-Ms", Long.toString(limitMillis))
+                        .POST(HttpRequest.BodyPublishers.ofString(body)));
+    }
+
+    /** Posts; the status is 0 if the connection can't be made or breaks. */
+    static Answer tryPost(String url, String idempotencyKey, String body) {
+        try {
+            return send(
+                    request(url)
+                            .header("Idempotency-Key", idempotencyKey)
+                            .POST(HttpRequest.BodyPublishers.ofString(body)));
+        } catch (IOException exception) {
+            return new Answer(0, "");
+        }
+    }
+
     static Answer complete(String url, String profile, String prompt, int tokens) {
         return sendOrFail(
                 request(url + "/v1/completions")
@@ -104,7 +126,7 @@
                     error = line;
                 }
             }
-        } catch (IOException exception) {
+        } catch (IOException | UncheckedIOException exception) {
             error = exception.toString();
         } catch (InterruptedException exception) {
             throw new AssertionError(exception);
--- a/program/src/test/java/dev/kumquatweir/program/system/LocalCluster.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LocalCluster.java
@@ -1,5 +1,6 @@
 package dev.kumquatweir.program.system;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import dev.kumquatweir.core.configuration.ApiKeyHash;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -12,6 +13,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -24,12 +27,16 @@
     static final String OPERATOR_KEY = "operator-key-of-the-test";
     static final int INSTANCES = 4;
     private static final String ANNOUNCE_KEY = "announce-key-of-the-test";
-    private static final int VOTERS = 3;
+    static final int VOTERS = 3;
     private static final List<String> DOMAINS = List.of("klang-a", "klang-b", "klang-c", "klang-a");
     private static final int LISTENERS = 4;
+    private static final Pattern LED =
+            Pattern.compile("event=role_changed role=LEADER term=(\\d+)");
 
     private final Path mFolder;
     private final int[][] mPorts = new int[INSTANCES][LISTENERS];
+    private final int[] mOwnPeerPorts = new int[INSTANCES];
+    private final List<CuttingRelay> mRelays = new ArrayList<>();
     private final LocalProcess[] mInstances = new LocalProcess[INSTANCES];
     private final Map<String, LocalProcess> mUpstreams = new LinkedHashMap<>();
     private final Map<String, Integer> mUpstreamPorts = new LinkedHashMap<>();
@@ -82,6 +89,85 @@
         return "http://127.0.0.1:" + mUpstreamPorts.get(id);
     }
 
+    String holdUrl(int instance) {
+        return url(instance) + "/services/bookings/deposit-holds";
+    }
+
+    /** Returns how often a stand-in service executed the action of each key. */
+    JsonNode executions(String service) {
+        return Caller.get(upstreamUrl(service) + "/standin/v1/ledger").json().path("executions");
+    }
+
+    /** Causes a fault of a stand-in; the value is JSON. */
+    void fault(String upstream, String fault, String value) {
+        String body = "{\"fault\": \"" + fault + "\", \"value\": " + value + "}";
+        Caller.Answer answer = Caller.post(upstreamUrl(upstream) + "/standin/v1/fault", "", body);
+        if (answer.status() / 100 != 2) {
+            throw new AssertionError(answer);
+        }
+    }
+
+    /** Waits until every instance knows the booking service. */
+    void awaitService() {
+        IntStream.range(0, INSTANCES)
+                .forEach(
+                        instance ->
+                                Waiting.until(
+                                        "instance " + instance + " knows the service",
+                                        () -> Caller.status(holdUrl(instance) + "/ready") == 200));
+    }
+
+    /** Waits until every instance gets answers from an engine. */
+    void awaitEngines() {
+        IntStream.range(0, INSTANCES)
+                .forEach(
+                        instance ->
+                                Waiting.until(
+                                        "instance " + instance + " knows an engine",
+                                        () ->
+                                                Caller.complete(url(instance), "quick", "ready?", 1)
+                                                                .status()
+                                                        == 200));
+    }
+
+    /** Waits until an instance leads and returns it: the one that leads the newest term. */
+    int awaitLeader() {
+        Waiting.until("an instance leads", () -> newestLeader() >= 0);
+        return newestLeader();
+    }
+
+    private int newestLeader() {
+        long newest = 0;
+        int leader = -1;
+        for (int number = 0; number < VOTERS; number++) {
+            Matcher led = LED.matcher(mInstances[number].log());
+            while (led.find()) {
+                long term = Long.parseLong(led.group(1));
+                if (term > newest) {
+                    newest = term;
+                    leader = number;
+                }
+            }
+        }
+        return leader;
+    }
+
+    /**
+     * Puts a relay in front of the peer port of each instance. The agreed addresses of the members
+     * become those of the relays, so the instances are started again on other ports.
+     */
+    CuttingRelay.Cuts putRelaysBetween() {
+        CuttingRelay.Cuts cuts = new CuttingRelay.Cuts();
+        IntStream.range(0, INSTANCES).forEach(number -> mInstances[number].kill());
+        for (int number = 0; number < INSTANCES; number++) {
+            mOwnPeerPorts[number] = freePort();
+            mRelays.add(CuttingRelay.start(number, mPorts[number][3], mOwnPeerPorts[number], cuts));
+        }
+        IntStream.range(0, INSTANCES).forEach(this::startInstance);
+        awaitAllReady();
+        return cuts;
+    }
+
     void startInstance(int number) {
         String name = "entry-" + (number + 1);
         write(name + ".toml", settings(number));
@@ -132,10 +218,12 @@
         Stream.concat(Stream.of(mInstances), mUpstreams.values().stream())
                 .filter(process -> process != null)
                 .forEach(LocalProcess::close);
+        mRelays.forEach(CuttingRelay::close);
     }
 
     private void choosePorts(int number) {
         IntStream.range(0, LISTENERS).forEach(kind -> mPorts[number][kind] = freePort());
+        mOwnPeerPorts[number] = mPorts[number][3];
     }
 
     private String settings(int number) {
@@ -154,7 +242,8 @@
         text.append("first_configuration = \"configuration.toml\"\n");
         for (int peer = 0; peer < INSTANCES; peer++) {
             text.append("[[cluster.instances]]\nid = \"entry-").append(peer + 1).append("\"\n");
-            text.append("address = \"127.0.0.1:").append(mPorts[peer][3]).append("\"\n");
+            int port = peer == number ? mOwnPeerPorts[peer] : mPorts[peer][3];
+            text.append("address = \"127.0.0.1:").append(port).append("\"\n");
             text.append("failure_domain = \"").append(DOMAINS.get(peer)).append("\"\n");
             text.append("voter = ").append(peer < VOTERS).append("\n");
         }
--- /dev/null
+++ b/program/src/test/java/dev/kumquatweir/program/system/ServingFailureIt.java
@@ -0,0 +1,200 @@
+package dev.kumquatweir.program.system;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.emptyString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Streams while engines and instances fail in the middle of them. */
+class ServingFailureIt {
+    private static final int STREAMS = 12;
+    private static final int TOKENS = 300;
+
+    @TempDir static Path sFolder;
+    private static LocalCluster sCluster;
+
+    @BeforeAll
+    static void startCluster() {
+        sCluster = LocalCluster.start(sFolder);
+        sCluster.startEngine("engine-1", "klang-a");
+        sCluster.startEngine("engine-2", "klang-b");
+        sCluster.startEngine("engine-3", "klang-c");
+    }
+
+    @AfterAll
+    static void stopCluster() {
+        sCluster.close();
+    }
+
+    @BeforeEach
+    void awaitEngines() {
+        sCluster.awaitAllReady();
+        sCluster.awaitEngines();
+    }
+
+    /** Guards against answers cut, doubled or stuck when an engine stops answering. */
+    @Test
+    void frozenEngine() throws InterruptedException {
+        Running running = new Running("frozen");
+        sCluster.fault("engine-2", "freeze", "true");
+        try {
+            running.checkWholeOrFailed();
+        } finally {
+            sCluster.fault("engine-2", "freeze", "false");
+        }
+    }
+
+    /** Guards against waiting for ever on connections whose state a middlebox dropped. */
+    @Test
+    void silentConnections() throws InterruptedException {
+        Running running = new Running("silent");
+        sCluster.fault("engine-2", "silent", "true");
+        running.checkWholeOrFailed();
+    }
+
+    /** Guards against tokens lost or doubled when an engine's process dies. */
+    @Test
+    void dyingEngine() throws InterruptedException {
+        Running running = new Running("dying");
+        sCluster.upstream("engine-3").kill();
+        try {
+            running.checkWholeOrFailed();
+        } finally {
+            sCluster.upstream("engine-3").startAgain();
+        }
+    }
+
+    /** Guards against streams lost on an engine that becomes cold without a word. */
+    @Test
+    void engineTurningCold() throws InterruptedException {
+        Running running = new Running("cold");
+        sCluster.fault("engine-1", "cold", "\"hidden\"");
+        try {
+            running.checkWholeOrFailed();
+        } finally {
+            sCluster.fault("engine-1", "cold", "false");
+        }
+    }
+
+    /** Guards against a truncated answer that looks complete, and against harm to other streams. */
+    @Test
+    void killedInstanceBreaksOnlyItsOwnStreams() throws InterruptedException {
+        Running running = new Running("killed");
+        sCluster.instance(2).kill();
+        try {
+            for (int number = 0; number < STREAMS; number++) {
+                if (number % LocalCluster.INSTANCES == 2) {
+                    Caller.Streamed broken = running.answer(number);
+                    assertThat(broken.complete(), is(false));
+                    assertThat(broken.error(), not(emptyString()));
+                    assertThat(running.expected(number), startsWith(broken.text()));
+                } else {
+                    running.checkWhole(number);
+                }
+            }
+        } finally {
+            sCluster.instance(2).startAgain();
+        }
+    }
+
+    /** Guards against a planned stop that cuts streams or leaves the balancer uninformed. */
+    @Test
+    void terminatedInstanceEndsItsStreamsFirst() throws InterruptedException {
+        Running running = new Running("terminated");
+        LocalProcess instance = sCluster.instance(1);
+        instance.beginTermination();
+        try {
+            Waiting.until(
+                    "readiness fails before the instance ends",
+                    () -> Caller.status(sCluster.url(1) + "/health/ready") == 503);
+            assertThat("a stream still runs", running.done(1), is(false));
+            running.checkAllWhole();
+            assertThat(instance.awaitEnd(), is(0));
+        } finally {
+            instance.startAgain();
+        }
+    }
+
+    /** Streams through all instances, each of which has begun. */
+    private static final class Running {
+        private final String mName;
+        private final List<CompletableFuture<Caller.Streamed>> mAnswers;
+
+        Running(String name) throws InterruptedException {
+            mName = name;
+            CountDownLatch begun = new CountDownLatch(STREAMS);
+            mAnswers =
+                    IntStream.range(0, STREAMS).mapToObj(number -> stream(number, begun)).toList();
+            assertThat(begun.await(90, TimeUnit.SECONDS), is(true));
+        }
+
+        Caller.Streamed answer(int number) {
+            return mAnswers.get(number).orTimeout(150, TimeUnit.SECONDS).join();
+        }
+
+        boolean done(int number) {
+            return mAnswers.get(number).isDone();
+        }
+
+        String expected(int number) {
+            return Caller.expected(prompt(number), TOKENS);
+        }
+
+        void checkWhole(int number) {
+            Caller.Streamed answer = answer(number);
+            assertThat(answer.error(), emptyString());
+            assertThat(answer.text(), equalTo(expected(number)));
+            assertThat(answer.complete(), is(true));
+        }
+
+        void checkAllWhole() {
+            IntStream.range(0, STREAMS).forEach(this::checkWhole);
+        }
+
+        void checkWholeOrFailed() {
+            for (int number = 0; number < STREAMS; number++) {
+                Caller.Streamed answer = answer(number);
+                if (answer.complete()) {
+                    checkWhole(number);
+                } else {
+                    assertThat(answer.error(), containsString("\"ran\":"));
+                    assertThat(expected(number), startsWith(answer.text()));
+                }
+            }
+        }
+
+        private CompletableFuture<Caller.Streamed> stream(int number, CountDownLatch begun) {
+            boolean[] counted = new boolean[1];
+            return Caller.streamLater(
+                    sCluster.url(number % LocalCluster.INSTANCES),
+                    "quick",
+                    prompt(number),
+                    TOKENS,
+                    text -> {
+                        if (!counted[0]) {
+                            counted[0] = true;
+                            begun.countDown();
+                        }
+                    });
+        }
+
+        private String prompt(int number) {
+            return "stream " + mName + " " + number;
+        }
+    }
+}
--- a/program/src/test/java/dev/kumquatweir/program/system/Waiting.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/Waiting.java
@@ -1,5 +1,6 @@
 package dev.kumquatweir.program.system;
 
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
@@ -17,7 +18,20 @@
             if (System.nanoTime() - start > LIMIT_NANOS) {
                 throw new AssertionError("did not happen: " + what);
             }
-            LockSupport.parkNanos(PAUSE_NANOS);
+            pause();
+        }
+    }
+
+    /** Lets a short time pass between two tries. */
+    static void pause() {
+        LockSupport.parkNanos(PAUSE_NANOS);
+    }
+
+    /** Lets a fault last this long. */
+    static void during(Duration duration) {
+        long start = System.nanoTime();
+        while (System.nanoTime() - start < duration.toNanos()) {
+            pause();
         }
     }
 }
