--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -14,6 +14,7 @@
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
+import dev.kumquatweir.policy.routing.LocalColdAllowance;
 import dev.kumquatweir.policy.routing.RoutingOptions;
 import dev.kumquatweir.program.control.ControlPlane;
 import dev.kumquatweir.program.control.StoreQuestion;
@@ -86,7 +87,9 @@
         RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
         mDispatch =
                 new DispatchDuty(
-                        PolicyDispatcher.builder(attemptPrefix, routing).build(),
+                        PolicyDispatcher.builder(attemptPrefix, routing)
+                                .coldAllowance(localShare(settings))
+                                .build(),
                         new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
                         control.configuration(),
                         clocks);
@@ -194,6 +197,12 @@
         }
     }
 
+    private static LocalColdAllowance localShare(InstanceSettings settings) {
+        List<InstanceId> sorted =
+                settings.peers().stream().map(PeerSettings::id).sorted().toList();
+        return new LocalColdAllowance(sorted.size(), sorted.indexOf(settings.id()));
+    }
+
     private static List<InstanceId> otherInstances(InstanceSettings settings) {
         return settings.peers().stream()
                 .map(PeerSettings::id)
--- a/standin/src/main/java/dev/kumquatweir/standin/UpstreamReporter.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/UpstreamReporter.java
@@ -145,7 +145,7 @@
 
     private void sendCacheEvents() {
         CacheEventQueue.Batch batch = mCacheEvents.oldest(LARGEST_BATCH);
-        if (batch.events().isEmpty()) {
+        if (batch.events().isEmpty() && !batch.isWholeList()) {
             return;
         }
         UpstreamMessages.Announce self = mSource.announcement();
