Report how fast profiles use up their objectives

The configuration stated objectives that nobody could compare with what happened. What ran when an instance died counts as lost. Observing is one decorator around the caller's side of a request, so that the dispatch duty changes in three places only. A planned stop had ended with "Task has not completed" before leases were handed over, because closing a listener did not wait; it waits now.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/DispatchDuty.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/DispatchDuty.java
@@ -50,6 +50,7 @@
     private final UpstreamCaller mCaller;
     private final ConfigurationPort mConfiguration;
     private final Clocks mClocks;
+    private final RequestObserver mObserver;
     private final SilenceLimit mSilenceLimit;
     private final Duty mDuty;
     private final Map<RequestId, RunningRequest> mRunning = new HashMap<>();
@@ -68,13 +69,16 @@
      * @param dispatcher the policy; owned by this duty from here on
      * @param caller sends attempts
      * @param configuration configuration and lease, checked at the moment of sending
+     * @param observer told of the course of each request
      * @param clocks clocks of the process
      */
     public DispatchDuty(
             Dispatcher dispatcher,
             UpstreamCaller caller,
             ConfigurationPort configuration,
+            RequestObserver observer,
             Clocks clocks) {
+        mObserver = observer;
         mDispatcher = dispatcher;
         mCaller = caller;
         mConfiguration = configuration;
@@ -113,9 +117,10 @@
      * @param sendByNanos monotonic time after which it must not be sent any more
      */
     public void submit(WorkRequest request, Work work, Exchange exchange, long sendByNanos) {
+        ObservedExchange observed = new ObservedExchange(request, exchange, mObserver, mClocks);
         boolean room = mDuty.waiting() < LARGEST_WAITING_FOR_NEW_REQUESTS;
-        if (!room || !mDuty.offer(() -> admit(request, work, exchange, sendByNanos))) {
-            exchange.failed(new RequestFailure.Overloaded(TimeUnit.SECONDS.toMillis(1)));
+        if (!room || !mDuty.offer(() -> admit(request, work, observed, sendByNanos))) {
+            observed.failed(new RequestFailure.Overloaded(TimeUnit.SECONDS.toMillis(1)));
         }
     }
 
@@ -167,7 +172,8 @@
         return ask(() -> List.copyOf(mUpstreams.values()));
     }
 
-    private void admit(WorkRequest request, Work work, Exchange exchange, long sendByNanos) {
+    private void admit(
+            WorkRequest request, Work work, ObservedExchange exchange, long sendByNanos) {
         long nowNanos = mClocks.nowNanos();
         takeConfiguration(nowNanos);
         Optional<RequestFailure> refusal = refusal(request, nowNanos);
@@ -175,6 +181,7 @@
             exchange.failed(refusal.get());
             return;
         }
+        exchange.admitted();
         mRunning.put(request.id(), new RunningRequest(request, work, exchange, sendByNanos));
         mRunningCount.set(mRunning.size());
         carryOut(nowNanos);
--- a/program/src/main/java/dev/kumquatweir/program/Main.java
+++ b/program/src/main/java/dev/kumquatweir/program/Main.java
@@ -20,6 +20,7 @@
 import dev.kumquatweir.program.command.ProfileExplainCommand;
 import dev.kumquatweir.program.command.ProfileListCommand;
 import dev.kumquatweir.program.command.ProfileShowCommand;
+import dev.kumquatweir.program.command.ReportBurnCommand;
 import dev.kumquatweir.program.command.ServeCommand;
 import dev.kumquatweir.program.command.StandinEngineCommand;
 import dev.kumquatweir.program.command.StandinServiceCommand;
@@ -73,6 +74,10 @@
                         ConfigDiffCommand.class,
                         ConfigApplyCommand.class
                     }),
+            @Group(
+                    name = "report",
+                    description = "Reports on the service",
+                    commands = {ReportBurnCommand.class}),
             @Group(
                     name = "standin",
                     description = "Stand-ins for development",
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/command/BurnLines.java
@@ -0,0 +1,70 @@
+package dev.kumquatweir.program.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** Writes the burn report as rows of a table. Pure. */
+final class BurnLines {
+    /** Keys of the counts that are shown. */
+    static final List<String> COUNTS =
+            List.of("admitted", "in_time", "late", "failed", "lost", "refused");
+
+    /** Keys of the burn rates. */
+    static final List<String> RATES = List.of("burn_rate", "first_token_burn_rate");
+
+    private static final int MINUTES_IN_HOUR = 60;
+    private static final int MINUTES_IN_DAY = 24 * 60;
+    private static final double LARGEST_SHOWN = 9_999;
+
+    private BurnLines() {}
+
+    /** Returns a header and a row for each profile and window. */
+    static List<List<String>> rows(JsonNode report) {
+        List<List<String>> rows = new ArrayList<>();
+        rows.add(
+                List.of(
+                        "PROFILE",
+                        "WINDOW",
+                        "ADMITTED",
+                        "IN TIME",
+                        "LATE",
+                        "FAILED",
+                        "LOST",
+                        "REFUSED",
+                        "BURN",
+                        "FIRST TOKEN BURN",
+                        "STATE"));
+        for (JsonNode profile : report.path("profiles")) {
+            for (JsonNode window : profile.path("windows")) {
+                rows.add(row(profile.path("profile").asText(), window));
+            }
+        }
+        return List.copyOf(rows);
+    }
+
+    /** Returns the name of a window. */
+    static String window(int minutes) {
+        if (minutes >= MINUTES_IN_DAY) {
+            return minutes / MINUTES_IN_DAY + " d";
+        }
+        return minutes >= MINUTES_IN_HOUR ? minutes / MINUTES_IN_HOUR + " h" : minutes + " min";
+    }
+
+    /** Returns a burn rate with two digits after the point. */
+    static String rate(double rate) {
+        return rate > LARGEST_SHOWN ? ">9999" : String.format(Locale.ROOT, "%.2f", rate);
+    }
+
+    private static List<String> row(String profile, JsonNode window) {
+        List<String> row = new ArrayList<>();
+        row.add(profile);
+        row.add(window(window.path("minutes").asInt()));
+        COUNTS.forEach(key -> row.add(window.path(key).asText()));
+        RATES.forEach(key -> row.add(rate(window.path(key).asDouble())));
+        boolean outside = RATES.stream().anyMatch(key -> window.path(key).asDouble() > 1);
+        row.add(outside ? "outside" : "within");
+        return row;
+    }
+}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/command/BurnPage.java
@@ -0,0 +1,104 @@
+package dev.kumquatweir.program.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Instant;
+import java.util.Locale;
+
+/** Writes the burn report as one HTML page without anything from elsewhere. Pure. */
+final class BurnPage {
+    private static final int WIDTH = 720;
+    private static final int HEIGHT = 120;
+    private static final double LEAST_TOP = 2;
+
+    private BurnPage() {}
+
+    /** Returns the page. */
+    static String of(JsonNode report) {
+        StringBuilder page = new StringBuilder();
+        page.append("<!DOCTYPE html><html lang=\"en\"><head><meta charset=\"utf-8\">")
+                .append("<title>kumquatweir burn report</title><style>")
+                .append("body{font-family:sans-serif;max-width:60em;margin:2em auto;color:#222}")
+                .append("table{border-collapse:collapse;margin:.5em 0}")
+                .append("td,th{border:1px solid #bbb;padding:.2em .6em;text-align:right}")
+                .append("svg{background:#f6f6f6}.bad{background:#fbd5d0}</style></head><body>")
+                .append("<h1>Burn report</h1><p>At ")
+                .append(Instant.ofEpochMilli(report.path("now_ms").asLong()))
+                .append(". A burn rate of 1 uses up the budget of the objective exactly; above 1")
+                .append(" the service is outside its objective.</p>");
+        if (!report.path("missing_instances").isEmpty()) {
+            page.append("<p class=\"bad\">Without the counts of ")
+                    .append(escape(report.path("missing_instances").toString()))
+                    .append(".</p>");
+        }
+        report.path("profiles").forEach(profile -> append(page, profile));
+        return page.append("</body></html>\n").toString();
+    }
+
+    private static void append(StringBuilder page, JsonNode profile) {
+        page.append("<h2>")
+                .append(escape(profile.path("profile").asText()))
+                .append("</h2><p>Objective: ")
+                .append(profile.path("in_time_share").asDouble() * 100)
+                .append("% in time</p><table><tr><th>window</th><th>admitted</th><th>in time</th>")
+                .append("<th>late</th><th>failed</th><th>lost</th><th>refused</th>")
+                .append("<th>burn rate</th><th>first token burn rate</th></tr>");
+        profile.path("windows").forEach(window -> appendRow(page, window));
+        page.append("</table>");
+        appendPlot(page, profile.path("hours"));
+    }
+
+    private static void appendRow(StringBuilder page, JsonNode window) {
+        page.append("<tr><td>")
+                .append(BurnLines.window(window.path("minutes").asInt()))
+                .append("</td>");
+        for (String key : BurnLines.COUNTS) {
+            page.append("<td>").append(window.path(key).asLong()).append("</td>");
+        }
+        for (String key : BurnLines.RATES) {
+            double rate = window.path(key).asDouble();
+            page.append(rate > 1 ? "<td class=\"bad\">" : "<td>")
+                    .append(BurnLines.rate(rate))
+                    .append("</td>");
+        }
+        page.append("</tr>");
+    }
+
+    /** Plots the burn rate by hour, with a line where the budget is used up exactly. */
+    private static void appendPlot(StringBuilder page, JsonNode hours) {
+        double top = LEAST_TOP;
+        for (JsonNode hour : hours) {
+            top = Math.max(top, hour.path("burn_rate").asDouble());
+        }
+        double step = (double) WIDTH / Math.max(1, hours.size());
+        page.append("<svg role=\"img\" aria-label=\"burn rate by hour\" width=\"")
+                .append(WIDTH)
+                .append("\" height=\"")
+                .append(HEIGHT)
+                .append("\">");
+        for (int index = 0; index < hours.size(); index++) {
+            double rate = hours.get(index).path("burn_rate").asDouble();
+            double height = rate / top * HEIGHT;
+            page.append(
+                    "<rect x=\"%.1f\" y=\"%.1f\" width=\"%.1f\" height=\"%.1f\" fill=\"%s\"/>"
+                            .formatted(
+                                    index * step,
+                                    HEIGHT - height,
+                                    step - 1,
+                                    height,
+                                    rate > 1 ? "#c0392b" : "#2c7fb8"));
+        }
+        double line = HEIGHT - HEIGHT / top;
+        page.append(
+                        String.format(
+                                Locale.ROOT,
+                                "<path d=\"M0 %.1fH%d\" stroke=\"#555\" stroke-dasharray=\"4\"/>",
+                                line,
+                                WIDTH))
+                .append("</svg><p>Burn rate by hour over the last 72 hours, now at the right;")
+                .append(" the dashed line is 1.</p>");
+    }
+
+    private static String escape(String text) {
+        return text.replace("&", "&amp;").replace("<", "&lt;").replace("\"", "&quot;");
+    }
+}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/command/ReportBurnCommand.java
@@ -0,0 +1,42 @@
+package dev.kumquatweir.program.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.help.Examples;
+import dev.kumquatweir.core.failure.FailureException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Reports how fast each profile uses up the budget of its objective. */
+@Command(name = "burn", description = "Show whether the profiles are within their objectives")
+@Examples(
+        examples = "kumquatweir report burn --html burn.html",
+        descriptions = "Shows the report and writes it as a page with plots")
+public final class ReportBurnCommand extends OperatorCommand {
+    @Option(name = "--html", title = "FILE", description = "Also write the report as a page")
+    private String mHtml = "";
+
+    @Override
+    ExitStatus run(OperatorClient client) {
+        JsonNode report = client.get("burn");
+        if (!mHtml.isEmpty()) {
+            write(BurnPage.of(report));
+        }
+        if (!report.path("missing_instances").isEmpty()) {
+            System.err.println("without the counts of " + report.path("missing_instances"));
+        }
+        return print(report, BurnLines.rows(report));
+    }
+
+    private void write(String page) {
+        try {
+            Files.writeString(Path.of(mHtml), page);
+        } catch (IOException exception) {
+            throw new FailureException(
+                    new ClientFailure.Input(
+                            mHtml + " can't be written: " + exception, "name another file"));
+        }
+    }
+}
--- a/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
@@ -23,7 +23,9 @@
     /** Asks for all cache entries of an engine that the receiver hears. */
     CACHE_WANTED(16),
     /** Marks of requests that crash upstreams. */
-    QUARANTINE(15);
+    QUARANTINE(15),
+    /** Asks for sums of the burn counters. */
+    BURN(40);
 
     private final int mNumber;
 
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -15,6 +15,9 @@
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
 import dev.kumquatweir.policy.routing.RoutingOptions;
+import dev.kumquatweir.program.burn.BurnFile;
+import dev.kumquatweir.program.burn.BurnGathering;
+import dev.kumquatweir.program.burn.BurnRecorder;
 import dev.kumquatweir.program.control.ControlPlane;
 import dev.kumquatweir.program.control.StoreQuestion;
 import dev.kumquatweir.program.operator.OperatorListener;
@@ -32,6 +35,7 @@
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
@@ -42,6 +46,7 @@
 public final class InstanceDaemon {
     private static final EventLog LOG = EventLog.of(InstanceDaemon.class);
     private static final int IO_THREADS = 2;
+    private static final long CLOSE_SECONDS = 5;
     private static final long DRAIN_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     /** Time for the balancer to see that readiness fails before connections are refused. */
@@ -53,6 +58,8 @@
     private final IoExecutor mExecutor;
     private final UpstreamClients mClients;
     private final DispatchDuty mDispatch;
+    private final BurnRecorder mBurn;
+    private final BurnGathering mGathering;
     private final InstanceHealth mHealth;
     private final CallerServer mCallers;
     private final UpstreamListener mUpstreams;
@@ -79,6 +86,12 @@
         mClocks = clocks;
         mExecutor = NettyIoExecutors.createIoExecutor(IO_THREADS, "http");
         mClients = new UpstreamClients(mExecutor);
+        mBurn =
+                new BurnRecorder(
+                        settings.dataFolder().map(folder -> new BurnFile(folder.resolve("burn"))),
+                        clocks);
+        mGathering = new BurnGathering(mBurn, network, otherInstances(settings));
+        MetricRegistry metrics = new MetricRegistry();
         String attemptPrefix = settings.id() + ":" + incarnation + ":";
         RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
         mDispatch =
@@ -86,8 +99,10 @@
                         PolicyDispatcher.builder(attemptPrefix, routing).build(),
                         new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
                         control.configuration(),
+                        new RequestMetrics(metrics, mBurn),
                         clocks);
-        mHealth = new InstanceHealth(control.configuration(), metrics());
+        register(metrics);
+        mHealth = new InstanceHealth(control.configuration(), metrics);
         mCallers =
                 new CallerServer(
                         settings.id(),
@@ -100,7 +115,12 @@
         mUpstreams = new UpstreamListener(settings.announceKey(), spread);
         OperatorRoutes routes =
                 new OperatorRoutes(
-                        settings, control, mDispatch, new StoreQuestion(network), clocks);
+                        settings,
+                        control,
+                        mDispatch,
+                        new StoreQuestion(network),
+                        mGathering,
+                        clocks);
         mOperators = new OperatorListener(settings.id(), settings.operators(), routes);
     }
 
@@ -110,6 +130,8 @@
      * @throws FailureException if an address can't be listened on
      */
     public void start() {
+        mBurn.start();
+        mGathering.start();
         mControl.start();
         mDispatch.start();
         mCallers.start();
@@ -144,6 +166,7 @@
         mControl.handOver();
         mCallers.stop();
         mDispatch.stop();
+        mBurn.stop();
         mControl.stop();
         mClients.close();
         LOG.info("instance_stopped", "cut", mDispatch.running());
@@ -153,11 +176,14 @@
         return mDispatch.running() > 0 || mCallers.pendingRecords() > 0;
     }
 
-    private MetricRegistry metrics() {
-        MetricRegistry metrics = new MetricRegistry();
+    private void register(MetricRegistry metrics) {
         Gauge<Integer> running = mDispatch::running;
+        Gauge<Long> version = () -> mControl.configuration().current().version();
+        Gauge<Integer> lease =
+                () -> mControl.configuration().current().inForce(mClocks.nowNanos()) ? 1 : 0;
         metrics.register("kumquatweir_requests_running", running);
-        return metrics;
+        metrics.register("kumquatweir_configuration_version", version);
+        metrics.register("kumquatweir_configuration_lease_held", lease);
     }
 
     private HttpServerContext listen(InetSocketAddress address, StreamingHttpService service) {
@@ -177,12 +203,19 @@
         }
     }
 
+    /** Waits for the close: what follows in a planned stop must run whatever it comes to. */
     private static void closeGracefully(HttpServerContext server) {
-        server.closeAsyncGracefully()
-                .timeout(5, TimeUnit.SECONDS)
-                .onErrorComplete()
-                .toFuture()
-                .resultNow();
+        try {
+            server.closeAsyncGracefully()
+                    .timeout(CLOSE_SECONDS, TimeUnit.SECONDS)
+                    .onErrorComplete()
+                    .toFuture()
+                    .get();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException exception) {
+            LOG.fault("listener_not_closed", exception);
+        }
     }
 
     private static List<InstanceId> otherInstances(InstanceSettings settings) {
--- a/program/src/main/java/dev/kumquatweir/program/operator/OperatorRoutes.java
+++ b/program/src/main/java/dev/kumquatweir/program/operator/OperatorRoutes.java
@@ -10,6 +10,8 @@
 import dev.kumquatweir.gateway.dispatch.DispatchDuty;
 import dev.kumquatweir.gateway.http.JsonBodies;
 import dev.kumquatweir.policy.registry.Announcement;
+import dev.kumquatweir.program.burn.BurnGathering;
+import dev.kumquatweir.program.burn.BurnReport;
 import dev.kumquatweir.program.control.ControlPlane;
 import dev.kumquatweir.program.control.StoreQuestion;
 import dev.kumquatweir.settings.ConfigurationDifference;
@@ -36,12 +38,15 @@
     private final ConfigurationEdits mEdits;
     private final MemberEdits mMembers;
     private final StatusReport mStatus;
+    private final BurnGathering mBurn;
+    private final Clocks mClocks;
 
     /**
      * @param settings settings of this instance
      * @param control connection to the agreed state
      * @param dispatch knows the upstreams and what runs
      * @param stores asks instances for their store ids
+     * @param burn counters of all instances
      * @param clocks clocks of the process
      */
     public OperatorRoutes(
@@ -49,8 +54,11 @@
             ControlPlane control,
             DispatchDuty dispatch,
             StoreQuestion stores,
+            BurnGathering burn,
             Clocks clocks) {
         mSettings = settings;
+        mBurn = burn;
+        mClocks = clocks;
         mState = new AgreedState(control, clocks);
         mEdits = new ConfigurationEdits(mState);
         mMembers = new MemberEdits(settings, mState, stores, clocks);
@@ -61,6 +69,7 @@
     Either<OperatorFailure, ObjectNode> answer(OperatorCall call) {
         return switch (call.route()) {
             case "GET " + ROOT + "status" -> Either.right(mStatus.report());
+            case "GET " + ROOT + "burn" -> burn();
             case "GET " + ROOT + "configuration" -> configuration(call);
             case "GET " + ROOT + "configuration/history" -> history();
             case "GET " + ROOT + "configuration/diff" -> difference(call);
@@ -79,6 +88,11 @@
         };
     }
 
+    private Either<OperatorFailure, ObjectNode> burn() {
+        return mState.configuration(0)
+                .map(kept -> BurnReport.of(mBurn.gather(), kept.document(), mClocks.nowMillis()));
+    }
+
     private Either<OperatorFailure, ObjectNode> configuration(OperatorCall call) {
         return call.number("version", 0)
                 .flatMap(mState::configuration)
