--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -16,6 +16,9 @@
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
 import dev.kumquatweir.policy.routing.LocalColdAllowance;
 import dev.kumquatweir.policy.routing.RoutingOptions;
+import dev.kumquatweir.program.burn.BurnFile;
+import dev.kumquatweir.program.burn.BurnGathering;
+import dev.kumquatweir.program.burn.BurnRecorder;
 import dev.kumquatweir.program.control.ControlPlane;
 import dev.kumquatweir.program.control.StoreQuestion;
 import dev.kumquatweir.program.operator.OperatorListener;
@@ -57,6 +60,8 @@
     private final IoExecutor mExecutor;
     private final UpstreamClients mClients;
     private final DispatchDuty mDispatch;
+    private final BurnRecorder mBurn;
+    private final BurnGathering mGathering;
     private final InstanceHealth mHealth;
     private final CallerServer mCallers;
     private final UpstreamListener mUpstreams;
@@ -83,6 +88,12 @@
         mClocks = clocks;
         mExecutor = NettyIoExecutors.createIoExecutor(IO_THREADS, "http");
         mClients = new UpstreamClients(mExecutor);
+        mBurn =
+                new BurnRecorder(
+                        settings.dataFolder().map(folder -> new BurnFile(folder.resolve("burn"))),
+                        clocks);
+        mGathering = new BurnGathering(mBurn, network, otherInstances(settings));
+        MetricRegistry metrics = new MetricRegistry();
         String attemptPrefix = settings.id() + ":" + incarnation + ":";
         RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
         mDispatch =
@@ -92,8 +103,10 @@
                                 .build(),
                         new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
                         control.configuration(),
+                        new RequestMetrics(metrics, mBurn),
                         clocks);
-        mHealth = new InstanceHealth(control.configuration(), metrics());
+        register(metrics);
+        mHealth = new InstanceHealth(control.configuration(), metrics);
         mCallers =
                 new CallerServer(
                         settings.id(),
@@ -106,7 +119,12 @@
         mUpstreams = new UpstreamListener(settings.announceKey(), spread);
         OperatorRoutes routes =
                 new OperatorRoutes(
-                        settings, control, mDispatch, new StoreQuestion(network), clocks);
+                        settings,
+                        control,
+                        mDispatch,
+                        new StoreQuestion(network),
+                        mGathering,
+                        clocks);
         mOperators = new OperatorListener(settings.id(), settings.operators(), routes);
     }
 
@@ -116,6 +134,8 @@
      * @throws FailureException if an address can't be listened on
      */
     public void start() {
+        mBurn.start();
+        mGathering.start();
         mControl.start();
         mDispatch.start();
         mCallers.start();
@@ -150,6 +170,7 @@
         mControl.handOver();
         mCallers.stop();
         mDispatch.stop();
+        mBurn.stop();
         mControl.stop();
         mClients.close();
         LOG.info("instance_stopped", "cut", mDispatch.running());
@@ -159,11 +180,14 @@
         return mDispatch.running() > 0 || mCallers.pendingRecords() > 0;
     }
 
-    private MetricRegistry metrics() {
-        MetricRegistry metrics = new MetricRegistry();
+    private void register(MetricRegistry metrics) {
         Gauge<Integer> running = mDispatch::running;
+        Gauge<Long> version = () -> mControl.configuration().current().version();
+        Gauge<Integer> lease =
+                () -> mControl.configuration().current().inForce(mClocks.nowNanos()) ? 1 : 0;
         metrics.register("kumquatweir_requests_running", running);
-        return metrics;
+        metrics.register("kumquatweir_configuration_version", version);
+        metrics.register("kumquatweir_configuration_lease_held", lease);
     }
 
     private HttpServerContext listen(InetSocketAddress address, StreamingHttpService service) {
@@ -183,6 +207,7 @@
         }
     }
 
+    /** Waits for the close: what follows in a planned stop must run whatever it comes to. */
     private static void closeGracefully(HttpServerContext server) {
         try {
             server.closeAsyncGracefully()
@@ -198,8 +223,7 @@
     }
 
     private static LocalColdAllowance localShare(InstanceSettings settings) {
-        List<InstanceId> sorted =
-                settings.peers().stream().map(PeerSettings::id).sorted().toList();
+        List<InstanceId> sorted = settings.peers().stream().map(PeerSettings::id).sorted().toList();
         return new LocalColdAllowance(sorted.size(), sorted.indexOf(settings.id()));
     }
 
