Deliver the events of resumed answers from one executor

Cause: with one engine whose open connections went silent, the last events of a resumed answer were at times never written to the caller, although the request had ended in the dispatcher; the caller waited for ever. The events of such an answer come from I/O threads of several connections.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/caller/AnswerStream.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/AnswerStream.java
@@ -4,6 +4,7 @@
 
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.PublisherSource;
+import io.servicetalk.concurrent.api.Executors;
 import io.servicetalk.concurrent.api.Processors;
 import io.servicetalk.concurrent.api.Publisher;
 import java.util.function.Function;
@@ -35,7 +36,9 @@
 
     /** Returns the body of the answer; subscribed to once. */
     Publisher<Buffer> body() {
-        return fromSource(mEvents).whenCancel(mOnCallerGone);
+        // The events of a resumed answer come from the I/O threads of several connections. Without
+        // the executor in between the library at times never wrote the last of them to the caller.
+        return fromSource(mEvents).publishOn(Executors.global()).whenCancel(mOnCallerGone);
     }
 
     /** Writes one event. */
