Find silent connections by the learned pace of each upstream

Cause: the gateway broke silent attempts after fixed limits (5 s between tokens, 10 s before the first) and left the idle connections of that upstream in use, so that retries met dead ones again. SilenceDetector now decides; SilenceWatch feeds it from the running requests. Idle connections are replaced before the cancel and the retry are sent, siblings are dropped or put in doubt as the detector says, and a cancel on a dead connection ends after 5 s. Progress is reported at least every 400 ms, as the policy gives up slower streams. A late check shifts all streams, so that a frozen instance does not drop streams whose tokens wait in its own buffers. Ruled out: sampling shorter than the 10 ms tick, since the floor of 500 ms makes it needless.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/DispatchDuty.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/DispatchDuty.java
@@ -44,13 +44,17 @@
 
     private static final long TICK_MILLIS = 10;
     private static final long PROGRESS_TOKENS = 16;
+
+    /** The policy must hear of slow streams too, as it gives up what makes no progress for 1 s. */
+    private static final long PROGRESS_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
     private static final long FORGET_NANOS = TimeUnit.MINUTES.toNanos(1);
 
     private final Dispatcher mDispatcher;
     private final UpstreamCaller mCaller;
     private final ConfigurationPort mConfiguration;
     private final Clocks mClocks;
-    private final SilenceLimit mSilenceLimit;
+    private final SilenceWatch mSilence;
     private final Duty mDuty;
     private final Map<RequestId, RunningRequest> mRunning = new HashMap<>();
     private final Map<UpstreamId, Announcement> mUpstreams = new HashMap<>();
@@ -79,7 +83,7 @@
         mCaller = caller;
         mConfiguration = configuration;
         mClocks = clocks;
-        mSilenceLimit = SilenceLimit.DEFAULT;
+        mSilence = new SilenceWatch(clocks.nowNanos());
         mDuty =
                 new Duty(
                         "dispatch",
@@ -230,6 +234,7 @@
                     announcement.domain(),
                     "service",
                     announcement.service());
+            mSilence.restarted(announcement.id());
         }
         mHeardNanos.put(announcement.id(), nowNanos);
         mDispatcher.announced(announcement, nowNanos);
@@ -252,7 +257,7 @@
         if (running == null) {
             return;
         }
-        running.begin(start.attempt(), nowNanos);
+        running.begin(start.attempt());
         if (upstream == null || !maySend(running, upstream, nowNanos)) {
             AttemptEvent refused =
                     new AttemptEvent.Refused(start.attempt(), AttemptEvent.Refusal.NOT_SENT);
@@ -273,6 +278,7 @@
                         request.repeatable());
         Runnable close = mCaller.start(order, new Listener(running, start.attempt()));
         running.opened(start.attempt(), close);
+        mSilence.started(running, start.attempt(), upstream.id(), nowNanos);
     }
 
     /** The last check before the first byte goes upstream. */
@@ -302,17 +308,22 @@
         }
     }
 
+    /** Connections are replaced first, so that cancels and new attempts go on new ones. */
     private void breakSilentAttempts(long nowNanos) {
-        for (RunningRequest running : List.copyOf(mRunning.values())) {
-            AttemptId attempt = running.current();
-            long limit = mSilenceLimit.nanos(running.request(), running.tokens());
-            if (attempt != null && nowNanos - running.heardNanos() > limit) {
-                LOG.warn("attempt_silent", "request", running.request().id(), "attempt", attempt);
-                running.abandon(attempt);
-                mDispatcher.observed(
-                        new AttemptEvent.Broken(attempt, AttemptEvent.Break.SILENT), nowNanos);
-            }
+        SilenceWatch.Findings findings = mSilence.check(nowNanos);
+        for (UpstreamId upstream : findings.doubtful()) {
+            Optional.ofNullable(mUpstreams.get(upstream)).ifPresent(mCaller::replaceConnections);
         }
+        findings.silent().forEach((attempt, upstream) -> breakSilent(upstream, attempt, nowNanos));
+    }
+
+    /** Cancels the attempt, so that its engine frees the memory, and tells the policy. */
+    private void breakSilent(UpstreamId upstream, AttemptId attempt, long nowNanos) {
+        Announcement announcement = mUpstreams.get(upstream);
+        if (announcement != null) {
+            mCaller.cancel(announcement, attempt);
+        }
+        mDispatcher.observed(new AttemptEvent.Broken(attempt, AttemptEvent.Break.SILENT), nowNanos);
     }
 
     private void remove(RequestId request) {
@@ -356,6 +367,7 @@
     private final class Listener implements AttemptListener {
         private final RunningRequest mRequest;
         private final AttemptId mAttempt;
+        private long mProgressNanos;
 
         Listener(RunningRequest request, AttemptId attempt) {
             mRequest = request;
@@ -364,15 +376,16 @@
 
         @Override
         public void accepted() {
-            mRequest.heard(mAttempt, mClocks.nowNanos());
             offerEvent(new AttemptEvent.Accepted(mAttempt));
         }
 
         @Override
         public void token(long index, String text) {
-            if (!mRequest.token(mAttempt, index, text, mClocks.nowNanos())) {
+            long nowNanos = mClocks.nowNanos();
+            if (!mRequest.token(mAttempt, index, text, nowNanos)) {
                 broken(AttemptEvent.Break.UPSTREAM_ERROR);
-            } else if (index % PROGRESS_TOKENS == 0) {
+            } else if (index % PROGRESS_TOKENS == 0 || nowNanos - mProgressNanos > PROGRESS_NANOS) {
+                mProgressNanos = nowNanos;
                 offerEvent(new AttemptEvent.Progress(mAttempt, index + 1));
             }
         }
@@ -397,6 +410,7 @@
 
         @Override
         public void refused(AttemptEvent.Refusal reason) {
+            mRequest.abandon(mAttempt);
             offerEvent(new AttemptEvent.Refused(mAttempt, reason));
         }
 
--- a/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/RunningRequest.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/RunningRequest.java
@@ -4,6 +4,7 @@
 import dev.kumquatweir.core.failure.RequestFailure;
 import dev.kumquatweir.core.identity.AttemptId;
 import dev.kumquatweir.policy.dispatch.WorkRequest;
+import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -21,6 +22,8 @@
     private @Nullable Runnable mClose;
     private long mTokens;
     private long mHeardNanos;
+    private boolean mHeardToken;
+    private long mCachedTokens = -1;
     private boolean mEnded;
 
     /**
@@ -46,10 +49,10 @@
     }
 
     /** Makes an attempt current; whatever arrives for earlier ones is dropped from here on. */
-    synchronized void begin(AttemptId attempt, long nowNanos) {
+    synchronized void begin(AttemptId attempt) {
         closeConnection();
         mCurrent = attempt;
-        mHeardNanos = nowNanos;
+        mHeardToken = false;
     }
 
     /** Keeps what closes the attempt's connection, or closes it if the attempt is over already. */
@@ -65,18 +68,16 @@
         return !mEnded && attempt.equals(mCurrent);
     }
 
-    synchronized @Nullable AttemptId current() {
-        return mEnded ? null : mCurrent;
-    }
-
-    synchronized void heard(AttemptId attempt, long nowNanos) {
-        if (isCurrent(attempt)) {
-            mHeardNanos = nowNanos;
-        }
+    /** Returns when the last token of an attempt arrived, empty before its first one. */
+    synchronized OptionalLong heardNanos(AttemptId attempt) {
+        boolean heard = mHeardToken && attempt.equals(mCurrent);
+        return heard ? OptionalLong.of(mHeardNanos) : OptionalLong.empty();
     }
 
-    synchronized long heardNanos() {
-        return mHeardNanos;
+    /** Returns the cached prompt tokens of the attempt that gave the whole answer. */
+    synchronized OptionalLong cachedTokens(AttemptId attempt) {
+        boolean whole = mEnded && mCachedTokens >= 0 && attempt.equals(mCurrent);
+        return whole ? OptionalLong.of(mCachedTokens) : OptionalLong.empty();
     }
 
     /** Returns the tokens that the caller has. */
@@ -98,6 +99,7 @@
             return true;
         }
         mHeardNanos = nowNanos;
+        mHeardToken = true;
         if (index > mTokens) {
             return false;
         }
@@ -119,6 +121,7 @@
             return false;
         }
         mEnded = true;
+        mCachedTokens = summary.cachedTokens();
         mExchange.finished(summary, mText.toString());
         return true;
     }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/UpstreamCaller.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/UpstreamCaller.java
@@ -17,4 +17,10 @@
 
     /** Asks an engine to cancel an attempt and release its memory. Best effort. */
     void cancel(Announcement upstream, AttemptId attempt);
+
+    /**
+     * Gives up the idle connections of an upstream, because one of its connections went silent and
+     * the others may be dead as well. Running attempts keep theirs; new ones open new connections.
+     */
+    void replaceConnections(Announcement upstream);
 }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/EngineClient.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/EngineClient.java
@@ -20,6 +20,7 @@
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
+import java.util.concurrent.TimeUnit;
 
 /** The engine protocol, client side. Thread-safe. */
 final class EngineClient {
@@ -28,6 +29,9 @@
     private static final int SUCCESS = 200;
     private static final long LARGEST_ERROR_BYTES = 16 * 1024;
 
+    /** A cancel that met a silent connection must not keep that connection for ever. */
+    private static final long CANCEL_LIMIT_SECONDS = 5;
+
     private final UpstreamClients mClients;
 
     EngineClient(UpstreamClients clients) {
@@ -55,6 +59,7 @@
         client.request(post(client, "/engine/v1/cancel", body))
                 .flatMapPublisher(StreamingHttpResponse::payloadBody)
                 .ignoreElements()
+                .timeout(CANCEL_LIMIT_SECONDS, TimeUnit.SECONDS)
                 .whenOnError(
                         problem ->
                                 LOG.warn(
--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/HttpUpstreamCaller.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/HttpUpstreamCaller.java
@@ -10,6 +10,7 @@
 
 /** Sends attempts over HTTP: to engines by the engine protocol, to plain services as they are. */
 public final class HttpUpstreamCaller implements UpstreamCaller {
+    private final UpstreamClients mClients;
     private final EngineClient mEngines;
     private final ServiceClient mServices;
 
@@ -18,6 +19,7 @@
      * @param largestAnswerBytes largest answer of a plain service
      */
     public HttpUpstreamCaller(UpstreamClients clients, long largestAnswerBytes) {
+        mClients = clients;
         mEngines = new EngineClient(clients);
         mServices = new ServiceClient(clients, largestAnswerBytes);
     }
@@ -36,4 +38,9 @@
             mEngines.cancel(upstream, attempt);
         }
     }
+
+    @Override
+    public void replaceConnections(Announcement upstream) {
+        mClients.replace(upstream.address());
+    }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/retry/SilenceDetector.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/retry/SilenceDetector.java
@@ -66,15 +66,42 @@
             return;
         }
         Pace pace = mPaces.computeIfAbsent(stream.mUpstream, key -> new Pace());
-        long gap = nowNanos - stream.mHeardNanos;
+        long gap = Math.max(0, nowNanos - stream.mHeardNanos);
         if (stream.mDecoding) {
             pace.learnGap(gap);
-        } else if (stream.mUncachedTokens > 0 && gap > 0) {
-            pace.learnPrefill(stream.mUncachedTokens / (gap / NANOS_PER_SECOND));
+        } else {
+            stream.mFirstTokenNanos = gap;
         }
         stream.mDecoding = true;
         stream.mDoubtful = false;
-        stream.mHeardNanos = nowNanos;
+        stream.mHeardNanos += gap;
+    }
+
+    /**
+     * Stops to watch an attempt with a whole answer. Its prefill rate is learned only here: before
+     * the end it is not known how much of the prompt the engine had cached, and a rate that counts
+     * cached tokens would make the next uncached prompt look silent.
+     *
+     * @param cachedTokens prompt tokens that the engine did not process
+     */
+    public void finished(AttemptId attempt, long cachedTokens) {
+        Stream stream = mStreams.remove(attempt);
+        if (stream == null) {
+            return;
+        }
+        long processed = stream.mUncachedTokens - cachedTokens;
+        if (processed > 0 && stream.mFirstTokenNanos > 0) {
+            mPaces.computeIfAbsent(stream.mUpstream, key -> new Pace())
+                    .learnPrefill(processed / (stream.mFirstTokenNanos / NANOS_PER_SECOND));
+        }
+    }
+
+    /**
+     * Allows for a time in which this process itself did not run, so that streams whose tokens wait
+     * in its own buffers are not taken for silent.
+     */
+    public void paused(long nanos) {
+        mStreams.values().forEach(stream -> stream.mHeardNanos += nanos);
     }
 
     /** Stops to watch an attempt. */
@@ -192,6 +219,7 @@
         private final long mConnection;
         private final long mUncachedTokens;
         private long mHeardNanos;
+        private long mFirstTokenNanos;
         private boolean mDecoding;
         private boolean mDoubtful;
 
