--- a/program/src/test/java/dev/kumquatweir/program/system/LocalCluster.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LocalCluster.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.IntStream;
@@ -31,6 +32,10 @@
     static final int VOTERS = 3;
     private static final List<String> DOMAINS = List.of("klang-a", "klang-b", "klang-c", "klang-a");
     private static final int LISTENERS = 4;
+    private static final int FIRST_PORT = 12_000;
+    private static final int PORTS = 18_000;
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 199 % PORTS));
     private static final Pattern LED =
             Pattern.compile("event=role_changed role=LEADER term=(\\d+)");
 
@@ -49,11 +54,16 @@
     /** Starts four instances and waits until all of them are ready. */
     static LocalCluster start(Path folder) {
         LocalCluster cluster = new LocalCluster(folder);
-        IntStream.range(0, INSTANCES).forEach(cluster::choosePorts);
-        cluster.write("configuration.toml", configuration());
-        IntStream.range(0, INSTANCES).forEach(cluster::startInstance);
-        cluster.awaitAllReady();
-        return cluster;
+        try {
+            IntStream.range(0, INSTANCES).forEach(cluster::choosePorts);
+            cluster.write("configuration.toml", configuration());
+            IntStream.range(0, INSTANCES).forEach(cluster::startInstance);
+            cluster.awaitAllReady();
+            return cluster;
+        } catch (AssertionError | RuntimeException problem) {
+            cluster.close();
+            throw problem;
+        }
     }
 
     void awaitAllReady() {
@@ -304,11 +314,20 @@
         }
     }
 
+    /**
+     * Returns a port below the range that the system gives to outgoing connections: a port from
+     * that range may be taken by a connection before the process that is to listen on it has
+     * started.
+     */
     private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException exception) {
-            throw new UncheckedIOException(exception);
+        while (true) {
+            int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
+            try (ServerSocket socket =
+                    new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException taken) {
+                continue;
+            }
         }
     }
 }
