Make engine faults hit running streams and keep test ports apart

Cause: an engine fault hit an engine chosen beforehand, on which no stream had to run, so the tests of frozen, silent and dying engines passed with resumption broken. Free ports were asked of the kernel one by one, which can name one port twice: HistoryIt then waited for an instance that could not listen. Also: orders to stand-ins go over new connections, since the test's own pooled connections go silent with the others; one run of frozenEngine hung there. Ruled out: a fault of the product; the log named the address in use, and no request was running on any instance while the frozen test hung.

--- a/program/src/test/java/dev/kumquatweir/program/system/Caller.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/Caller.java
@@ -49,10 +49,31 @@
 
     /** Returns the status of a GET, 0 if nobody answers. */
     static int status(String url) {
+        return tryGet(url).status();
+    }
+
+    /** Gets; the status is 0 if the connection can't be made or breaks. */
+    static Answer tryGet(String url) {
         try {
-            return send(request(url).GET()).status();
+            return send(request(url).GET());
+        } catch (IOException exception) {
+            return new Answer(0, "");
+        }
+    }
+
+    /**
+     * Sends to a stand-in on a connection of its own, which no earlier fault has made silent. The
+     * status is 0 if the connection can't be made or breaks.
+     */
+    static Answer askStandin(String url, String body) {
+        HttpRequest.Builder request =
+                body.isEmpty()
+                        ? request(url).GET()
+                        : request(url).POST(HttpRequest.BodyPublishers.ofString(body));
+        try (HttpClient client = HttpClient.newHttpClient()) {
+            return send(client, request);
         } catch (IOException exception) {
-            return 0;
+            return new Answer(0, "");
         }
     }
 
@@ -170,9 +191,13 @@
     }
 
     private static Answer send(HttpRequest.Builder request) throws IOException {
+        return send(CLIENT, request);
+    }
+
+    private static Answer send(HttpClient client, HttpRequest.Builder request) throws IOException {
         try {
             HttpResponse<String> response =
-                    CLIENT.send(request.build(), HttpResponse.BodyHandlers.ofString());
+                    client.send(request.build(), HttpResponse.BodyHandlers.ofString());
             return new Answer(response.statusCode(), response.body());
         } catch (InterruptedException exception) {
             throw new AssertionError(exception);
--- a/program/src/test/java/dev/kumquatweir/program/system/LocalCluster.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LocalCluster.java
@@ -4,6 +4,7 @@
 import dev.kumquatweir.core.configuration.ApiKeyHash;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -13,6 +14,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.IntStream;
@@ -30,6 +32,13 @@
     static final int VOTERS = 3;
     private static final List<String> DOMAINS = List.of("klang-a", "klang-b", "klang-c", "klang-a");
     private static final int LISTENERS = 4;
+    private static final int FIRST_PORT = 15_000;
+    private static final int PORTS = 17_000;
+
+    /** Starts at another place in each test process, since several run on one machine. */
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 101 % PORTS));
+
     private static final Pattern LED =
             Pattern.compile("event=role_changed role=LEADER term=(\\d+)");
 
@@ -101,7 +110,7 @@
     /** Causes a fault of a stand-in; the value is JSON. */
     void fault(String upstream, String fault, String value) {
         String body = "{\"fault\": \"" + fault + "\", \"value\": " + value + "}";
-        Caller.Answer answer = Caller.post(upstreamUrl(upstream) + "/standin/v1/fault", "", body);
+        Caller.Answer answer = Caller.askStandin(upstreamUrl(upstream) + "/standin/v1/fault", body);
         if (answer.status() / 100 != 2) {
             throw new AssertionError(answer);
         }
@@ -299,11 +308,22 @@
         }
     }
 
+    /**
+     * Returns a port that is free and was not returned before. Ports below the range of outgoing
+     * connections are taken, since a port of that range may be in use again before the process that
+     * was told of it listens.
+     */
     private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException exception) {
-            throw new UncheckedIOException(exception);
+        while (true) {
+            int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
+            try (ServerSocket socket =
+                    new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (BindException inUse) {
+                // Taken; the next one is tried.
+            } catch (IOException exception) {
+                throw new UncheckedIOException(exception);
+            }
         }
     }
 }
--- a/program/src/test/java/dev/kumquatweir/program/system/ServingFailureIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/ServingFailureIt.java
@@ -1,9 +1,11 @@
 package dev.kumquatweir.program.system;
 
+import static java.util.Comparator.comparingInt;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.emptyString;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
@@ -24,6 +26,7 @@
 class ServingFailureIt {
     private static final int STREAMS = 12;
     private static final int TOKENS = 300;
+    private static final List<String> ENGINES = List.of("engine-1", "engine-2", "engine-3");
 
     @TempDir static Path sFolder;
     private static LocalCluster sCluster;
@@ -44,6 +47,9 @@
     @BeforeEach
     void awaitEngines() {
         sCluster.awaitAllReady();
+        ENGINES.forEach(
+                engine ->
+                        Waiting.until(engine + " answers", () -> requests(engine).status() == 200));
         sCluster.awaitEngines();
     }
 
@@ -51,11 +57,12 @@
     @Test
     void frozenEngine() throws InterruptedException {
         Running running = new Running("frozen");
-        sCluster.fault("engine-2", "freeze", "true");
+        String engine = busiestEngine();
+        sCluster.fault(engine, "freeze", "true");
         try {
             running.checkWholeOrFailed();
         } finally {
-            sCluster.fault("engine-2", "freeze", "false");
+            sCluster.fault(engine, "freeze", "false");
         }
     }
 
@@ -63,7 +70,7 @@
     @Test
     void silentConnections() throws InterruptedException {
         Running running = new Running("silent");
-        sCluster.fault("engine-2", "silent", "true");
+        sCluster.fault(busiestEngine(), "silent", "true");
         running.checkWholeOrFailed();
     }
 
@@ -71,11 +78,12 @@
     @Test
     void dyingEngine() throws InterruptedException {
         Running running = new Running("dying");
-        sCluster.upstream("engine-3").kill();
+        LocalProcess engine = sCluster.upstream(busiestEngine());
+        engine.kill();
         try {
             running.checkWholeOrFailed();
         } finally {
-            sCluster.upstream("engine-3").startAgain();
+            engine.startAgain();
         }
     }
 
@@ -83,11 +91,12 @@
     @Test
     void engineTurningCold() throws InterruptedException {
         Running running = new Running("cold");
-        sCluster.fault("engine-1", "cold", "\"hidden\"");
+        String engine = busiestEngine();
+        sCluster.fault(engine, "cold", "\"hidden\"");
         try {
             running.checkWholeOrFailed();
         } finally {
-            sCluster.fault("engine-1", "cold", "false");
+            sCluster.fault(engine, "cold", "false");
         }
     }
 
@@ -130,6 +139,22 @@
         }
     }
 
+    /** Returns the engine that most streams run on, so that a fault there hits some. */
+    private static String busiestEngine() {
+        String busiest =
+                ENGINES.stream().max(comparingInt(ServingFailureIt::running)).orElseThrow();
+        assertThat("streams on " + busiest, running(busiest), greaterThan(0));
+        return busiest;
+    }
+
+    private static int running(String engine) {
+        return requests(engine).json().path("requests").size();
+    }
+
+    private static Caller.Answer requests(String engine) {
+        return Caller.askStandin(sCluster.upstreamUrl(engine) + "/engine/v1/requests", "");
+    }
+
     /** Streams through all instances, each of which has begun. */
     private static final class Running {
         private final String mName;
