--- a/core/src/main/java/dev/kumquatweir/core/control/ClaimPort.java
+++ b/core/src/main/java/dev/kumquatweir/core/control/ClaimPort.java
@@ -20,7 +20,7 @@
      * @param request the claim that was granted
      * @param outcome how it ended
      * @return completes with true once the outcome is agreed and synced, with false if it could not
-     *     be within about 5 s (the record then ends as unknown)
+     *     be within about 15 s (the record then ends as unknown)
      */
     CompletionStage<Boolean> recordOutcome(ClaimRequest request, ClaimOutcome outcome);
 }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/caller/ClaimedExchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/ClaimedExchange.java
@@ -10,18 +10,15 @@
 import dev.kumquatweir.gateway.dispatch.Exchange;
 import dev.kumquatweir.gateway.dispatch.GenerationSummary;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 
 /**
  * Records how a claimed request ended, then passes the end on. The caller waits for the record, so
- * that a repeat right after the answer gets the same answer; without a quorum it waits no longer
- * than a second, and the record is tried further.
+ * that a repeat right after the answer gets the same answer, also while a leader is being replaced.
+ * Without a quorum the answer is passed on when {@link ClaimPort#recordOutcome} gives up.
  */
 final class ClaimedExchange implements Exchange {
-    private static final long RECORD_WAIT_MILLIS = 1_000;
-
     private final Exchange mExchange;
     private final ClaimPort mClaims;
     private final ClaimRequest mClaim;
@@ -71,11 +68,7 @@
     private void record(ClaimOutcome outcome, Runnable passOn) {
         CompletionStage<Boolean> recorded = mClaims.recordOutcome(mClaim, outcome);
         mPending.accept(recorded);
-        CompletionStage<Boolean> waited =
-                recorded.toCompletableFuture()
-                        .copy()
-                        .completeOnTimeout(false, RECORD_WAIT_MILLIS, TimeUnit.MILLISECONDS);
-        waited.whenComplete((agreed, problem) -> passOn.run());
+        recorded.whenComplete((agreed, problem) -> passOn.run());
     }
 
     private static RecordedAnswer bounded(RecordedAnswer answer) {
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicatedClaims.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicatedClaims.java
@@ -19,7 +19,7 @@
 final class ReplicatedClaims implements ClaimPort {
     private static final EventLog LOG = EventLog.of(ReplicatedClaims.class);
     private static final long CLAIM_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(2);
-    private static final long OUTCOME_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(5);
+    private static final long OUTCOME_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(15);
 
     /** Abandoning goes on this long; later the claim's own time limit makes it unknown. */
     private static final long ABANDON_LIMIT_NANOS = TimeUnit.MINUTES.toNanos(2);
--- a/program/src/test/java/dev/kumquatweir/program/system/LocalCluster.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LocalCluster.java
@@ -4,6 +4,7 @@
 import dev.kumquatweir.core.configuration.ApiKeyHash;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -26,16 +27,18 @@
 final class LocalCluster implements AutoCloseable {
     static final String TEAM_KEY = "ipoh.team-key";
     static final String OPERATOR_KEY = "operator-key-of-the-test";
-    static final String SECOND_OPERATOR_KEY = "second-operator-key-of-the-test";
     static final int INSTANCES = 4;
     private static final String ANNOUNCE_KEY = "announce-key-of-the-test";
     static final int VOTERS = 3;
     private static final List<String> DOMAINS = List.of("klang-a", "klang-b", "klang-c", "klang-a");
     private static final int LISTENERS = 4;
-    private static final int FIRST_PORT = 12_000;
-    private static final int PORTS = 18_000;
+    private static final int FIRST_PORT = 15_000;
+    private static final int PORTS = 17_000;
+
+    /** Starts at another place in each test process, since several run on one machine. */
     private static final AtomicInteger NEXT_PORT =
-            new AtomicInteger((int) (ProcessHandle.current().pid() * 199 % PORTS));
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 101 % PORTS));
+
     private static final Pattern LED =
             Pattern.compile("event=role_changed role=LEADER term=(\\d+)");
 
@@ -54,16 +57,11 @@
     /** Starts four instances and waits until all of them are ready. */
     static LocalCluster start(Path folder) {
         LocalCluster cluster = new LocalCluster(folder);
-        try {
-            IntStream.range(0, INSTANCES).forEach(cluster::choosePorts);
-            cluster.write("configuration.toml", configuration());
-            IntStream.range(0, INSTANCES).forEach(cluster::startInstance);
-            cluster.awaitAllReady();
-            return cluster;
-        } catch (AssertionError | RuntimeException problem) {
-            cluster.close();
-            throw problem;
-        }
+        IntStream.range(0, INSTANCES).forEach(cluster::choosePorts);
+        cluster.write("configuration.toml", configuration());
+        IntStream.range(0, INSTANCES).forEach(cluster::startInstance);
+        cluster.awaitAllReady();
+        return cluster;
     }
 
     void awaitAllReady() {
@@ -112,7 +110,7 @@
     /** Causes a fault of a stand-in; the value is JSON. */
     void fault(String upstream, String fault, String value) {
         String body = "{\"fault\": \"" + fault + "\", \"value\": " + value + "}";
-        Caller.Answer answer = Caller.post(upstreamUrl(upstream) + "/standin/v1/fault", "", body);
+        Caller.Answer answer = Caller.askStandin(upstreamUrl(upstream) + "/standin/v1/fault", body);
         if (answer.status() / 100 != 2) {
             throw new AssertionError(answer);
         }
@@ -258,16 +256,12 @@
             text.append("failure_domain = \"").append(DOMAINS.get(peer)).append("\"\n");
             text.append("voter = ").append(peer < VOTERS).append("\n");
         }
-        text.append(operator("tester", OPERATOR_KEY));
-        text.append(operator("second", SECOND_OPERATOR_KEY));
+        ApiKeyHash operator = ApiKeyHash.of("0a0b", OPERATOR_KEY);
+        text.append("[[operators]]\nname = \"tester\"\nkey_salt = \"0a0b\"\n");
+        text.append("key_sha256 = \"").append(operator.digest()).append("\"\n");
         return text.toString();
     }
 
-    private static String operator(String name, String key) {
-        return "[[operators]]\nname = \"%s\"\nkey_salt = \"0a0b\"\nkey_sha256 = \"%s\"\n"
-                .formatted(name, ApiKeyHash.of("0a0b", key).digest());
-    }
-
     private static String configuration() {
         return """
         [[services]]
@@ -315,18 +309,20 @@
     }
 
     /**
-     * Returns a port below the range that the system gives to outgoing connections: a port from
-     * that range may be taken by a connection before the process that is to listen on it has
-     * started.
+     * Returns a port that is free and was not returned before. Ports below the range of outgoing
+     * connections are taken, since a port of that range may be in use again before the process that
+     * was told of it listens.
      */
     private static int freePort() {
         while (true) {
-            int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
+            int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
             try (ServerSocket socket =
                     new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 return socket.getLocalPort();
-            } catch (IOException taken) {
-                continue;
+            } catch (BindException inUse) {
+                // Taken; the next one is tried.
+            } catch (IOException exception) {
+                throw new UncheckedIOException(exception);
             }
         }
     }
