Write the plots of the burn page in one locale

The page formatted the bars of its plots with the locale of the machine, which writes 0,5 in many countries, so that browsers would have drawn nothing; the other numbers had the root locale already. All use it now. The page was not looked at in a browser, since none is installed here.

--- a/program/src/main/java/dev/kumquatweir/program/command/BurnPage.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/BurnPage.java
@@ -79,13 +79,14 @@
             double rate = hours.get(index).path("burn_rate").asDouble();
             double height = rate / top * HEIGHT;
             page.append(
-                    "<rect x=\"%.1f\" y=\"%.1f\" width=\"%.1f\" height=\"%.1f\" fill=\"%s\"/>"
-                            .formatted(
-                                    index * step,
-                                    HEIGHT - height,
-                                    step - 1,
-                                    height,
-                                    rate > 1 ? "#c0392b" : "#2c7fb8"));
+                    String.format(
+                            Locale.ROOT,
+                            "<rect x='%.1f' y='%.1f' width='%.1f' height='%.1f' fill='%s'/>",
+                            index * step,
+                            HEIGHT - height,
+                            step - 1,
+                            height,
+                            rate > 1 ? "#c0392b" : "#2c7fb8"));
         }
         double line = HEIGHT - HEIGHT / top;
         page.append(
--- a/program/src/test/java/dev/kumquatweir/program/command/OperatorCommandsTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/command/OperatorCommandsTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
@@ -109,4 +110,21 @@
                 TextTable.lines(List.of(List.of("A", "BB"), List.of("long", "x"))),
                 contains("A     BB", "long  x"));
     }
+
+    /** Guards against a burn rate above 1 that looks harmless, and against markup in names. */
+    @Test
+    void hoursOutsideTheObjectiveStandOutOnThePage() {
+        String page =
+                BurnPage.of(
+                        json(
+                                "{'profiles':[{'profile':'a<b','in_time_share':0.9,'hours':["
+                                        + "{'burn_rate':0.5},{'burn_rate':4}]}]}"));
+        assertThat(page, containsString("<h2>a&lt;b</h2>"));
+        assertThat(
+                page,
+                containsString(
+                        "<rect x='0.0' y='105.0' width='359.0' height='15.0' fill='#2c7fb8'/>"
+                                + "<rect x='360.0' y='0.0' width='359.0' height='120.0'"
+                                + " fill='#c0392b'/>"));
+    }
 }
