--- a/program/src/test/java/dev/kumquatweir/program/system/LocalCluster.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LocalCluster.java
@@ -27,6 +27,7 @@
 final class LocalCluster implements AutoCloseable {
     static final String TEAM_KEY = "ipoh.team-key";
     static final String OPERATOR_KEY = "operator-key-of-the-test";
+    static final String SECOND_OPERATOR_KEY = "second-operator-key-of-the-test";
     static final int INSTANCES = 4;
     private static final String ANNOUNCE_KEY = "announce-key-of-the-test";
     static final int VOTERS = 3;
@@ -256,12 +257,16 @@
             text.append("failure_domain = \"").append(DOMAINS.get(peer)).append("\"\n");
             text.append("voter = ").append(peer < VOTERS).append("\n");
         }
-        ApiKeyHash operator = ApiKeyHash.of("0a0b", OPERATOR_KEY);
-        text.append("[[operators]]\nname = \"tester\"\nkey_salt = \"0a0b\"\n");
-        text.append("key_sha256 = \"").append(operator.digest()).append("\"\n");
+        text.append(operator("tester", OPERATOR_KEY));
+        text.append(operator("second", SECOND_OPERATOR_KEY));
         return text.toString();
     }
 
+    private static String operator(String name, String key) {
+        return "[[operators]]\nname = \"%s\"\nkey_salt = \"0a0b\"\nkey_sha256 = \"%s\"\n"
+                .formatted(name, ApiKeyHash.of("0a0b", key).digest());
+    }
+
     private static String configuration() {
         return """
         [[services]]
