--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
@@ -35,9 +35,7 @@
 import dev.kumquatweir.storage.StorageListener;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -71,25 +69,15 @@
     private final Duty mSnapshots;
     private final ConfigurationLeaseTable mLeases =
             new ConfigurationLeaseTable(LeaseTimes.STANDARD, LARGEST_LEASE_TABLE);
-    private final Map<Long, Pending> mPending = new HashMap<>();
+    private final PendingReplies mPending = new PendingReplies();
     private final Deque<StorageWrite> mUnsubmitted = new ArrayDeque<>();
     private StateMachine mState = new StateMachine(StateLimits.STANDARD);
     private Optional<Bytes> mFirstConfiguration;
     private Membership mKnownMembership = Membership.EMPTY;
-    private long mLastRequestId;
     private long mExpiredNanos;
     private volatile Optional<InstanceId> mLeader = Optional.empty();
     private volatile @Nullable StorageCompletion mSynced;
 
-    /** Told the end of one request to the replica. */
-    private interface Pending {
-        void applied(StateResult result);
-
-        void ready();
-
-        void failed(ControlFailure failure);
-    }
-
     /**
      * Makes a duty that is not yet running.
      *
@@ -209,7 +197,7 @@
             reply.complete(new ControlReply.Done());
             return;
         }
-        long id = await(reply, state -> new ControlReply.Done());
+        long id = mPending.add(reply);
         stepNow(new RaftInput.Transfer(id, target.get().name()));
     }
 
@@ -221,7 +209,7 @@
             case ControlRequest.ReadMembers _ -> read(reply, state -> members());
             case ControlRequest.ReadForce read -> reply.complete(force(read.version()));
             case ControlRequest.ChangeMembers change -> {
-                long id = await(reply, state -> new ControlReply.Done());
+                long id = mPending.add(reply);
                 stepNow(new RaftInput.ChangeMembership(id, change.change()));
             }
             case ControlRequest.ReleaseLease release -> {
@@ -232,41 +220,17 @@
     }
 
     private void propose(StateCommand command, CompletableFuture<ControlReply> reply) {
-        long id = await(reply, state -> new ControlReply.Done());
+        long id = mPending.add(reply);
         StateCommand stamped = command.withTime(mClocks.nowMillis());
         stepNow(new RaftInput.Propose(id, CommandCodec.encode(stamped)));
     }
 
     private void read(
             CompletableFuture<ControlReply> reply, Function<StateMachine, ControlReply> reader) {
-        long id = await(reply, reader);
+        long id = mPending.add(reply, reader);
         stepNow(new RaftInput.Read(id));
     }
 
-    private long await(
-            CompletableFuture<ControlReply> reply, Function<StateMachine, ControlReply> reader) {
-        long id = ++mLastRequestId;
-        mPending.put(
-                id,
-                new Pending() {
-                    @Override
-                    public void applied(StateResult result) {
-                        reply.complete(new ControlReply.Applied(result));
-                    }
-
-                    @Override
-                    public void ready() {
-                        reply.complete(reader.apply(mState));
-                    }
-
-                    @Override
-                    public void failed(ControlFailure failure) {
-                        reply.complete(new ControlReply.Failed(failure));
-                    }
-                });
-        return id;
-    }
-
     private ControlReply configuration(StateMachine state, long version) {
         long wanted = version == 0 ? state.configurationVersion() : version;
         Bytes document =
@@ -361,9 +325,12 @@
                 case RaftOutput.Apply apply -> apply(apply.entry(), apply.requestId());
                 case RaftOutput.Restore restore -> restore(restore.snapshot().data());
                 case RaftOutput.TakeSnapshot take -> takeSnapshot(take.index());
-                case RaftOutput.RequestFailed failed -> fail(failed);
-                case RaftOutput.ReadReady ready -> ready(ready.requestId());
-                case RaftOutput.TransferDone done -> ready(done.requestId());
+                case RaftOutput.RequestFailed failed ->
+                        mPending.failed(
+                                failed.requestId(),
+                                ControlFailure.of(failed.failure(), leaderName()));
+                case RaftOutput.ReadReady ready -> mPending.ready(ready.requestId(), mState);
+                case RaftOutput.TransferDone done -> mPending.ready(done.requestId(), mState);
                 case RaftOutput.RoleChanged changed -> roleChanged(changed);
             }
         }
@@ -372,10 +339,7 @@
 
     private void apply(LogEntry entry, long requestId) {
         StateResult result = mState.apply(entry);
-        Pending pending = mPending.remove(requestId);
-        if (pending != null) {
-            pending.applied(result);
-        }
+        mPending.applied(requestId, result);
     }
 
     /** Encodes on a thread of its own: a large state takes longer than a heartbeat may wait. */
@@ -389,20 +353,6 @@
         }
     }
 
-    private void ready(long requestId) {
-        Pending pending = mPending.remove(requestId);
-        if (pending != null) {
-            pending.ready();
-        }
-    }
-
-    private void fail(RaftOutput.RequestFailed failed) {
-        Pending pending = mPending.remove(failed.requestId());
-        if (pending != null) {
-            pending.failed(ControlFailure.of(failed.failure(), leaderName()));
-        }
-    }
-
     private void restore(Bytes data) {
         mState =
                 StateMachine.restore(data)
