--- a/core/src/main/java/dev/kumquatweir/core/configuration/Profile.java
+++ b/core/src/main/java/dev/kumquatweir/core/configuration/Profile.java
@@ -38,6 +38,22 @@
         models = Set.copyOf(models);
     }
 
+    /** Returns a copy that treats prompts beyond one engine in another way. */
+    public Profile withOversize(OversizePolicy other) {
+        return new Profile(
+                name,
+                service,
+                requestClass,
+                timeLimitMillis,
+                priority,
+                models,
+                other,
+                repeatable,
+                callerLoss,
+                teamShare,
+                objective);
+    }
+
     /** Returns a copy whose work runs on the upstreams of another service. */
     public Profile withService(ServiceName other) {
         return new Profile(
--- a/gateway/src/main/java/dev/kumquatweir/gateway/caller/SubmissionFactory.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/SubmissionFactory.java
@@ -1,6 +1,7 @@
 package dev.kumquatweir.gateway.caller;
 
 import dev.kumquatweir.core.configuration.ConfigurationDocument;
+import dev.kumquatweir.core.configuration.OversizePolicy;
 import dev.kumquatweir.core.configuration.Profile;
 import dev.kumquatweir.core.configuration.ServiceRoute;
 import dev.kumquatweir.core.configuration.Team;
@@ -93,6 +94,10 @@
                                         nowNanos));
     }
 
+    /**
+     * Checks and completes a submission. The engine client does not move KV caches between engines
+     * yet, so a prompt beyond one engine is refused at once instead of failing at its deadline.
+     */
     private Either<RequestFailure, Submission> submission(
             RequestId id,
             Team team,
@@ -109,7 +114,7 @@
                 new WorkRequest(
                         id,
                         team.name(),
-                        profile,
+                        profile.withOversize(OversizePolicy.REFUSE),
                         model,
                         promptTokens(work),
                         maximumTokens(work),
