--- a/program/src/main/java/dev/kumquatweir/program/control/LeaseKeeper.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/LeaseKeeper.java
@@ -30,7 +30,7 @@
 final class LeaseKeeper implements ConfigurationPort {
     private static final EventLog LOG = EventLog.of(LeaseKeeper.class);
     private static final int RING_CAPACITY = 256;
-    private static final long TICK_MILLIS = 20;
+    private static final long TICK_MILLIS = 50;
     private static final long ANSWER_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     /** After an ask that brought no lease the next one goes out sooner than the usual time. */
