Refuse upstreams' reports while the instance holds no lease

The service went on reporting to the isolated instance, which answered 200, so the others took it for dead. Ruled out: the election and the claims, since the same test had passed when the service reported elsewhere. Before: depends on which instance an upstream talks to. Conclusion: an instance that can't spread reports must not take them.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/UpstreamListener.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/UpstreamListener.java
@@ -20,6 +20,7 @@
 import java.security.MessageDigest;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 /** Serves the announcements and reports of upstreams. Thread-safe. */
@@ -29,12 +30,16 @@
 
     private final byte[] mAnnounceKey;
     private final UpstreamIntake mIntake;
+    private final BooleanSupplier mInTouch;
 
     /**
      * @param announceKey key that upstreams show
      * @param intake takes what they report
+     * @param inTouch whether this instance reaches the others; if not, it refuses reports, so that
+     *     upstreams turn to an instance that spreads them
      */
-    public UpstreamListener(String announceKey, UpstreamIntake intake) {
+    public UpstreamListener(String announceKey, UpstreamIntake intake, BooleanSupplier inTouch) {
+        mInTouch = inTouch;
         mAnnounceKey = announceKey.getBytes(StandardCharsets.UTF_8);
         mIntake = intake;
     }
@@ -48,6 +53,9 @@
         if (!authenticated(request)) {
             return answers.failure(new RequestFailure.NotAuthenticated(), "");
         }
+        if (!mInTouch.getAsBoolean()) {
+            return answers.failure(new RequestFailure.NoConfigurationLease(), "");
+        }
         return BodyCollector.collect(request.payloadBody(), LARGEST_BODY_BYTES)
                 .flatMap(body -> Single.fromStage(answer(request.path(), body)))
                 .flatMap(
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -116,7 +116,11 @@
                         clocks,
                         settings.limits().bodyBytes());
         RegistrySpread spread = new RegistrySpread(mDispatch, network, otherInstances(settings));
-        mUpstreams = new UpstreamListener(settings.announceKey(), spread);
+        mUpstreams =
+                new UpstreamListener(
+                        settings.announceKey(),
+                        spread,
+                        () -> control.configuration().current().inForce(clocks.nowNanos()));
         OperatorRoutes routes =
                 new OperatorRoutes(
                         settings,
