Grant shares of cold limits from the leader's permit ledger

With 4 instances and a cold limit of 2 the static division left two instances without any share, however much work waited there. The daemon now asks the leader: PermitCodec and frame type 5 carry the renewals of all PermitResource kinds, PermitOffice keeps one PermitLedger for each term under the leader lease, ColdPermits turns permits into a ColdAllowance, and PermitRenewal is polled by the dispatch duty through a decorator of Dispatcher, so DispatchDuty is unchanged. Limits come from the announcements and reports that the leader's own instance hears by RegistrySpread: carrying them in requests was ruled out, since an instance that has not heard of a restart would name an old limit. Before moving work the dispatcher now asks what may be kept, as nothing is granted yet in the first moment after an upstream has become cold.

--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/Placer.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/Placer.java
@@ -91,7 +91,8 @@
         reportUse(placement.upstream(), nowNanos);
     }
 
-    private void reportUse(UpstreamLoad load, long nowNanos) {
+    /** Tells the allowance what this instance holds on an upstream, if that is cold. */
+    void reportUse(UpstreamLoad load, long nowNanos) {
         if (load.cold()) {
             Announcement announcement = load.state().announcement();
             mColdAllowance.using(
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
@@ -387,13 +387,14 @@
     /** Moves repeatable work above the limit away from an upstream that has become cold. */
     private void moveSurplus(UpstreamLoad load, long nowNanos) {
         Announcement announcement = load.state().announcement();
-        ColdLimit granted =
-                mColdAllowance.granted(
+        mPlacer.reportUse(load, nowNanos);
+        ColdLimit kept =
+                mColdAllowance.kept(
                         announcement.id(),
                         announcement.incarnation(),
                         announcement.coldLimit(),
                         nowNanos);
-        for (Hold hold : load.beyond(granted.requests(), granted.prefillTokens())) {
+        for (Hold hold : load.beyond(kept.requests(), kept.prefillTokens())) {
             TrackedRequest tracked = mAttempts.find(hold.attempt());
             RunningAttempt attempt = tracked == null ? null : tracked.mCurrent;
             if (tracked != null && attempt != null && tracked.mRequest.repeatable()) {
--- a/policy/src/main/java/dev/kumquatweir/policy/permit/PermitHolder.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/permit/PermitHolder.java
@@ -14,13 +14,25 @@
  * that it ends here before it ends in the leader's ledger, also if this process was frozen. Not
  * thread-safe: owned by the dispatch duty.
  */
-public final class PermitHolder {
+public final class PermitHolder implements Permits {
     /** Taken off the lease for monotonic clocks that differ by up to 1% in rate. */
     public static final long CLOCK_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
 
     /** A granted permit without work is given back after this time. */
     public static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
+    /** Longest time between two requests while there are claims. */
+    public static final long RENEW_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    /** A request without an answer for so long counts as lost. */
+    public static final long ANSWER_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** Shortest time between two requests, so that changes of one moment go out together. */
+    private static final long SHORTEST_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+
+    /** First time between two requests while a claim waits; doubled up to the usual time. */
+    private static final long WAITING_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
     private final InstanceId mInstance;
     private final long mIncarnation;
     private final Map<String, Entry> mEntries = new LinkedHashMap<>();
@@ -28,6 +40,9 @@
     private long mSequence;
     private long mAskedNanos;
     private boolean mAwaiting;
+    private boolean mUnanswered;
+    private boolean mChanged;
+    private long mPauseNanos = WAITING_NANOS;
 
     /** Makes a holder without permits. */
     public PermitHolder(InstanceId instance, long incarnation) {
@@ -35,27 +50,41 @@
         mIncarnation = incarnation;
     }
 
-    /**
-     * Asks for a permit with the next request. Nothing happens if the name is already asked for.
-     *
-     * @param name name of the claim, unique for this instance
-     * @param parts what is needed, all or nothing
-     */
+    @Override
     public void want(String name, List<PermitPart> parts) {
-        mEntries.computeIfAbsent(name, key -> new Entry(key, parts));
+        if (!mEntries.containsKey(name)) {
+            mEntries.put(name, new Entry(name, parts));
+            mChanged = true;
+        }
     }
 
-    /** Returns whether the permit may be used now. */
+    @Override
+    public void adopt(String name, List<PermitPart> parts) {
+        want(name, parts);
+        Entry entry = mEntries.get(name);
+        if (entry != null) {
+            entry.mInUse = true;
+        }
+    }
+
+    @Override
     public boolean valid(String name, long nowNanos) {
         Entry entry = mEntries.get(name);
         return entry != null && entry.valid(nowNanos);
     }
 
-    /**
-     * Marks that work starts under a permit. Check it at the moment of sending.
-     *
-     * @return false if the permit is not valid now; nothing may be sent then
-     */
+    @Override
+    public boolean refused(String name) {
+        Entry entry = mEntries.get(name);
+        return entry != null && entry.mRefused;
+    }
+
+    @Override
+    public boolean known(String name) {
+        return mEntries.containsKey(name);
+    }
+
+    @Override
     public boolean use(String name, long nowNanos) {
         Entry entry = mEntries.get(name);
         if (entry == null || !entry.valid(nowNanos)) {
@@ -65,9 +94,37 @@
         return true;
     }
 
-    /** Gives a permit back, or stops to ask for it; the leader learns it with the next request. */
+    @Override
     public void release(String name) {
-        mEntries.remove(name);
+        mChanged |= mEntries.remove(name) != null;
+    }
+
+    /**
+     * Returns whether the next request is to be made: at once after a change, soon while a claim
+     * waits, else regularly while there are claims. While an answer is awaited it is not.
+     */
+    public boolean due(long nowNanos) {
+        if (mSequence == 0) {
+            return !mEntries.isEmpty();
+        }
+        long sinceNanos = nowNanos - mAskedNanos;
+        if (mAwaiting && sinceNanos < ANSWER_LIMIT_NANOS) {
+            return false;
+        }
+        if (mChanged) {
+            return sinceNanos >= SHORTEST_NANOS;
+        }
+        boolean waiting =
+                mAwaiting
+                        || mUnanswered
+                        || mEntries.values().stream().anyMatch(entry -> !entry.valid(nowNanos));
+        long pauseNanos = waiting ? mPauseNanos : RENEW_NANOS;
+        return (waiting || !mEntries.isEmpty()) && sinceNanos >= pauseNanos;
+    }
+
+    /** Returns the number of permits that are valid now. */
+    public int validCount(long nowNanos) {
+        return (int) mEntries.values().stream().filter(entry -> entry.valid(nowNanos)).count();
     }
 
     /** Adds what was seen of a cold upstream to the next request. */
@@ -88,6 +145,9 @@
      */
     public PermitRequest request(long nowNanos) {
         mEntries.values().removeIf(entry -> entry.idle(nowNanos));
+        mPauseNanos = mChanged ? WAITING_NANOS : Math.min(2 * mPauseNanos, RENEW_NANOS);
+        mChanged = false;
+        mUnanswered = false;
         mSequence++;
         mAskedNanos = nowNanos;
         mAwaiting = true;
@@ -128,6 +188,14 @@
         return true;
     }
 
+    /** Takes note that a request brings no answer, so that the next one need not wait for it. */
+    public void unanswered(long sequence) {
+        if (mAwaiting && sequence == mSequence) {
+            mAwaiting = false;
+            mUnanswered = true;
+        }
+    }
+
     /**
      * Returns the names under which work runs although the leader refused to renew them: that work
      * has to be moved. Work whose permit merely could not be renewed goes on.
@@ -150,7 +218,7 @@
                         .filter(entry -> entry.meansOther(upstream, incarnation))
                         .map(entry -> entry.mName)
                         .toList();
-        ended.forEach(mEntries::remove);
+        ended.forEach(this::release);
         return ended;
     }
 
--- a/policy/src/main/java/dev/kumquatweir/policy/routing/ColdAllowance.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/routing/ColdAllowance.java
@@ -21,6 +21,19 @@
      */
     ColdLimit granted(UpstreamId upstream, long incarnation, ColdLimit limit, long nowNanos);
 
+    /**
+     * Returns how much of the work that runs on a cold upstream may stay there. More than is
+     * granted for new work if the answer of another process is still awaited.
+     *
+     * @param upstream the cold upstream
+     * @param incarnation its present start
+     * @param limit what it bears, summed over all instances
+     * @param nowNanos the present
+     */
+    default ColdLimit kept(UpstreamId upstream, long incarnation, ColdLimit limit, long nowNanos) {
+        return granted(upstream, incarnation, limit, nowNanos);
+    }
+
     /**
      * Takes note of what the instance holds on a cold upstream and what it would like to place
      * there. Called when work starts or ends there and when work is held back by the limit.
--- a/program/src/main/java/dev/kumquatweir/program/control/ControlPlane.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ControlPlane.java
@@ -2,6 +2,7 @@
 
 import dev.kumquatweir.core.control.ClaimPort;
 import dev.kumquatweir.core.control.ConfigurationPort;
+import dev.kumquatweir.program.permit.PermitPort;
 import java.util.concurrent.CompletionStage;
 
 /** An instance's connection to the agreed state. Implementations are thread-safe. */
@@ -15,6 +16,9 @@
     /** Returns what decides claims. */
     ClaimPort claims();
 
+    /** Returns what reaches the leader's ledger of shared limits. */
+    PermitPort permits();
+
     /**
      * Asks the leader.
      *
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
@@ -31,6 +31,9 @@
 import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.policy.permit.PermitGrant;
+import dev.kumquatweir.policy.permit.PermitRequest;
+import dev.kumquatweir.program.permit.PermitOffice;
 import dev.kumquatweir.storage.StorageDuty;
 import dev.kumquatweir.storage.StorageListener;
 import java.util.ArrayDeque;
@@ -69,6 +72,7 @@
     private final Duty mSnapshots;
     private final ConfigurationLeaseTable mLeases =
             new ConfigurationLeaseTable(LeaseTimes.STANDARD, LARGEST_LEASE_TABLE);
+    private final PermitOffice mPermits;
     private final PendingReplies mPending = new PendingReplies();
     private final Deque<StorageWrite> mUnsubmitted = new ArrayDeque<>();
     private StateMachine mState = new StateMachine(StateLimits.STANDARD);
@@ -98,6 +102,7 @@
         mClocks = ports.clocks();
         mSender = ports.sender();
         mOnMembership = ports.onMembership();
+        mPermits = new PermitOffice(ports.sightings());
         mFirstConfiguration = firstConfiguration;
         mNode =
                 new RaftNode(
@@ -170,6 +175,20 @@
         return answer;
     }
 
+    /** Decides on a renewal of permits; empty unless this replica may decide now. */
+    CompletionStage<Optional<PermitGrant>> renew(PermitRequest request) {
+        CompletableFuture<Optional<PermitGrant>> answer = new CompletableFuture<>();
+        if (!mDuty.offer(() -> answer.complete(decide(request)))) {
+            answer.complete(Optional.empty());
+        }
+        return answer;
+    }
+
+    private Optional<PermitGrant> decide(PermitRequest request) {
+        long nowNanos = mClocks.nowNanos();
+        return mPermits.renew(request, mNode.leaderLeaseNanos(nowNanos), nowNanos);
+    }
+
     /** Carries out a request; the stage never completes exceptionally. */
     CompletionStage<ControlReply> handle(ControlRequest request) {
         CompletableFuture<ControlReply> reply = new CompletableFuture<>();
@@ -273,6 +292,7 @@
             mKnownMembership = mNode.membership();
             mOnMembership.accept(mKnownMembership);
         }
+        mPermits.tick(mClocks.nowNanos());
         if (mNode.isReadyLeader()) {
             leadingTick(mClocks.nowNanos());
         }
@@ -364,8 +384,10 @@
         mLeader = changed.leader().map(MemberId::name).map(InstanceId::new);
         if (changed.role() == RaftRole.LEADER) {
             mLeases.beginLeadership(mClocks.nowNanos());
+            mPermits.beginLeadership(mClocks.nowNanos());
         } else {
             mLeases.endLeadership();
+            mPermits.endLeadership();
         }
         LOG.info(
                 "role_changed",
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicatedControl.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicatedControl.java
@@ -16,6 +16,8 @@
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.program.instance.FrameType;
+import dev.kumquatweir.program.permit.PermitPort;
+import dev.kumquatweir.program.permit.UpstreamSightings;
 import dev.kumquatweir.settings.InstanceSettings;
 import dev.kumquatweir.settings.PeerSettings;
 import dev.kumquatweir.transport.PeerNetwork;
@@ -49,6 +51,7 @@
     private final LeaderClient mLeader;
     private final LeaseKeeper mLeases;
     private final ReplicatedClaims mClaims;
+    private final PermitClient mPermits;
 
     private ReplicatedControl(
             InstanceSettings settings,
@@ -61,7 +64,8 @@
         mNetwork = network;
         mClocks = clocks;
         long processNonce = new SecureRandom().nextLong();
-        mReplica = store == null ? null : replica(store, firstConfiguration, onFatal);
+        UpstreamSightings sightings = new UpstreamSightings(clocks);
+        mReplica = store == null ? null : replica(store, firstConfiguration, onFatal, sightings);
         mLeader =
                 new LeaderClient(
                         settings.id(),
@@ -71,6 +75,7 @@
                         clocks);
         mLeases = new LeaseKeeper(settings.id(), processNonce, mLeader, network, mReplica, clocks);
         mClaims = new ReplicatedClaims(settings.id(), processNonce, mLeader);
+        mPermits = new PermitClient(settings.id(), mLeader, network, mReplica, sightings);
     }
 
     /**
@@ -117,6 +122,7 @@
         mNetwork.handle(
                 FrameType.LEASE.number(),
                 (peer, payload, responder) -> lease(replica, payload, responder));
+        mPermits.start();
         mLeases.start();
         mClaims.start();
     }
@@ -131,6 +137,11 @@
         return mClaims;
     }
 
+    @Override
+    public PermitPort permits() {
+        return mPermits;
+    }
+
     @Override
     public CompletionStage<ControlReply> ask(ControlRequest request, long limitNanos) {
         return mLeader.ask(request, limitNanos);
@@ -156,13 +167,16 @@
     }
 
     private ReplicaDuty replica(
-            FoundingDuty.Ready store, Optional<Bytes> firstConfiguration, Runnable onFatal) {
+            FoundingDuty.Ready store,
+            Optional<Bytes> firstConfiguration,
+            Runnable onFatal,
+            UpstreamSightings sightings) {
         return new ReplicaDuty(
                 RaftSettings.builder(mSettings.cluster()).build(),
                 mSettings.id(),
                 store.state(),
                 store.store(),
-                new ReplicaPorts(mClocks, this::send, this::membershipChanged, onFatal),
+                new ReplicaPorts(mClocks, this::send, this::membershipChanged, onFatal, sightings),
                 firstConfiguration);
     }
 
--- a/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
@@ -10,6 +10,8 @@
     COMMAND(3),
     /** Asks what a new group has to know of a member's store. */
     FOUNDING(4),
+    /** Renewal of permits for shared limits. */
+    PERMIT(5),
     /** An upstream's announcement. */
     ANNOUNCEMENT(10),
     /** An upstream's load report. */
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -14,7 +14,8 @@
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
-import dev.kumquatweir.policy.routing.LocalColdAllowance;
+import dev.kumquatweir.policy.permit.ColdPermits;
+import dev.kumquatweir.policy.permit.PermitHolder;
 import dev.kumquatweir.policy.routing.RoutingOptions;
 import dev.kumquatweir.program.burn.BurnFile;
 import dev.kumquatweir.program.burn.BurnGathering;
@@ -23,6 +24,8 @@
 import dev.kumquatweir.program.control.StoreQuestion;
 import dev.kumquatweir.program.operator.OperatorListener;
 import dev.kumquatweir.program.operator.OperatorRoutes;
+import dev.kumquatweir.program.permit.PermitRenewal;
+import dev.kumquatweir.program.permit.RenewingDispatcher;
 import dev.kumquatweir.program.spread.RegistrySpread;
 import dev.kumquatweir.settings.InstanceSettings;
 import dev.kumquatweir.settings.PeerSettings;
@@ -96,11 +99,16 @@
         MetricRegistry metrics = new MetricRegistry();
         String attemptPrefix = settings.id() + ":" + incarnation + ":";
         RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
+        PermitHolder permits = new PermitHolder(settings.id(), incarnation);
+        ColdPermits cold = new ColdPermits(permits);
+        PermitRenewal renewal = new PermitRenewal(permits, cold, control.permits(), metrics);
         mDispatch =
                 new DispatchDuty(
-                        PolicyDispatcher.builder(attemptPrefix, routing)
-                                .coldAllowance(localShare(settings))
-                                .build(),
+                        new RenewingDispatcher(
+                                PolicyDispatcher.builder(attemptPrefix, routing)
+                                        .coldAllowance(cold)
+                                        .build(),
+                                renewal),
                         new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
                         control.configuration(),
                         new RequestMetrics(metrics, mBurn),
@@ -115,7 +123,12 @@
                                 control.configuration(), control.claims(), mDispatch, mHealth),
                         clocks,
                         settings.limits().bodyBytes());
-        RegistrySpread spread = new RegistrySpread(mDispatch, network, otherInstances(settings));
+        RegistrySpread spread =
+                new RegistrySpread(
+                        mDispatch,
+                        control.permits().sightings(),
+                        network,
+                        otherInstances(settings));
         mUpstreams =
                 new UpstreamListener(
                         settings.announceKey(),
@@ -226,11 +239,6 @@
         }
     }
 
-    private static LocalColdAllowance localShare(InstanceSettings settings) {
-        List<InstanceId> sorted = settings.peers().stream().map(PeerSettings::id).sorted().toList();
-        return new LocalColdAllowance(sorted.size(), sorted.indexOf(settings.id()));
-    }
-
     private static List<InstanceId> otherInstances(InstanceSettings settings) {
         return settings.peers().stream()
                 .map(PeerSettings::id)
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/permit/RenewingDispatcher.java
@@ -0,0 +1,70 @@
+package dev.kumquatweir.program.permit;
+
+import dev.kumquatweir.core.configuration.ConfigurationDocument;
+import dev.kumquatweir.core.failure.RequestFailure;
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.dispatch.AttemptEvent;
+import dev.kumquatweir.policy.dispatch.DispatchAction;
+import dev.kumquatweir.policy.dispatch.Dispatcher;
+import dev.kumquatweir.policy.dispatch.WorkRequest;
+import dev.kumquatweir.policy.registry.Announcement;
+import dev.kumquatweir.policy.registry.CacheEvents;
+import dev.kumquatweir.policy.registry.LoadReport;
+import io.vavr.control.Either;
+import java.util.List;
+
+/**
+ * A dispatcher whose permits are renewed on the duty that drives it. Not thread-safe: owned by the
+ * dispatch duty.
+ */
+public final class RenewingDispatcher implements Dispatcher {
+    private final Dispatcher mDispatcher;
+    private final PermitRenewal mRenewal;
+
+    /** Puts the renewal before each call of {@link Dispatcher#actions}. */
+    public RenewingDispatcher(Dispatcher dispatcher, PermitRenewal renewal) {
+        mDispatcher = dispatcher;
+        mRenewal = renewal;
+    }
+
+    @Override
+    public void configure(ConfigurationDocument document, long nowNanos) {
+        mDispatcher.configure(document, nowNanos);
+    }
+
+    @Override
+    public void announced(Announcement announcement, long nowNanos) {
+        mDispatcher.announced(announcement, nowNanos);
+    }
+
+    @Override
+    public boolean reported(LoadReport load, long nowNanos) {
+        return mDispatcher.reported(load, nowNanos);
+    }
+
+    @Override
+    public boolean cacheChanged(CacheEvents events, long nowNanos) {
+        return mDispatcher.cacheChanged(events, nowNanos);
+    }
+
+    @Override
+    public void left(UpstreamId upstream, long incarnation, long nowNanos) {
+        mDispatcher.left(upstream, incarnation, nowNanos);
+    }
+
+    @Override
+    public Either<RequestFailure, Void> admit(WorkRequest request, long nowNanos) {
+        return mDispatcher.admit(request, nowNanos);
+    }
+
+    @Override
+    public void observed(AttemptEvent event, long nowNanos) {
+        mDispatcher.observed(event, nowNanos);
+    }
+
+    @Override
+    public List<DispatchAction> actions(long nowNanos) {
+        mRenewal.poll(nowNanos);
+        return mDispatcher.actions(nowNanos);
+    }
+}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/permit/UpstreamSightings.java
@@ -0,0 +1,97 @@
+package dev.kumquatweir.program.permit;
+
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.policy.registry.Announcement;
+import dev.kumquatweir.policy.registry.LoadReport;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The newest word of each upstream, kept for the ledger of a leader. It is read when an upstream is
+ * claimed, so that the reports of thousands of warm upstreams cost the control duty nothing.
+ * Thread-safe.
+ */
+public final class UpstreamSightings {
+    /**
+     * What was heard of one upstream. Immutable.
+     *
+     * @param announcement its newest announcement
+     * @param load its newest report of the same incarnation, null before the first
+     * @param heardNanos when the newest of the two was heard
+     */
+    public record Sighting(Announcement announcement, @Nullable LoadReport load, long heardNanos) {}
+
+    private final Clocks mClocks;
+    private final Map<UpstreamId, Sighting> mSightings = new ConcurrentHashMap<>();
+
+    /** Makes an empty collection. */
+    public UpstreamSightings(Clocks clocks) {
+        mClocks = clocks;
+    }
+
+    /** Takes an announcement; an older incarnation is ignored. */
+    public void announced(Announcement announcement) {
+        mSightings.merge(
+                announcement.id(),
+                new Sighting(announcement, null, mClocks.nowNanos()),
+                UpstreamSightings::newer);
+    }
+
+    /**
+     * Takes a load report; one of another incarnation or out of order is ignored.
+     *
+     * @return false if the upstream's announcement is missing here
+     */
+    public boolean reported(LoadReport report) {
+        return null
+                != mSightings.computeIfPresent(
+                        report.id(),
+                        (id, known) -> {
+                            LoadReport load = known.load();
+                            boolean same =
+                                    known.announcement().incarnation() == report.incarnation();
+                            boolean newer = load == null || load.sequence() < report.sequence();
+                            return same && newer
+                                    ? new Sighting(known.announcement(), report, mClocks.nowNanos())
+                                    : known;
+                        });
+    }
+
+    /** Takes the word of an upstream that it leaves. */
+    public void left(UpstreamId upstream, long incarnation) {
+        mSightings.computeIfPresent(
+                upstream,
+                (id, known) -> known.announcement().incarnation() > incarnation ? known : null);
+    }
+
+    /** Returns what is known of an upstream, null if nothing is. */
+    public @Nullable Sighting find(UpstreamId upstream) {
+        return mSightings.get(upstream);
+    }
+
+    /** Forgets upstreams that were not heard for so long and returns them. */
+    public List<UpstreamId> forget(long silentNanos) {
+        long nowNanos = mClocks.nowNanos();
+        List<UpstreamId> silent =
+                mSightings.entrySet().stream()
+                        .filter(entry -> nowNanos - entry.getValue().heardNanos() > silentNanos)
+                        .map(Map.Entry::getKey)
+                        .toList();
+        silent.forEach(mSightings::remove);
+        return silent;
+    }
+
+    private static Sighting newer(Sighting known, Sighting fresh) {
+        long before = known.announcement().incarnation();
+        long after = fresh.announcement().incarnation();
+        if (before > after) {
+            return known;
+        }
+        return before == after
+                ? new Sighting(fresh.announcement(), known.load(), fresh.heardNanos())
+                : fresh;
+    }
+}
--- a/program/src/main/java/dev/kumquatweir/program/spread/RegistrySpread.java
+++ b/program/src/main/java/dev/kumquatweir/program/spread/RegistrySpread.java
@@ -11,6 +11,7 @@
 import dev.kumquatweir.policy.registry.CacheEvents;
 import dev.kumquatweir.policy.registry.LoadReport;
 import dev.kumquatweir.program.instance.FrameType;
+import dev.kumquatweir.program.permit.UpstreamSightings;
 import dev.kumquatweir.transport.PeerNetwork;
 import io.vavr.control.Either;
 import java.util.List;
@@ -29,6 +30,7 @@
     private static final EventLog LOG = EventLog.of(RegistrySpread.class);
 
     private final DispatchDuty mDispatch;
+    private final UpstreamSightings mSightings;
     private final PeerNetwork mNetwork;
     private final List<InstanceId> mPeers;
     private final Set<UpstreamId> mResyncWanted = ConcurrentHashMap.newKeySet();
@@ -36,13 +38,19 @@
     /**
      * Registers for the frames that it takes.
      *
+     * @param sightings told of what upstreams say, for the limits of permits
      * @param peers the other instances
      */
-    public RegistrySpread(DispatchDuty dispatch, PeerNetwork network, List<InstanceId> peers) {
+    public RegistrySpread(
+            DispatchDuty dispatch,
+            UpstreamSightings sightings,
+            PeerNetwork network,
+            List<InstanceId> peers) {
         mDispatch = dispatch;
+        mSightings = sightings;
         mNetwork = network;
         mPeers = List.copyOf(peers);
-        handle(FrameType.ANNOUNCEMENT, RegistryCodec::announcement, mDispatch::announced);
+        handle(FrameType.ANNOUNCEMENT, RegistryCodec::announcement, this::take);
         handle(
                 FrameType.CACHE_WANTED,
                 RegistryCodec::start,
@@ -66,13 +74,14 @@
 
     @Override
     public void announced(Announcement announcement) {
-        mDispatch.announced(announcement);
+        take(announcement);
         spread(FrameType.ANNOUNCEMENT, RegistryCodec.encode(announcement));
     }
 
     @Override
     public CompletionStage<Boolean> reported(LoadReport report) {
         spread(FrameType.LOAD, RegistryCodec.encode(report));
+        note(report);
         return mDispatch.reported(report);
     }
 
@@ -86,13 +95,29 @@
     @Override
     public void left(UpstreamId upstream, long incarnation) {
         mResyncWanted.remove(upstream);
+        mSightings.left(upstream, incarnation);
         mDispatch.left(upstream, incarnation);
         spread(
                 FrameType.LEAVE,
                 RegistryCodec.encode(new RegistryCodec.Start(upstream, incarnation)));
     }
 
+    private void take(Announcement announcement) {
+        mSightings.announced(announcement);
+        mDispatch.announced(announcement);
+    }
+
+    /** An upstream that was silent may be forgotten there and still known to the dispatch duty. */
+    private void note(LoadReport report) {
+        if (!mSightings.reported(report)) {
+            mDispatch
+                    .upstream(report.id())
+                    .thenAccept(known -> known.ifPresent(mSightings::announced));
+        }
+    }
+
     private void reportedByPeer(InstanceId peer, LoadReport report) {
+        note(report);
         mDispatch
                 .reported(report)
                 .thenAccept(
@@ -139,6 +164,7 @@
     }
 
     private void leftAtPeer(RegistryCodec.Start start) {
+        mSightings.left(start.id(), start.incarnation());
         mDispatch.left(start.id(), start.incarnation());
     }
 
--- /dev/null
+++ b/program/src/test/java/dev/kumquatweir/program/permit/PermitCodecTest.java
@@ -0,0 +1,108 @@
+package dev.kumquatweir.program.permit;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.core.pack.PackWriter;
+import dev.kumquatweir.policy.permit.ColdEvidence;
+import dev.kumquatweir.policy.permit.PermitClaim;
+import dev.kumquatweir.policy.permit.PermitGrant;
+import dev.kumquatweir.policy.permit.PermitPart;
+import dev.kumquatweir.policy.permit.PermitRequest;
+import dev.kumquatweir.policy.permit.PermitResource;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** The form of permit renewals. */
+class PermitCodecTest {
+    private static final UpstreamId ENGINE = new UpstreamId("engine-1");
+    private static final InstanceId HOLDER = new InstanceId("entry-1");
+    private static final PermitRequest REQUEST =
+            new PermitRequest(
+                    HOLDER,
+                    1_764_820_000_000L,
+                    7,
+                    List.of(
+                            new PermitClaim(
+                                    "a",
+                                    List.of(
+                                            part(new PermitResource.ColdRequests(ENGINE)),
+                                            part(new PermitResource.ColdPrefill(ENGINE)),
+                                            part(new PermitResource.EngineMemory(ENGINE))),
+                                    true,
+                                    false),
+                            new PermitClaim(
+                                    "b",
+                                    List.of(
+                                            part(new PermitResource.SuspectRun("c0ffee")),
+                                            part(new PermitResource.WeightStoreLoads())),
+                                    false,
+                                    true)),
+                    List.of(new ColdEvidence(ENGINE, 3, 4, 1)));
+
+    /** Guards against a kind of resource that other instances can't read. */
+    @Test
+    void keepsRequestsWhole() {
+        assertThat(PermitCodec.request(PermitCodec.encode(REQUEST)).get(), equalTo(REQUEST));
+    }
+
+    /** Guards against a refusal that reads as a grant, and the reverse. */
+    @Test
+    void keepsAnswersWhole() {
+        PermitGrant grant = new PermitGrant(HOLDER, 5, 7, Set.of("a", "b"));
+        for (PermitAnswer answer :
+                List.of(
+                        new PermitAnswer(Optional.of(grant), "entry-2"),
+                        new PermitAnswer(Optional.empty(), ""))) {
+            assertThat(PermitCodec.answer(PermitCodec.encode(answer)).get(), equalTo(answer));
+        }
+    }
+
+    /** Guards against an exception on the thread that reads frames. */
+    @Test
+    void reportsEachCutAndEachSurplusAsFailure() {
+        byte[] whole = PermitCodec.encode(REQUEST).toArray();
+        for (int length = 0; length < whole.length; length++) {
+            Bytes cut = Bytes.copyOf(Arrays.copyOf(whole, length));
+            assertThat("cut at " + length, PermitCodec.request(cut).isLeft(), is(true));
+        }
+        Bytes longer = Bytes.copyOf(Arrays.copyOf(whole, whole.length + 1));
+        assertThat(PermitCodec.request(longer).getLeft().message(), containsString("left-over"));
+    }
+
+    /** Guards against claims that the records or the ledger would refuse with an exception. */
+    @Test
+    void reportsImpossibleClaimsAsFailure() {
+        assertThat(problem("cold_requests", "engine-1", 0, 1), containsString("below 1"));
+        assertThat(problem("cold_requests", "engine-1", 1, 2), containsString("twice"));
+        assertThat(problem("no_such_kind", "engine-1", 1, 1), containsString("no resource"));
+        assertThat(problem("weight_store_loads", "x", 1, 1), containsString("no name"));
+        PermitClaim claim = REQUEST.claims().get(0);
+        PermitRequest twice = new PermitRequest(HOLDER, 1, 1, List.of(claim, claim), List.of());
+        assertThat(
+                PermitCodec.request(PermitCodec.encode(twice)).getLeft().message(),
+                containsString("listed twice"));
+    }
+
+    private static String problem(String kind, String name, long amount, int parts) {
+        PackWriter writer = new PackWriter().array(5).text("entry-1").number(1).number(1);
+        writer.array(1).array(4).text("a").array(parts);
+        for (int count = 0; count < parts; count++) {
+            writer.array(4).text(kind).text(name).number(1).number(amount);
+        }
+        writer.flag(false).flag(false).array(0);
+        return PermitCodec.request(writer.finish()).getLeft().message();
+    }
+
+    private static PermitPart part(PermitResource resource) {
+        return new PermitPart(resource, 9, 1_000);
+    }
+}
