--- a/program/src/main/java/dev/kumquatweir/program/command/StandinEngineCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/StandinEngineCommand.java
@@ -6,6 +6,7 @@
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import dev.kumquatweir.standin.StandinEngine;
 import dev.kumquatweir.standin.StandinEngineSettings;
+import dev.kumquatweir.standin.model.EngineLimits;
 import dev.kumquatweir.standin.model.EngineSpeed;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,6 +31,18 @@
     @Option(name = "--cold", description = "Start cold")
     private boolean mCold;
 
+    @Option(
+            name = "--cold-requests",
+            title = "NUMBER",
+            description = "Requests that the engine bears while it is cold")
+    private int mColdRequests = EngineLimits.USUAL.coldRequests();
+
+    @Option(
+            name = "--cold-millis",
+            title = "MILLISECONDS",
+            description = "Time until a cold engine is warm; 0 for never")
+    private long mColdMillis = EngineLimits.USUAL.coldMillis();
+
     @Option(name = "--ignore-fencing", description = "Take orders with old fencing numbers")
     private boolean mIgnoreFencing;
 
@@ -48,6 +61,7 @@
                         .service(service())
                         .models(mModels)
                         .startsCold(mCold)
+                        .limits(limits())
                         .checksFencing(!mIgnoreFencing)
                         .speed(EngineSpeed.USUAL.scaled(mTimeScale))
                         .reports(reports())
@@ -56,4 +70,16 @@
         engine.start();
         return runUntilTerminated(engine);
     }
+
+    private EngineLimits limits() {
+        EngineLimits usual = EngineLimits.USUAL;
+        return new EngineLimits(
+                usual.memoryTokens(),
+                usual.maxRunning(),
+                mColdRequests,
+                usual.coldPrefillTokens(),
+                usual.refusesBeyondColdLimit(),
+                mColdMillis,
+                usual.retainMillis());
+    }
 }
