Make and read attempt ids in one place

The dispatcher put a dot before an attempt's number, after a prefix that ended with a colon, while the memory ledger expects INSTANCE:INCARNATION:NUMBER; every attempt of the daemon would have been of unknown origin. The stand-in named exports kv-ATTEMPT, which reads as an attempt of the unknown instance kv-NAME. Passing the prefix as text was ruled out, since nothing would check its form. Run on the policy and stand-in modules: MemoryLedgerTest, MemoryScheduleTest, PolicyDispatcherTest, the oversize tests, EngineModelTest and EngineProtocolTest, 59 tests, all green.

--- a/bench/src/main/java/dev/kumquatweir/bench/Contender.java
+++ b/bench/src/main/java/dev/kumquatweir/bench/Contender.java
@@ -1,8 +1,10 @@
 package dev.kumquatweir.bench;
 
 import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.policy.dispatch.Dispatcher;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
+import dev.kumquatweir.policy.memory.AttemptIds;
 import dev.kumquatweir.policy.routing.LengthStrategy;
 import dev.kumquatweir.policy.routing.LocalColdAllowance;
 import dev.kumquatweir.policy.routing.RoutingOptions;
@@ -70,7 +72,9 @@
                         RoutingOptions options =
                                 RoutingOptions.of(domain, setting.seed() * 31 + instance);
                         dispatchers.add(
-                                PolicyDispatcher.builder("i" + instance, change.apply(options))
+                                PolicyDispatcher.builder(
+                                                new AttemptIds(new InstanceId("i" + instance), 1),
+                                                change.apply(options))
                                         .coldAllowance(
                                                 new LocalColdAllowance(
                                                         Deployment.INSTANCES, instance))
--- a/bench/src/main/java/dev/kumquatweir/bench/DecisionCost.java
+++ b/bench/src/main/java/dev/kumquatweir/bench/DecisionCost.java
@@ -2,12 +2,14 @@
 
 import dev.kumquatweir.core.configuration.UpstreamKind;
 import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.identity.RequestId;
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.policy.dispatch.AttemptEvent;
 import dev.kumquatweir.policy.dispatch.DispatchAction;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
 import dev.kumquatweir.policy.dispatch.WorkRequest;
+import dev.kumquatweir.policy.memory.AttemptIds;
 import dev.kumquatweir.policy.registry.Announcement;
 import dev.kumquatweir.policy.registry.ColdLimit;
 import dev.kumquatweir.policy.registry.LoadReport;
@@ -45,7 +47,11 @@
     private DecisionCost(int upstreams) {
         mUpstreams = upstreams;
         FailureDomain own = new FailureDomain("d0");
-        mDispatcher = PolicyDispatcher.builder("cost", RoutingOptions.of(own, 1)).build();
+        mDispatcher =
+                PolicyDispatcher.builder(
+                                new AttemptIds(new InstanceId("cost"), 1),
+                                RoutingOptions.of(own, 1))
+                        .build();
         mDispatcher.configure(mDeployment.document(), mNowNanos);
         for (int number = 0; number < upstreams; number++) {
             mDispatcher.announced(announcement(number), mNowNanos);
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/Placer.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/Placer.java
@@ -3,6 +3,7 @@
 import dev.kumquatweir.core.configuration.OversizePolicy;
 import dev.kumquatweir.core.identity.AttemptId;
 import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.memory.AttemptIds;
 import dev.kumquatweir.policy.registry.Announcement;
 import dev.kumquatweir.policy.registry.ColdLimit;
 import dev.kumquatweir.policy.routing.ColdAllowance;
@@ -24,18 +25,17 @@
 
     private final Router mRouter;
     private final ColdAllowance mColdAllowance;
-    private final String mAttemptPrefix;
-    private long mAttempts;
+    private final AttemptIds mAttemptIds;
 
     /**
      * Makes a placer.
      *
-     * @param attemptPrefix start of each attempt id; differs for each instance and each start of it
+     * @param attemptIds makes the ids of the attempts
      */
-    Placer(Router router, ColdAllowance coldAllowance, String attemptPrefix) {
+    Placer(Router router, ColdAllowance coldAllowance, AttemptIds attemptIds) {
         mRouter = router;
         mColdAllowance = coldAllowance;
-        mAttemptPrefix = attemptPrefix;
+        mAttemptIds = attemptIds;
     }
 
     /** Places a request and makes the attempt its current one; returns null if none can take it. */
@@ -44,7 +44,7 @@
         if (placement == null) {
             return null;
         }
-        AttemptId id = new AttemptId(mAttemptPrefix + "." + ++mAttempts);
+        AttemptId id = mAttemptIds.next();
         long prefill = Math.max(0, tracked.prefillTokens() - placement.cachedTokens());
         RunningAttempt attempt =
                 new RunningAttempt(id, placement, tracked.mCallerTokens, prefill, nowNanos);
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
@@ -7,6 +7,7 @@
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.policy.admission.AdmissionControl;
 import dev.kumquatweir.policy.admission.OutputEstimate;
+import dev.kumquatweir.policy.memory.AttemptIds;
 import dev.kumquatweir.policy.registry.Announcement;
 import dev.kumquatweir.policy.registry.CacheEvents;
 import dev.kumquatweir.policy.registry.ColdLimit;
@@ -81,19 +82,18 @@
         mColdAllowance = builder.mColdAllowance;
         mRecovery = builder.mRecovery;
         Router router = new Router(mFleet, mPrefixes, mColdAllowance, builder.mRouting);
-        mPlacer = new Placer(router, mColdAllowance, builder.mAttemptPrefix);
+        mPlacer = new Placer(router, mColdAllowance, builder.mAttemptIds);
         mAttempts = new Attempts(mRecovery, mPlacer, mQueues, mTeacher);
     }
 
     /**
      * Starts a dispatcher with a simple recovery policy and the whole cold limit for itself.
      *
-     * @param attemptPrefix start of each attempt id; has to differ for each instance and for each
-     *     start of the same instance, since attempt ids are never reused
+     * @param attemptIds makes the ids of the attempts
      * @param routing settings of routing
      */
-    public static Builder builder(String attemptPrefix, RoutingOptions routing) {
-        return new Builder(attemptPrefix, routing);
+    public static Builder builder(AttemptIds attemptIds, RoutingOptions routing) {
+        return new Builder(attemptIds, routing);
     }
 
     @Override
@@ -407,13 +407,13 @@
 
     /** Builds a {@link PolicyDispatcher}. Not thread-safe. */
     public static final class Builder {
-        private final String mAttemptPrefix;
+        private final AttemptIds mAttemptIds;
         private final RoutingOptions mRouting;
         private ColdAllowance mColdAllowance = new LocalColdAllowance(1, 0);
         private RecoveryPolicy mRecovery = new SimpleRecovery();
 
-        private Builder(String attemptPrefix, RoutingOptions routing) {
-            mAttemptPrefix = attemptPrefix;
+        private Builder(AttemptIds attemptIds, RoutingOptions routing) {
+            mAttemptIds = attemptIds;
             mRouting = routing;
         }
 
--- a/policy/src/main/java/dev/kumquatweir/policy/memory/AttemptIds.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/memory/AttemptIds.java
@@ -2,12 +2,17 @@
 
 import dev.kumquatweir.core.identity.AttemptId;
 import dev.kumquatweir.core.identity.InstanceId;
+import java.util.Optional;
 
 /**
- * Makes the ids of an instance's attempts. An id is never made twice, as the incarnation grows with
- * each start. Not thread-safe: owned by the dispatch duty.
+ * Makes and reads the ids of attempts, {@code INSTANCE:INCARNATION:NUMBER}. An id is never made
+ * twice, as the incarnation grows with each start. Not thread-safe: owned by the dispatch duty; the
+ * static methods may be called from anywhere.
  */
 public final class AttemptIds {
+    /** More digits could not be read back into a long. */
+    private static final int MOST_DIGITS = 18;
+
     private final InstanceId mInstance;
     private final long mIncarnation;
     private long mNext;
@@ -31,6 +36,57 @@
 
     /** Returns a new id. */
     public AttemptId next() {
-        return new AttemptOrigin(mInstance, mIncarnation, mNext++).attemptId();
+        return idOf(new AttemptOrigin(mInstance, mIncarnation, mNext++));
+    }
+
+    /** Returns the id of the attempt of an origin. */
+    public static AttemptId idOf(AttemptOrigin origin) {
+        return new AttemptId(
+                origin.instance().value() + ':' + origin.incarnation() + ':' + origin.number());
+    }
+
+    /** Returns the origin of an attempt, or nothing if the id is not of this form. */
+    public static Optional<AttemptOrigin> originOf(AttemptId attempt) {
+        return read(attempt.value());
+    }
+
+    /**
+     * Returns the origin of a KV export. Its handle is the id of the attempt whose memory it holds,
+     * alone or followed by a slash and anything.
+     */
+    public static Optional<AttemptOrigin> originOfHandle(String handle) {
+        int slash = handle.indexOf('/');
+        return read(slash < 0 ? handle : handle.substring(0, slash));
+    }
+
+    /** The name of an instance may itself have colons, so the id is read from its end. */
+    private static Optional<AttemptOrigin> read(String text) {
+        int last = text.lastIndexOf(':');
+        int middle = text.lastIndexOf(':', last - 1);
+        if (middle < 1) {
+            return Optional.empty();
+        }
+        long incarnation = number(text, middle + 1, last);
+        long number = number(text, last + 1, text.length());
+        if (incarnation < 0 || number < 0) {
+            return Optional.empty();
+        }
+        InstanceId instance = new InstanceId(text.substring(0, middle));
+        return Optional.of(new AttemptOrigin(instance, incarnation, number));
+    }
+
+    private static long number(String text, int from, int to) {
+        if (from >= to || to - from > MOST_DIGITS) {
+            return -1;
+        }
+        long value = 0;
+        for (int position = from; position < to; position++) {
+            char digit = text.charAt(position);
+            if (digit < '0' || digit > '9') {
+                return -1;
+            }
+            value = value * 10 + (digit - '0');
+        }
+        return value;
     }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/memory/MemoryLedger.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/memory/MemoryLedger.java
@@ -136,7 +136,7 @@
             listed.add(attempt.value());
             if (!account.reserved(attempt)) {
                 foreignTokens += held.tokens();
-                Optional<AttemptOrigin> origin = AttemptOrigin.parse(attempt);
+                Optional<AttemptOrigin> origin = AttemptIds.originOf(attempt);
                 if (account.orphaned(attempt.value(), patience(origin, nowNanos), nowNanos)) {
                     actions.add(new MemoryAction.CancelAttempt(listing.upstream(), attempt));
                 }
@@ -145,9 +145,9 @@
         for (EngineListing.HeldExport held : listing.exports()) {
             String key = EngineAccount.exportKey(held.handle());
             listed.add(key);
-            Optional<AttemptOrigin> origin = AttemptOrigin.ofHandle(held.handle());
+            Optional<AttemptOrigin> origin = AttemptIds.originOfHandle(held.handle());
             // The memory of an export is that of its attempt as long as this is reserved.
-            boolean counted = origin.isPresent() && account.reserved(origin.get().attemptId());
+            boolean counted = origin.isPresent() && account.reserved(AttemptIds.idOf(origin.get()));
             foreignTokens += counted ? 0 : held.tokens();
             AttemptId owner = account.exportOwner(held.handle());
             boolean needed = owner != null && mPlaces.containsKey(owner);
--- a/policy/src/test/java/dev/kumquatweir/policy/dispatch/DispatcherFixture.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/dispatch/DispatcherFixture.java
@@ -10,12 +10,14 @@
 import dev.kumquatweir.core.failure.RequestFailure;
 import dev.kumquatweir.core.identity.AttemptId;
 import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.identity.ModelName;
 import dev.kumquatweir.core.identity.ProfileName;
 import dev.kumquatweir.core.identity.RequestId;
 import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.identity.TeamName;
 import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.memory.AttemptIds;
 import dev.kumquatweir.policy.registry.Announcement;
 import dev.kumquatweir.policy.registry.ColdLimit;
 import dev.kumquatweir.policy.registry.LoadReport;
@@ -58,7 +60,11 @@
     private int mRequests;
 
     DispatcherFixture() {
-        mDispatcher = PolicyDispatcher.builder("i0", RoutingOptions.of(domain("a"), 1)).build();
+        mDispatcher =
+                PolicyDispatcher.builder(
+                                new AttemptIds(new InstanceId("i0"), 1),
+                                RoutingOptions.of(domain("a"), 1))
+                        .build();
         mDispatcher.configure(DOCUMENT, mNow);
     }
 
--- a/policy/src/test/java/dev/kumquatweir/policy/memory/MemoryLedgerTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/memory/MemoryLedgerTest.java
@@ -158,13 +158,13 @@
     @Test
     void readsBackTheIdsItMakes() {
         AttemptIds ids = new AttemptIds(SELF, 7);
-        assertThat(AttemptOrigin.parse(ids.next()), is(Optional.of(new AttemptOrigin(SELF, 7, 0))));
+        assertThat(AttemptIds.originOf(ids.next()), is(Optional.of(new AttemptOrigin(SELF, 7, 0))));
         assertThat(ids.next(), is(OWN));
         assertThat(
-                AttemptOrigin.ofHandle("entry:1:7:1/a:b:1"),
+                AttemptIds.originOfHandle("entry:1:7:1/a:b:1"),
                 is(Optional.of(new AttemptOrigin(SELF, 7, 1))));
         for (String wrong : List.of("a:1", "a:b:1", "a:1:", "a:1:-1", "plain", "a::1")) {
-            assertThat(wrong, AttemptOrigin.parse(new AttemptId(wrong)), is(Optional.empty()));
+            assertThat(wrong, AttemptIds.originOf(new AttemptId(wrong)), is(Optional.empty()));
         }
     }
 
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -14,6 +14,7 @@
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
+import dev.kumquatweir.policy.memory.AttemptIds;
 import dev.kumquatweir.policy.routing.LocalColdAllowance;
 import dev.kumquatweir.policy.routing.RoutingOptions;
 import dev.kumquatweir.program.burn.BurnFile;
@@ -94,11 +95,11 @@
                         clocks);
         mGathering = new BurnGathering(mBurn, network, otherInstances(settings));
         MetricRegistry metrics = new MetricRegistry();
-        String attemptPrefix = settings.id() + ":" + incarnation + ":";
+        AttemptIds attemptIds = new AttemptIds(settings.id(), incarnation);
         RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
         mDispatch =
                 new DispatchDuty(
-                        PolicyDispatcher.builder(attemptPrefix, routing)
+                        PolicyDispatcher.builder(attemptIds, routing)
                                 .coldAllowance(localShare(settings))
                                 .build(),
                         new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
--- a/standin/src/main/java/dev/kumquatweir/standin/model/EngineModel.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/model/EngineModel.java
@@ -146,7 +146,7 @@
      * with its export; another one goes on and the export takes memory of its own.
      */
     public Either<EngineRefusal, KvHandle> export(String attempt) {
-        String handle = "kv-" + attempt;
+        String handle = attempt + "/kv";
         if (mKvStore.knows(handle)) {
             return Either.right(new KvHandle(handle, mKvStore.tokens(handle)));
         }
