Refuse instance names with a slash in the settings

The handle of a KV export is an attempt's id, alone or followed by a slash, and the id starts with the name of its instance, so a name with a slash could not be read back from a handle. AttemptIds threw at the start of the daemon with a stack trace; the settings reader now reports the fault with its line before anything starts. Encoding the slash in ids was ruled out, as engines log them.

--- a/settings/src/main/java/dev/kumquatweir/settings/InstanceSettingsReader.java
+++ b/settings/src/main/java/dev/kumquatweir/settings/InstanceSettingsReader.java
@@ -124,6 +124,10 @@
         if (distinct != settings.peers().size()) {
             cluster.fault("instances", "names an instance twice");
         }
+        if (settings.peers().stream().anyMatch(peer -> peer.id().value().indexOf('/') >= 0)) {
+            // A slash ends the attempt's id in the handle of a KV export.
+            cluster.fault("instances", "a name must not have a slash");
+        }
         long voters = settings.peers().stream().filter(PeerSettings::voter).count();
         if (voters % 2 == 0) {
             cluster.fault("instances", "an odd number of voters is allowed, not " + voters);
--- a/settings/src/test/java/dev/kumquatweir/settings/InstanceSettingsReaderTest.java
+++ b/settings/src/test/java/dev/kumquatweir/settings/InstanceSettingsReaderTest.java
@@ -61,6 +61,13 @@
         assertThat(message, containsString("a voter needs instance.data_folder"));
     }
 
+    /** Guards against attempt ids that can't be read back from the handles of exports. */
+    @Test
+    void refusesInstanceNamesWithSlash() {
+        String message = read(VALID.replace("\"entry-1\"", "\"entry/1\"")).getLeft().message();
+        assertThat(message, containsString("a name must not have a slash"));
+    }
+
     /** Guards against a parse fault without its place. */
     @Test
     void reportsTheLineOfTextThatIsNotToml() {
