Let the ledger know placed attempts, removed members and set-back clocks

The daemon places attempts through the router, so the ledger has to take them whatever it thinks is free; a refused reservation would have had a running answer cancelled as an orphan. Incarnations are wall-clock times: an instance restarted after its clock was set back would have counted as dead while it served, and its own items of a higher number would never have been freed. An incarnation heard after a higher one is now not dead, and own higher ones end after the longest time limit. Removed members count as dead only while they are not heard. The longest time limit can be raised later, never lowered.

--- a/policy/src/main/java/dev/kumquatweir/policy/memory/EngineAccount.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/memory/EngineAccount.java
@@ -15,6 +15,7 @@
     private final Map<AttemptId, Reservation> mReservations = new HashMap<>();
     private final Map<String, AttemptId> mExports = new HashMap<>();
     private final Map<String, Long> mOrphanSince = new HashMap<>();
+    private Set<String> mNeededExports = Set.of();
     private long mReservedTokens;
     private long mForeignTokens;
 
@@ -58,6 +59,14 @@
         mExports.remove(handle);
     }
 
+    void neededExports(Set<String> handles) {
+        mNeededExports = Set.copyOf(handles);
+    }
+
+    boolean needsExport(String handle) {
+        return mNeededExports.contains(handle);
+    }
+
     @Nullable AttemptId exportOwner(String handle) {
         return mExports.get(handle);
     }
--- a/policy/src/main/java/dev/kumquatweir/policy/memory/InstanceDirectory.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/memory/InstanceDirectory.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -14,18 +15,36 @@
     /** Silence after which an instance does not count as live. */
     public static final long LIVE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+    private static final long NONE = -1;
+
     private final Map<InstanceId, Entry> mEntries = new HashMap<>();
+    private Set<InstanceId> mRemoved = Set.of();
 
-    /** Takes any word of an instance. A newer incarnation proves that the older ones are dead. */
+    /**
+     * Takes any word of an instance. A newer incarnation proves that the older ones are dead,
+     * unless a lower one is heard after it: incarnations come from wall clocks, and one may have
+     * been set back while the instance was down.
+     */
     public void heard(InstanceId instance, long incarnation, long nowNanos) {
         Entry entry = mEntries.computeIfAbsent(instance, key -> new Entry(incarnation, nowNanos));
         if (incarnation >= entry.mIncarnation) {
             entry.mDead = entry.mDead && incarnation == entry.mIncarnation;
             entry.mIncarnation = incarnation;
             entry.mHeardNanos = nowNanos;
+        } else {
+            entry.mLower = incarnation;
+            entry.mLowerNanos = nowNanos;
         }
     }
 
+    /**
+     * Takes the instances that operators have removed, instead of those before. What a removed
+     * instance left counts as dead unless the instance is still heard.
+     */
+    public void removed(Set<InstanceId> instances) {
+        mRemoved = Set.copyOf(instances);
+    }
+
     /**
      * Takes proof that an incarnation has ended: its planned stop, or its removal by operators.
      * Silence, a lost connection or an expired lease are no proof.
@@ -43,6 +62,11 @@
         Entry entry =
                 mEntries.computeIfAbsent(
                         instance, key -> new Entry(incarnation, nowNanos - LIVE_NANOS));
+        if (incarnation == entry.mLower) {
+            return recent(entry.mLowerNanos, nowNanos)
+                    ? new OwnerState.Live()
+                    : new OwnerState.Silent();
+        }
         if (incarnation < entry.mIncarnation
                 || (incarnation == entry.mIncarnation && entry.mDead)) {
             return new OwnerState.Dead();
@@ -53,24 +77,35 @@
             entry.mDead = false;
             entry.mHeardNanos = nowNanos;
         }
-        return nowNanos - entry.mHeardNanos < LIVE_NANOS
-                ? new OwnerState.Live()
-                : new OwnerState.Silent();
+        if (recent(entry.mHeardNanos, nowNanos)) {
+            return new OwnerState.Live();
+        }
+        return mRemoved.contains(instance) ? new OwnerState.Dead() : new OwnerState.Silent();
     }
 
     /** Returns the instances that were heard of recently. */
     public List<InstanceId> live(long nowNanos) {
         return mEntries.entrySet().stream()
-                .filter(entry -> !entry.getValue().mDead)
-                .filter(entry -> nowNanos - entry.getValue().mHeardNanos < LIVE_NANOS)
+                .filter(entry -> live(entry.getValue(), nowNanos))
                 .map(Map.Entry::getKey)
                 .toList();
     }
 
+    private static boolean live(Entry entry, long nowNanos) {
+        boolean lower = entry.mLower != NONE && recent(entry.mLowerNanos, nowNanos);
+        return lower || (!entry.mDead && recent(entry.mHeardNanos, nowNanos));
+    }
+
+    private static boolean recent(long heardNanos, long nowNanos) {
+        return nowNanos - heardNanos < LIVE_NANOS;
+    }
+
     private static final class Entry {
         private long mIncarnation;
         private long mHeardNanos;
         private boolean mDead;
+        private long mLower = NONE;
+        private long mLowerNanos;
 
         Entry(long incarnation, long heardNanos) {
             mIncarnation = incarnation;
--- a/policy/src/main/java/dev/kumquatweir/policy/memory/MemoryLedger.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/memory/MemoryLedger.java
@@ -24,7 +24,7 @@
     private final long mIncarnation;
     private final InstanceDirectory mDirectory;
     private final long mGraceNanos;
-    private final long mLongestRequestNanos;
+    private long mLongestRequestNanos;
     private final Map<UpstreamId, EngineAccount> mEngines = new HashMap<>();
     private final Map<AttemptId, Set<UpstreamId>> mPlaces = new HashMap<>();
 
@@ -94,6 +94,28 @@
         return new ReserveDecision.Reserved();
     }
 
+    /** Takes an attempt of this instance that was placed elsewhere, whatever is free. */
+    public void placed(UpstreamId upstream, AttemptId attempt, long tokens, long sinceNanos) {
+        EngineAccount account = mEngines.get(upstream);
+        if (account != null && !account.reserved(attempt)) {
+            account.reserve(attempt, tokens, sinceNanos);
+            mPlaces.computeIfAbsent(attempt, key -> new HashSet<>(2)).add(upstream);
+        }
+    }
+
+    /** Takes the KV exports that this instance needs on an engine, instead of those before. */
+    public void neededExports(UpstreamId upstream, Set<String> handles) {
+        account(upstream).neededExports(handles);
+    }
+
+    /**
+     * Takes the longest time limit of any profile. It is never lowered, as requests that were
+     * admitted under an earlier configuration keep their limit.
+     */
+    public void longestRequest(long nanos) {
+        mLongestRequestNanos = Math.max(mLongestRequestNanos, nanos);
+    }
+
     /** Ends the reservations of an attempt on all engines. */
     public void release(AttemptId attempt) {
         Set<UpstreamId> upstreams = mPlaces.remove(attempt);
@@ -150,7 +172,9 @@
             boolean counted = origin.isPresent() && account.reserved(AttemptIds.idOf(origin.get()));
             foreignTokens += counted ? 0 : held.tokens();
             AttemptId owner = account.exportOwner(held.handle());
-            boolean needed = owner != null && mPlaces.containsKey(owner);
+            boolean needed =
+                    account.needsExport(held.handle())
+                            || (owner != null && mPlaces.containsKey(owner));
             long patience = needed ? NEVER : patience(origin, nowNanos);
             if (account.orphaned(key, patience, nowNanos)) {
                 actions.add(new MemoryAction.ReleaseExport(listing.upstream(), held.handle()));
@@ -174,8 +198,8 @@
         InstanceId instance = origin.get().instance();
         long incarnation = origin.get().incarnation();
         if (instance.equals(mInstance)) {
-            // A newer incarnation of this instance can't exist while this one runs.
-            return incarnation <= mIncarnation ? mGraceNanos : NEVER;
+            // A number above the present one was given before the wall clock was set back.
+            return incarnation <= mIncarnation ? mGraceNanos : untilEnded;
         }
         return switch (mDirectory.state(instance, incarnation, nowNanos)) {
             case OwnerState.Live live -> NEVER;
--- a/policy/src/test/java/dev/kumquatweir/policy/memory/MemoryLedgerTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/memory/MemoryLedgerTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class MemoryLedgerTest {
@@ -99,6 +100,56 @@
                 contains(new MemoryAction.CancelAttempt(ENGINE, strange)));
     }
 
+    /** Guards against live work taken for a dead start's after a wall clock was set back. */
+    @Test
+    void leavesTheWorkOfIncarnationsHeardAfterHigherOnes() {
+        mDirectory.heard(PEER, 9, 0);
+        mDirectory.heard(PEER, 3, SECOND);
+        assertThat(attempts(SECOND, PEERS), empty());
+        assertThat(attempts(SECOND + 2 * GRACE, PEERS), empty());
+        assertThat(mDirectory.live(SECOND), contains(PEER));
+    }
+
+    /** Guards against a leak of this instance's own earlier start under a higher number. */
+    @Test
+    void endsItsOwnHigherIncarnationWhenItMustHaveEnded() {
+        AttemptId earlier = new AttemptId("entry:1:8:0");
+        assertThat(attempts(0, earlier), empty());
+        assertThat(attempts(LONGEST + GRACE - 1, earlier), empty());
+        assertThat(
+                attempts(LONGEST + GRACE, earlier),
+                contains(new MemoryAction.CancelAttempt(ENGINE, earlier)));
+    }
+
+    /** Guards against memory of removed members kept, and against harm to one that still serves. */
+    @Test
+    void endsTheWorkOfRemovedInstancesUnlessTheyAreHeard() {
+        mDirectory.heard(PEER, 3, 0);
+        mDirectory.removed(Set.of(PEER));
+        assertThat(attempts(SECOND, PEERS), empty());
+        long silent = InstanceDirectory.LIVE_NANOS;
+        assertThat(attempts(silent, PEERS), empty());
+        assertThat(
+                attempts(silent + GRACE, PEERS),
+                contains(new MemoryAction.CancelAttempt(ENGINE, PEERS)));
+    }
+
+    /**
+     * Guards against a running attempt cancelled since its engine reported less room than it took.
+     */
+    @Test
+    void neverEndsWhatWasPlacedElsewhere() {
+        mLedger.placed(ENGINE, OWN, 1_000, 0);
+        mLedger.neededExports(ENGINE, Set.of("entry:1:7:2/kv"));
+        assertThat(attempts(0, OWN), empty());
+        assertThat(attempts(20 * SECOND, OWN), empty());
+        assertThat(exports(21 * SECOND, "entry:1:7:2/kv"), empty());
+        assertThat(exports(40 * SECOND, "entry:1:7:2/kv"), empty());
+        mLedger.longestRequest(LONGEST / 2);
+        assertThat(attempts(40 * SECOND, OWN, new AttemptId("strange")), empty());
+        assertThat(attempts(40 * SECOND + LONGEST, OWN, new AttemptId("strange")), empty());
+    }
+
     /** Guards against KV exports that outlive the prompt they were made for. */
     @Test
     void releasesForgottenExportsButNotThoseStillNeeded() {
