Free the memory of engines that no instance needs any more

Nothing called the memory ledger: what a dead instance, a lost cancel or a forgotten export left on an engine stayed there. A duty now lists the engines that this instance reconciles or uses, hands the listings to the ledger, and cancels and releases what nobody owns. What this instance holds is entered at the upstream caller, before an attempt is sent; asking the dispatch duty was ruled out, as a shed or late answer would cost running work.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/EngineClient.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/EngineClient.java
@@ -127,8 +127,7 @@
         return body;
     }
 
-    private static StreamingHttpRequest post(
-            StreamingHttpClient client, String path, ObjectNode body) {
+    static StreamingHttpRequest post(StreamingHttpClient client, String path, ObjectNode body) {
         Buffer content = client.executionContext().bufferAllocator().fromUtf8(body.toString());
         return client.post(path)
                 .setHeader(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
--- a/program/src/main/java/dev/kumquatweir/program/command/StandinEngineCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/StandinEngineCommand.java
@@ -36,7 +36,7 @@
     @Option(
             name = "--time-scale",
             title = "FACTOR",
-            description = "Run this many times as fast as the usual engine")
+            description = "Factor on all times of the usual engine; 5 is five times as slow")
     private double mTimeScale = 1;
 
     @Override
--- a/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
@@ -24,6 +24,8 @@
     CACHE_WANTED(16),
     /** Marks of requests that crash upstreams. */
     QUARANTINE(15),
+    /** An instance's incarnation, and whether it has ended. */
+    PRESENCE(17),
     /** Asks for sums of the burn counters. */
     BURN(40);
 
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -10,6 +10,9 @@
 import dev.kumquatweir.gateway.caller.CallerPorts;
 import dev.kumquatweir.gateway.caller.CallerServer;
 import dev.kumquatweir.gateway.dispatch.DispatchDuty;
+import dev.kumquatweir.gateway.memory.AccountedCaller;
+import dev.kumquatweir.gateway.memory.HeldMemory;
+import dev.kumquatweir.gateway.upstream.HttpEngineMemory;
 import dev.kumquatweir.gateway.upstream.HttpUpstreamCaller;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
@@ -22,6 +25,7 @@
 import dev.kumquatweir.program.burn.BurnRecorder;
 import dev.kumquatweir.program.control.ControlPlane;
 import dev.kumquatweir.program.control.StoreQuestion;
+import dev.kumquatweir.program.memory.MemoryReconciliation;
 import dev.kumquatweir.program.operator.OperatorListener;
 import dev.kumquatweir.program.operator.OperatorRoutes;
 import dev.kumquatweir.program.spread.RegistrySpread;
@@ -61,6 +65,7 @@
     private final IoExecutor mExecutor;
     private final UpstreamClients mClients;
     private final DispatchDuty mDispatch;
+    private final MemoryReconciliation mMemory;
     private final BurnRecorder mBurn;
     private final BurnGathering mGathering;
     private final InstanceHealth mHealth;
@@ -97,16 +102,21 @@
         MetricRegistry metrics = new MetricRegistry();
         AttemptIds attemptIds = new AttemptIds(settings.id(), incarnation);
         RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
+        HeldMemory held = new HeldMemory();
         mDispatch =
                 new DispatchDuty(
                         PolicyDispatcher.builder(attemptIds, routing)
                                 .coldAllowance(localShare(settings))
                                 .build(),
-                        new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
+                        new AccountedCaller(
+                                new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
+                                held,
+                                clocks),
                         control.configuration(),
                         new RequestMetrics(metrics, mBurn),
                         clocks);
         register(metrics);
+        mMemory = reconciliation(incarnation, network, held, metrics);
         mHealth = new InstanceHealth(control.configuration(), metrics);
         mCallers =
                 new CallerServer(
@@ -143,6 +153,7 @@
         mGathering.start();
         mControl.start();
         mDispatch.start();
+        mMemory.start();
         mCallers.start();
         mServers =
                 List.of(
@@ -175,6 +186,7 @@
         mControl.handOver();
         mCallers.stop();
         mDispatch.stop();
+        mMemory.stop();
         mBurn.stop();
         mControl.stop();
         mClients.close();
@@ -195,6 +207,20 @@
         metrics.register("kumquatweir_configuration_lease_held", lease);
     }
 
+    private MemoryReconciliation reconciliation(
+            long incarnation, PeerNetwork network, HeldMemory held, MetricRegistry metrics) {
+        return new MemoryReconciliation(
+                mSettings,
+                incarnation,
+                mControl,
+                network,
+                mDispatch,
+                new HttpEngineMemory(mClients),
+                held,
+                metrics,
+                mClocks);
+    }
+
     private HttpServerContext listen(InetSocketAddress address, StreamingHttpService service) {
         try {
             return HttpServers.forAddress(address)
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/memory/PresenceFrames.java
@@ -0,0 +1,52 @@
+package dev.kumquatweir.program.memory;
+
+import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.pack.MalformedContent;
+import dev.kumquatweir.core.pack.PackReader;
+import dev.kumquatweir.core.pack.PackWriter;
+import dev.kumquatweir.program.instance.FrameType;
+import dev.kumquatweir.transport.PeerNetwork;
+import io.vavr.control.Either;
+import java.util.List;
+
+/**
+ * Tells the other instances the incarnation of this one. Every frame carries the whole state, so a
+ * lost one is made good by the next. Thread-safe.
+ */
+final class PresenceFrames {
+    private static final int FIELDS = 2;
+
+    private final PeerNetwork mNetwork;
+    private final List<InstanceId> mOthers;
+    private final long mIncarnation;
+
+    /**
+     * The word of an instance.
+     *
+     * @param incarnation its incarnation
+     * @param ended whether this incarnation has stopped and none of its work runs on
+     */
+    record Presence(long incarnation, boolean ended) {}
+
+    PresenceFrames(PeerNetwork network, List<InstanceId> others, long incarnation) {
+        mNetwork = network;
+        mOthers = List.copyOf(others);
+        mIncarnation = incarnation;
+    }
+
+    /** Tells the others that this instance runs or has ended. */
+    void tell(boolean ended) {
+        Bytes content = new PackWriter().array(FIELDS).number(mIncarnation).flag(ended).finish();
+        mOthers.forEach(other -> mNetwork.send(other, FrameType.PRESENCE.number(), content));
+    }
+
+    static Either<MalformedContent, Presence> decode(Bytes content) {
+        return PackReader.decode(
+                content,
+                reader -> {
+                    reader.array(FIELDS);
+                    return new Presence(reader.number(), reader.flag());
+                });
+    }
+}
--- a/standin/src/main/java/dev/kumquatweir/standin/EngineFaultSwitches.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/EngineFaultSwitches.java
@@ -85,6 +85,8 @@
             case "drop_cache_events" -> done(order, () -> mCacheEvents.dropNext(count(value)));
             case "lag" -> done(order, () -> mLoadHistory.setLag(value.asLong(0)));
             case "fall_over" -> done(order, () -> mRuntime.crash("fall_over"));
+            case "drop_cancels" ->
+                    onModel(order, model -> model.faults().dropCancels(switchedOn(value)));
             case "refuse" -> refuse(order, value);
             case "crash_on" ->
                     value.isTextual()
--- a/standin/src/main/java/dev/kumquatweir/standin/EngineRuntime.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/EngineRuntime.java
@@ -209,6 +209,10 @@
     }
 
     private boolean cancelNow(String attempt) {
+        if (mModel.faults().dropsCancels()) {
+            LOG.info("cancel_dropped", "attempt", attempt);
+            return false;
+        }
         boolean cancelled = mModel.cancel(attempt);
         mAborted += cancelled ? 1 : 0;
         end(attempt, stream -> stream.aborted("cancelled"));
--- a/standin/src/main/java/dev/kumquatweir/standin/model/EngineFaults.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/model/EngineFaults.java
@@ -9,6 +9,7 @@
     private final Set<String> mCrashContents = new LinkedHashSet<>();
     private @Nullable EngineRefusal mRefusal;
     private boolean mHidesCold;
+    private boolean mDropsCancels;
 
     /** Refuses all requests with a reason; null ends that. */
     public void refuseAll(@Nullable EngineRefusal refusal) {
@@ -29,6 +30,16 @@
         mHidesCold = hidden;
     }
 
+    /** Takes cancels without a word and goes on; a closed connection cancels nothing either. */
+    public void dropCancels(boolean drops) {
+        mDropsCancels = drops;
+    }
+
+    /** Returns whether cancels have no effect. */
+    public boolean dropsCancels() {
+        return mDropsCancels;
+    }
+
     @Nullable EngineRefusal refusal() {
         return mRefusal;
     }
