Decide by the quarantine before each attempt is placed

Cause: the quarantine was tested but nothing called it, so a request that crashes engines was retried on up to 4 of them, and again when its caller sent it again. RecoveryPolicy now extends RunGuard, which is asked before each attempt and told of attempts, deaths, signs of life and planned stops; QuarantinedRecovery puts a Quarantine before another policy. A suspect waits in SuspectRoom beside the queues, since the first work of a team keeps back the rest, reserves an upstream and starts once a report says that nothing runs there.

Ruled out: moving running work away from the reserved upstream (prefills twice for what is mostly a neighbour); a sign of life without delay (a report sent before the crash excused the death).

After: refused after 2 deaths, typed, also at admission. QuarantineTest is told owners, since uses of other instances now replace each other by owner; its checks are the same.

--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/Attempts.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/Attempts.java
@@ -3,6 +3,7 @@
 import dev.kumquatweir.core.failure.Ran;
 import dev.kumquatweir.core.failure.RequestFailure;
 import dev.kumquatweir.core.identity.AttemptId;
+import dev.kumquatweir.policy.quarantine.UpstreamDeath;
 import dev.kumquatweir.policy.registry.Announcement;
 import dev.kumquatweir.policy.routing.Hold;
 import dev.kumquatweir.policy.routing.UpstreamLoad;
@@ -50,9 +51,20 @@
         mTeacher = teacher;
     }
 
-    /** Notes the new current attempt of a request. */
-    void started(TrackedRequest tracked, RunningAttempt attempt) {
+    /**
+     * Notes the new current attempt of a request.
+     *
+     * @param alone whether its upstream runs nothing else
+     */
+    void started(TrackedRequest tracked, RunningAttempt attempt, boolean alone) {
         mCurrent.put(attempt.mId, tracked);
+        Announcement announcement = attempt.mPlacement.upstream().state().announcement();
+        mRecovery.started(
+                tracked.mRequest,
+                attempt.mId,
+                new UpstreamDeath(announcement.id(), announcement.incarnation()),
+                announcement.domain(),
+                alone);
         mQueues.held(tracked);
         tracked.mAvoidedUpstreams = Set.of();
     }
@@ -98,6 +110,20 @@
         return new ArrayList<>(mCurrent.values());
     }
 
+    /** Returns the requests whose current attempt runs on an upstream or uses its memory. */
+    List<TrackedRequest> using(UpstreamLoad load) {
+        List<TrackedRequest> using = new ArrayList<>();
+        for (TrackedRequest tracked : mCurrent.values()) {
+            RunningAttempt attempt = tracked.mCurrent;
+            if (attempt != null
+                    && (attempt.mPlacement.upstream() == load
+                            || attempt.mPlacement.partners().contains(load))) {
+                using.add(tracked);
+            }
+        }
+        return using;
+    }
+
     /** Takes note that the upstream has taken the attempt. */
     private Sequel accepted(TrackedRequest tracked, RunningAttempt attempt, long nowNanos) {
         attempt.mAccepted = true;
@@ -114,6 +140,7 @@
             return running;
         }
         tracked.mCallerTokens = tokens;
+        mRecovery.progressed(attempt.mId, tokens);
         if (!attempt.mFirstToken) {
             attempt.mFirstToken = true;
             attempt.mFirstTokenNanos = nowNanos;
@@ -152,6 +179,7 @@
             }
         }
         tracked.mRefusals++;
+        mRecovery.cancelled(attempt.mId);
         FailedAttempt failed = failed(tracked, attempt);
         end(tracked, attempt, nowNanos);
         return sequel(tracked, mRecovery.refused(failed, reason, nowNanos), false);
@@ -162,6 +190,7 @@
             TrackedRequest tracked, RunningAttempt attempt, AttemptEvent.Break how, long nowNanos) {
         tracked.mMayHaveRun = true;
         tracked.mBreaks++;
+        mRecovery.lost(attempt.mId, how, nowNanos);
         FailedAttempt failed = failed(tracked, attempt);
         if (how != AttemptEvent.Break.UPSTREAM_ERROR) {
             attempt.mPlacement.upstream().avoidUntil(nowNanos + AVOID_AFTER_BREAK_NANOS);
@@ -185,6 +214,7 @@
 
     /** Ends an attempt that the policy itself gives up. */
     void abandon(TrackedRequest tracked, RunningAttempt attempt, long nowNanos) {
+        mRecovery.cancelled(attempt.mId);
         end(tracked, attempt, nowNanos);
     }
 
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/Placer.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/Placer.java
@@ -11,7 +11,9 @@
 import dev.kumquatweir.policy.routing.PlacementQuery;
 import dev.kumquatweir.policy.routing.Router;
 import dev.kumquatweir.policy.routing.UpstreamLoad;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -38,9 +40,13 @@
         mAttemptPrefix = attemptPrefix;
     }
 
-    /** Places a request and makes the attempt its current one; returns null if none can take it. */
-    @Nullable DispatchAction place(TrackedRequest tracked, long nowNanos) {
-        Placement placement = mRouter.place(query(tracked), nowNanos);
+    /**
+     * Places a request and makes the attempt its current one; returns null if none can take it.
+     *
+     * @param closed upstreams that may not take it, besides those that it avoids itself
+     */
+    @Nullable DispatchAction place(TrackedRequest tracked, Set<UpstreamId> closed, long nowNanos) {
+        Placement placement = mRouter.place(query(tracked, closed), nowNanos);
         if (placement == null) {
             return null;
         }
@@ -103,8 +109,13 @@
         }
     }
 
-    private static PlacementQuery query(TrackedRequest tracked) {
+    private static PlacementQuery query(TrackedRequest tracked, Set<UpstreamId> closed) {
         WorkRequest request = tracked.mRequest;
+        Set<UpstreamId> avoided = tracked.mAvoidedUpstreams;
+        if (!closed.isEmpty()) {
+            avoided = new HashSet<>(avoided);
+            avoided.addAll(closed);
+        }
         return new PlacementQuery(
                 request.profile().service(),
                 request.model(),
@@ -114,7 +125,7 @@
                 Math.max(1, tracked.mExpectedOutput - tracked.mCallerTokens),
                 request.prefixHashes(),
                 request.profile().oversize() == OversizePolicy.SPLIT,
-                tracked.mAvoidedUpstreams,
+                avoided,
                 tracked.mAvoidedDomains);
     }
 
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
@@ -7,6 +7,7 @@
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.policy.admission.AdmissionControl;
 import dev.kumquatweir.policy.admission.OutputEstimate;
+import dev.kumquatweir.policy.quarantine.UpstreamDeath;
 import dev.kumquatweir.policy.registry.Announcement;
 import dev.kumquatweir.policy.registry.CacheEvents;
 import dev.kumquatweir.policy.registry.ColdLimit;
@@ -23,12 +24,10 @@
 import dev.kumquatweir.policy.routing.UpstreamLoad;
 import io.vavr.control.Either;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -39,8 +38,8 @@
  * <p>Not thread-safe: owned by the dispatch duty.
  */
 public final class PolicyDispatcher implements Dispatcher {
-    /** A request fails this long before its deadline, so that the caller hears of it in time. */
-    static final long DEADLINE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
+    /** Time before its deadline at which a request fails. */
+    static final long DEADLINE_MARGIN_NANOS = Deadlines.MARGIN_NANOS;
 
     private static final long CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
@@ -58,9 +57,7 @@
     private static final long AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final Map<RequestId, TrackedRequest> mRequests = new HashMap<>();
-    private final PriorityQueue<TrackedRequest> mDeadlines =
-            new PriorityQueue<>(
-                    Comparator.comparingLong(tracked -> tracked.mRequest.deadlineNanos()));
+    private final Deadlines mDeadlines = new Deadlines();
     private final List<DispatchAction> mOutbox = new ArrayList<>();
     private final AdmissionControl mAdmission = new AdmissionControl();
     private final PrefixIndex mPrefixes = new PrefixIndex();
@@ -71,6 +68,7 @@
     private final RecoveryPolicy mRecovery;
     private final Placer mPlacer;
     private final Attempts mAttempts;
+    private final SuspectRoom mSuspects;
     private ConfigurationDocument mDocument = ConfigurationDocument.EMPTY;
     private long mCheckedNanos = Long.MIN_VALUE;
     private long mServedNanos = Long.MIN_VALUE;
@@ -83,6 +81,7 @@
         Router router = new Router(mFleet, mPrefixes, mColdAllowance, builder.mRouting);
         mPlacer = new Placer(router, mColdAllowance, builder.mAttemptPrefix);
         mAttempts = new Attempts(mRecovery, mPlacer, mQueues, mTeacher);
+        mSuspects = new SuspectRoom(mRecovery, mFleet, mPlacer);
     }
 
     /**
@@ -109,8 +108,7 @@
         mCapacityChanged = true;
         UpstreamLoad former = mFleet.announced(announcement, nowNanos);
         if (former != null) {
-            mPrefixes.forget(announcement.id());
-            breakAll(former, nowNanos);
+            dead(former, nowNanos);
         }
     }
 
@@ -119,6 +117,9 @@
         mCapacityChanged = true;
         boolean known = mFleet.reported(load, nowNanos);
         UpstreamLoad upstream = mFleet.find(load.id());
+        if (upstream != null && load.equals(upstream.state().load())) {
+            mRecovery.alive(new UpstreamDeath(load.id(), load.incarnation()), nowNanos);
+        }
         if (upstream != null && upstream.cold()) {
             moveSurplus(upstream, nowNanos);
         }
@@ -132,6 +133,7 @@
 
     @Override
     public void left(UpstreamId upstream, long incarnation, long nowNanos) {
+        mRecovery.leaving(new UpstreamDeath(upstream, incarnation), nowNanos);
         mFleet.left(upstream, incarnation);
     }
 
@@ -146,7 +148,7 @@
         AdmissionControl.Outlook outlook =
                 new AdmissionControl.Outlook(
                         mTeacher.rates(request.profile().service()),
-                        cachedTokens(request),
+                        mPrefixes.cachedTokens(request.prefixHashes(), request.promptTokens()),
                         output.cautious(request.maximumOutputTokens()),
                         mQueues.queueNanos(request, nowNanos));
         Either<RequestFailure, Void> decision =
@@ -190,6 +192,7 @@
                 || nowNanos - mServedNanos >= SERVE_NANOS) {
             mCapacityChanged = false;
             mServedNanos = nowNanos;
+            mSuspects.due(nowNanos).forEach(tracked -> offerSuspect(tracked, nowNanos));
             mQueues.serve(tracked -> place(tracked, nowNanos), nowNanos);
         }
         List<DispatchAction> actions = List.copyOf(mOutbox);
@@ -239,22 +242,36 @@
         return Either.right(null);
     }
 
-    private long cachedTokens(WorkRequest request) {
-        return mPrefixes.holders(request.prefixHashes()).stream()
-                .findFirst()
-                .map(holder -> mPrefixes.cachedBlocks(holder, request.prefixHashes()))
-                .map(blocks -> Math.min(request.promptTokens(), blocks * PrefixIndex.BLOCK_TOKENS))
-                .orElse(0L);
+    private boolean place(TrackedRequest tracked, long nowNanos) {
+        if (mSuspects.takes(tracked, nowNanos)) {
+            mQueues.remove(tracked, nowNanos);
+            if (!mSuspects.add(tracked)) {
+                fail(tracked, AdmissionControl.overloaded(0), nowNanos);
+            }
+            return false;
+        }
+        DispatchAction start =
+                mPlacer.place(tracked, mRecovery.closedUpstreams(nowNanos), nowNanos);
+        return start != null && started(tracked, start, false);
     }
 
-    private boolean place(TrackedRequest tracked, long nowNanos) {
-        DispatchAction start = mPlacer.place(tracked, nowNanos);
-        if (start == null || tracked.mCurrent == null) {
+    private boolean started(TrackedRequest tracked, DispatchAction start, boolean alone) {
+        if (tracked.mCurrent == null) {
             return false;
         }
-        mAttempts.started(tracked, tracked.mCurrent);
-        mOutbox.add(start);
-        return true;
+        mAttempts.started(tracked, tracked.mCurrent, alone);
+        return mOutbox.add(start);
+    }
+
+    private void offerSuspect(TrackedRequest tracked, long nowNanos) {
+        switch (mSuspects.offer(tracked, nowNanos)) {
+            case SuspectRoom.Step.Waits waits -> {
+                // Offered again later.
+            }
+            case SuspectRoom.Step.Queues queues -> mQueues.addAgain(tracked, true, nowNanos);
+            case SuspectRoom.Step.Starts starts -> started(tracked, starts.action(), true);
+            case SuspectRoom.Step.Fails fails -> fail(tracked, fails.failure(), nowNanos);
+        }
     }
 
     private void follow(TrackedRequest tracked, Attempts.Sequel sequel, long nowNanos) {
@@ -293,6 +310,7 @@
     /** Takes a request out of the queue and cancels its attempt. */
     private void withdraw(TrackedRequest tracked, long nowNanos) {
         mQueues.remove(tracked, nowNanos);
+        mSuspects.remove(tracked);
         if (tracked.mCurrent != null) {
             cancel(tracked, tracked.mCurrent, nowNanos);
         }
@@ -311,23 +329,16 @@
     }
 
     private void failOverdue(long nowNanos) {
-        TrackedRequest next = mDeadlines.peek();
-        while (next != null
-                && (next.mEnded
-                        || nowNanos >= next.mRequest.deadlineNanos() - DEADLINE_MARGIN_NANOS)) {
-            mDeadlines.poll();
-            if (!next.mEnded) {
-                fail(next, new RequestFailure.DeadlineExceeded(next.ran()), nowNanos);
-            }
-            next = mDeadlines.peek();
+        TrackedRequest next = mDeadlines.takeOverdue(nowNanos);
+        while (next != null) {
+            fail(next, new RequestFailure.DeadlineExceeded(next.ran()), nowNanos);
+            next = mDeadlines.takeOverdue(nowNanos);
         }
     }
 
     private void check(long nowNanos) {
-        for (UpstreamLoad silent : mFleet.expire(nowNanos)) {
-            mPrefixes.forget(silent.state().announcement().id());
-            breakAll(silent, nowNanos);
-        }
+        mFleet.expire(nowNanos).forEach(silent -> dead(silent, nowNanos));
+        mRecovery.expire(nowNanos);
         for (TrackedRequest tracked : mAttempts.running()) {
             RunningAttempt attempt = tracked.mCurrent;
             if (attempt != null
@@ -369,16 +380,17 @@
     }
 
     /** Breaks all attempts on an upstream that is gone, those that only use its memory included. */
-    private void breakAll(UpstreamLoad gone, long nowNanos) {
-        for (TrackedRequest tracked : mAttempts.running()) {
+    private void dead(UpstreamLoad gone, long nowNanos) {
+        Announcement announcement = gone.state().announcement();
+        mPrefixes.forget(announcement.id());
+        UpstreamDeath death = new UpstreamDeath(announcement.id(), announcement.incarnation());
+        mRecovery.died(death, announcement.domain(), nowNanos);
+        for (TrackedRequest tracked : mAttempts.using(gone)) {
             RunningAttempt attempt = tracked.mCurrent;
-            if (attempt == null) {
-                continue;
-            }
-            if (attempt.mPlacement.partners().contains(gone)) {
+            if (attempt != null && attempt.mPlacement.upstream() != gone) {
                 cancelUpstream(tracked, attempt);
-                breakOff(tracked, attempt, AttemptEvent.Break.UPSTREAM_GONE, nowNanos);
-            } else if (attempt.mPlacement.upstream() == gone) {
+            }
+            if (attempt != null) {
                 breakOff(tracked, attempt, AttemptEvent.Break.UPSTREAM_GONE, nowNanos);
             }
         }
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/QuarantinedRecovery.java
@@ -0,0 +1,137 @@
+package dev.kumquatweir.policy.dispatch;
+
+import dev.kumquatweir.core.failure.RequestFailure;
+import dev.kumquatweir.core.identity.AttemptId;
+import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.quarantine.Quarantine;
+import dev.kumquatweir.policy.quarantine.QuarantineDecision;
+import dev.kumquatweir.policy.quarantine.UpstreamDeath;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Puts a quarantine before another recovery policy. Only prompts are quarantined: calls of plain
+ * services are often identical look-ups, and a call that may not be repeated is never sent again.
+ * Not thread-safe: owned by the dispatch duty.
+ */
+public final class QuarantinedRecovery implements RecoveryPolicy {
+    private final RecoveryPolicy mNext;
+    private final Quarantine mQuarantine;
+
+    /** Makes a policy that asks the quarantine first. */
+    public QuarantinedRecovery(RecoveryPolicy next, Quarantine quarantine) {
+        mNext = next;
+        mQuarantine = quarantine;
+    }
+
+    @Override
+    public Optional<RequestFailure> refusal(WorkRequest request, long nowNanos) {
+        if (clearance(request, 0, nowNanos) instanceof Clearance.Refused refused) {
+            return Optional.of(refused.failure());
+        }
+        return mNext.refusal(request, nowNanos);
+    }
+
+    @Override
+    public void admitted(WorkRequest request, long nowNanos) {
+        mNext.admitted(request, nowNanos);
+    }
+
+    @Override
+    public Decision refused(FailedAttempt attempt, AttemptEvent.Refusal reason, long nowNanos) {
+        return mNext.refused(attempt, reason, nowNanos);
+    }
+
+    @Override
+    public Decision broken(FailedAttempt attempt, AttemptEvent.Break how, long nowNanos) {
+        return mNext.broken(attempt, how, nowNanos);
+    }
+
+    @Override
+    public void finished(WorkRequest request, AttemptId attempt, long nowNanos) {
+        mQuarantine.finished(attempt);
+        mNext.finished(request, attempt, nowNanos);
+    }
+
+    @Override
+    public Clearance clearance(WorkRequest request, int liveUpstreams, long nowNanos) {
+        if (!quarantined(request)) {
+            return new Clearance.Free();
+        }
+        return switch (mQuarantine.decide(request.contentHash(), liveUpstreams, nowNanos)) {
+            case QuarantineDecision.RunFreely free -> new Clearance.Free();
+            case QuarantineDecision.RunAlone alone -> new Clearance.Alone(alone.avoided());
+            case QuarantineDecision.Wait wait -> new Clearance.Later(wait.untilNanos());
+            case QuarantineDecision.Refuse refuse -> new Clearance.Refused(refuse.failure());
+        };
+    }
+
+    @Override
+    public Set<UpstreamId> closedUpstreams(long nowNanos) {
+        return mQuarantine.exclusiveUpstreams(nowNanos);
+    }
+
+    @Override
+    public boolean reserve(WorkRequest request, UpstreamDeath place, long nowNanos) {
+        return mQuarantine.reserve(request.contentHash(), place, nowNanos);
+    }
+
+    @Override
+    public void release(UpstreamId upstream) {
+        mQuarantine.release(upstream);
+    }
+
+    @Override
+    public void started(
+            WorkRequest request,
+            AttemptId attempt,
+            UpstreamDeath place,
+            FailureDomain domain,
+            boolean alone) {
+        if (alone) {
+            mQuarantine.startedAlone(attempt, request.contentHash(), place, domain);
+        } else if (quarantined(request)) {
+            mQuarantine.started(attempt, request.contentHash(), place, domain);
+        }
+    }
+
+    @Override
+    public void progressed(AttemptId attempt, long tokens) {
+        mQuarantine.progressed(attempt, tokens);
+    }
+
+    @Override
+    public void lost(AttemptId attempt, AttemptEvent.Break how, long nowNanos) {
+        mQuarantine.broken(attempt, how, nowNanos);
+    }
+
+    @Override
+    public void cancelled(AttemptId attempt) {
+        mQuarantine.cancelled(attempt);
+    }
+
+    @Override
+    public void alive(UpstreamDeath place, long nowNanos) {
+        mQuarantine.alive(place, nowNanos);
+    }
+
+    @Override
+    public void leaving(UpstreamDeath place, long nowNanos) {
+        mQuarantine.leaving(place, nowNanos);
+    }
+
+    @Override
+    public void died(UpstreamDeath place, FailureDomain domain, long nowNanos) {
+        mQuarantine.died(place, domain, nowNanos);
+    }
+
+    @Override
+    public void expire(long nowNanos) {
+        mQuarantine.expire(nowNanos);
+    }
+
+    private static boolean quarantined(WorkRequest request) {
+        return request.model() != null;
+    }
+}
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/RecoveryPolicy.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/RecoveryPolicy.java
@@ -13,7 +13,7 @@
  *
  * <p>Not thread-safe: owned by the dispatch duty. Times are monotonic nanoseconds of one clock.
  */
-public interface RecoveryPolicy {
+public interface RecoveryPolicy extends RunGuard {
     /** What happens to the request. */
     sealed interface Decision {
         /**
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/RunGuard.java
@@ -0,0 +1,112 @@
+package dev.kumquatweir.policy.dispatch;
+
+import dev.kumquatweir.core.failure.RequestFailure;
+import dev.kumquatweir.core.identity.AttemptId;
+import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.quarantine.UpstreamDeath;
+import java.util.Set;
+
+/**
+ * Decides before each attempt whether and how a request may run, and is told of attempts and of the
+ * life of upstreams for that. The methods do nothing here, so that all work runs freely.
+ *
+ * <p>Not thread-safe: owned by the dispatch duty. Times are monotonic nanoseconds of one clock.
+ */
+public interface RunGuard {
+    /** How a request may run. */
+    sealed interface Clearance {
+        /** Beside other work. */
+        record Free() implements Clearance {}
+
+        /**
+         * Alone on an upstream, which has to be reserved first.
+         *
+         * @param avoided upstreams that may have died of it
+         */
+        record Alone(Set<UpstreamId> avoided) implements Clearance {
+            /** Copies the set, so that the record is immutable. */
+            public Alone {
+                avoided = Set.copyOf(avoided);
+            }
+        }
+
+        /**
+         * Not yet.
+         *
+         * @param untilNanos when to ask again
+         */
+        record Later(long untilNanos) implements Clearance {}
+
+        /**
+         * Not at all.
+         *
+         * @param failure what its caller is told
+         */
+        record Refused(RequestFailure failure) implements Clearance {}
+    }
+
+    /**
+     * Decides how a request may run; asked before each attempt.
+     *
+     * @param liveUpstreams upstreams that could run it
+     */
+    default Clearance clearance(WorkRequest request, int liveUpstreams, long nowNanos) {
+        return new Clearance.Free();
+    }
+
+    /** Returns the upstreams that are kept for work that runs alone and take nothing else. */
+    default Set<UpstreamId> closedUpstreams(long nowNanos) {
+        return Set.of();
+    }
+
+    /**
+     * Reserves an upstream for a request that has to run alone; asked again until it runs.
+     *
+     * @return false if the upstream is kept for another request
+     */
+    default boolean reserve(WorkRequest request, UpstreamDeath place, long nowNanos) {
+        return true;
+    }
+
+    /** Ends the reservation of an upstream. */
+    default void release(UpstreamId upstream) {}
+
+    /**
+     * Takes the start of an attempt.
+     *
+     * @param place incarnation that runs it
+     * @param alone whether nothing else runs there
+     */
+    default void started(
+            WorkRequest request,
+            AttemptId attempt,
+            UpstreamDeath place,
+            FailureDomain domain,
+            boolean alone) {}
+
+    /**
+     * Takes the progress of an attempt.
+     *
+     * @param tokens all tokens of the answer so far
+     */
+    default void progressed(AttemptId attempt, long tokens) {}
+
+    /** Takes the break of an attempt, whether or not its request may be repeated. */
+    default void lost(AttemptId attempt, AttemptEvent.Break how, long nowNanos) {}
+
+    /** Takes the end of an attempt that was cancelled or never ran. */
+    default void cancelled(AttemptId attempt) {}
+
+    /** Takes a sign of life of an incarnation. */
+    default void alive(UpstreamDeath place, long nowNanos) {}
+
+    /** Takes the word of an incarnation that it leaves. */
+    default void leaving(UpstreamDeath place, long nowNanos) {}
+
+    /** Takes the death of an incarnation; its attempts break off afterwards. */
+    default void died(UpstreamDeath place, FailureDomain domain, long nowNanos) {}
+
+    /** Forgets what has expired; called now and then. */
+    default void expire(long nowNanos) {}
+}
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/TrackedRequest.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/TrackedRequest.java
@@ -7,6 +7,7 @@
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.policy.fairness.QueuedWork;
 import dev.kumquatweir.policy.routing.LengthClass;
+import dev.kumquatweir.policy.routing.UpstreamLoad;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
@@ -29,6 +30,8 @@
     long mNotBeforeNanos = Long.MIN_VALUE;
     Set<UpstreamId> mAvoidedUpstreams = Set.of();
     Set<FailureDomain> mAvoidedDomains = Set.of();
+    @Nullable UpstreamLoad mReserved;
+    long mReservedNanos;
 
     TrackedRequest(WorkRequest request, long expectedOutput) {
         mRequest = request;
--- a/policy/src/main/java/dev/kumquatweir/policy/quarantine/Quarantine.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/quarantine/Quarantine.java
@@ -22,12 +22,14 @@
  * again. Not thread-safe: owned by the dispatch duty.
  */
 public final class Quarantine {
+    /** Longest delay of a report on its way; an instance gives up a silent peer after this time. */
+    private static final long SIGN_DELAY_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private final int mDeathLimit;
     private final double mExclusiveShare;
     private final long mClearTokens;
     private final long mRetryNanos;
     private final long mMemoryNanos;
-    private final long mExclusiveNanos;
     private final MarkStore mMarks;
     private final DomainLosses mLosses;
     private final Map<AttemptId, Run> mRuns = new LinkedHashMap<>();
@@ -35,7 +37,8 @@
     private final Map<UpstreamDeath, List<Run>> mBroken = new HashMap<>();
     private final Map<UpstreamDeath, Long> mPlanned = new HashMap<>();
     private final Map<String, Long> mTokensAtDeath = new HashMap<>();
-    private final Map<UpstreamId, Long> mRemoteExclusive = new HashMap<>();
+    private final ExclusiveUses mUses;
+    private long mChanges;
 
     private Quarantine(Builder builder) {
         mDeathLimit = builder.mDeathLimit;
@@ -43,7 +46,7 @@
         mClearTokens = builder.mClearTokens;
         mRetryNanos = TimeUnit.MILLISECONDS.toNanos(100);
         mMemoryNanos = TimeUnit.SECONDS.toNanos(15);
-        mExclusiveNanos = TimeUnit.SECONDS.toNanos(3);
+        mUses = new ExclusiveUses(builder.mOwner);
         mMarks =
                 new MarkStore(
                         builder.mMaximumMarks,
@@ -77,8 +80,13 @@
         if (confirmed + provisional == 0) {
             return new QuarantineDecision.RunFreely();
         }
-        boolean turn = mAlone.size() < Math.max(1, (long) (liveUpstreams * mExclusiveShare));
-        if (!turn || confirmed + provisional >= mDeathLimit) {
+        boolean turn =
+                mUses.reserved(contentHash, nowNanos)
+                        || mAlone.size() + mUses.size()
+                                < Math.max(1, (long) (liveUpstreams * mExclusiveShare));
+        if (!turn
+                || confirmed + provisional >= mDeathLimit
+                || mUses.elsewhere(contentHash, nowNanos)) {
             return new QuarantineDecision.Wait(nowNanos + mRetryNanos);
         }
         return new QuarantineDecision.RunAlone(mMarks.blamedUpstreams(contentHash, nowNanos));
@@ -86,8 +94,39 @@
 
     /** Returns whether a suspect runs alone on an upstream, so that nothing else may go there. */
     public boolean exclusive(UpstreamId upstream, long nowNanos) {
-        Long until = mRemoteExclusive.get(upstream);
-        return mAlone.containsKey(upstream) || (until != null && until - nowNanos > 0);
+        return exclusiveUpstreams(nowNanos).contains(upstream);
+    }
+
+    /** Returns the upstreams that take nothing but a suspect. */
+    public Set<UpstreamId> exclusiveUpstreams(long nowNanos) {
+        Set<UpstreamId> reserved = mUses.upstreams(nowNanos);
+        if (mAlone.isEmpty()) {
+            return reserved;
+        }
+        Set<UpstreamId> upstreams = new HashSet<>(reserved);
+        upstreams.addAll(mAlone.keySet());
+        return upstreams;
+    }
+
+    /**
+     * Keeps new work away from an upstream, so that a suspect can run alone there; renewed by
+     * asking again, at least every 500 ms.
+     *
+     * @return false if another suspect goes first there, or the same content on another instance
+     */
+    public boolean reserve(String contentHash, UpstreamDeath place, long nowNanos) {
+        if (mAlone.containsKey(place.upstream()) || runsAlone(contentHash)) {
+            return false;
+        }
+        int before = mUses.size();
+        boolean reserved = mUses.reserve(contentHash, place, nowNanos);
+        mChanges += mUses.size() == before ? 0 : 1;
+        return reserved;
+    }
+
+    /** Returns a number that grows with each change that other instances should hear of at once. */
+    public long changes() {
+        return mChanges;
     }
 
     /** Takes the start of an attempt that may share its upstream. */
@@ -101,7 +140,9 @@
             AttemptId attempt, String contentHash, UpstreamDeath place, FailureDomain domain) {
         Run run = new Run(contentHash, place, domain, true);
         mRuns.put(attempt, run);
+        mUses.release(place.upstream());
         mAlone.put(place.upstream(), run);
+        mChanges++;
     }
 
     /**
@@ -167,6 +208,19 @@
         }
     }
 
+    /**
+     * As {@link #alive(UpstreamDeath)}, unless the connections broke so shortly ago that the sign
+     * may have been sent before and passed on by another instance.
+     */
+    public void alive(UpstreamDeath place, long nowNanos) {
+        List<Run> broken = mBroken.get(place);
+        if (broken != null
+                && broken.stream()
+                        .allMatch(run -> nowNanos - run.mBrokenNanos >= SIGN_DELAY_NANOS)) {
+            alive(place);
+        }
+    }
+
     /** Takes the word of an upstream that it leaves; its end blames nobody. */
     public void leaving(UpstreamDeath place, long nowNanos) {
         mPlanned.put(place, nowNanos);
@@ -210,18 +264,21 @@
         mMarks.absorb(mark, nowNanos);
     }
 
-    /** Returns the upstreams on which this instance runs suspects alone, to be sent often. */
-    public List<ExclusiveUse> exclusiveUses() {
-        return mAlone.values().stream()
-                .map(run -> run.mDeath)
-                .map(at -> new ExclusiveUse(at.upstream(), at.incarnation(), mExclusiveNanos))
-                .toList();
+    /** Returns the upstreams that this instance uses or reserves for suspects, to be sent often. */
+    public List<ExclusiveUse> exclusiveUses(long nowNanos) {
+        List<ExclusiveUse> uses = new ArrayList<>(mUses.own(nowNanos));
+        mAlone.values().forEach(run -> uses.add(mUses.use(run.mContentHash, run.mDeath, true)));
+        return uses;
+    }
+
+    /** Takes all upstreams that another instance uses or reserves for suspects. */
+    public void absorb(String owner, List<ExclusiveUse> uses, long nowNanos) {
+        mUses.absorb(owner, uses, nowNanos);
     }
 
-    /** Takes the word of another instance that it runs a suspect alone. */
-    public void absorb(ExclusiveUse use, long nowNanos) {
-        mRemoteExclusive.put(
-                use.upstream(), nowNanos + Math.min(use.remainingNanos(), mExclusiveNanos));
+    /** Ends the reservation of an upstream. */
+    public void release(UpstreamId upstream) {
+        mUses.release(upstream);
     }
 
     /** Forgets what has expired; call it now and then. */
@@ -229,7 +286,7 @@
         mMarks.expire(nowNanos);
         mLosses.expire(nowNanos - 2 * mMemoryNanos);
         mPlanned.values().removeIf(time -> nowNanos - time > mMemoryNanos);
-        mRemoteExclusive.values().removeIf(until -> until - nowNanos <= 0);
+        mUses.expire(nowNanos);
         mBroken.values()
                 .forEach(runs -> runs.removeIf(run -> nowNanos - run.mBrokenNanos > mMemoryNanos));
         mBroken.values().removeIf(List::isEmpty);
@@ -246,12 +303,14 @@
     }
 
     private void blame(Run run, BlameState state, long nowNanos) {
+        mChanges++;
         mMarks.blame(run.mContentHash, run.mDeath, state, nowNanos);
         mTokensAtDeath.merge(run.mContentHash, run.mTokens, Math::max);
     }
 
     private void clear(Run run) {
         endAlone(run);
+        mChanges++;
         mMarks.excuse(run.mContentHash);
         mTokensAtDeath.remove(run.mContentHash);
     }
@@ -266,10 +325,15 @@
     private void endAlone(@Nullable Run run) {
         if (run != null && run.mAlone) {
             run.mAlone = false;
+            mChanges++;
             mAlone.remove(run.mDeath.upstream(), run);
         }
     }
 
+    private boolean runsAlone(String contentHash) {
+        return mAlone.values().stream().anyMatch(run -> run.mContentHash.equals(contentHash));
+    }
+
     private boolean planned(UpstreamDeath death, long nowNanos) {
         Long since = mPlanned.get(death);
         return since != null && nowNanos - since <= mMemoryNanos;
@@ -293,6 +357,7 @@
 
     /** Builds a {@link Quarantine}. Not thread-safe. */
     public static final class Builder {
+        private String mOwner = "";
         private int mDeathLimit = 2;
         private int mMaximumMarks = 10_000;
         private long mLifetimeNanos = TimeUnit.MINUTES.toNanos(15);
@@ -303,6 +368,12 @@
 
         private Builder() {}
 
+        /** Sets the name of this instance, which differs from that of each other instance. */
+        public Builder owner(String name) {
+            mOwner = name;
+            return this;
+        }
+
         /** Sets how many marks are kept, and for how long. */
         public Builder marks(int maximum, long lifetimeNanos) {
             mMaximumMarks = maximum;
--- a/policy/src/main/java/dev/kumquatweir/policy/routing/PrefixIndex.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/routing/PrefixIndex.java
@@ -72,6 +72,15 @@
         }
     }
 
+    /** Returns the tokens of a prompt that the first engine which has its prefix has cached. */
+    public long cachedTokens(List<Long> prefixHashes, long promptTokens) {
+        return holders(prefixHashes).stream()
+                .findFirst()
+                .map(holder -> cachedBlocks(holder, prefixHashes))
+                .map(blocks -> Math.min(promptTokens, blocks * BLOCK_TOKENS))
+                .orElse(0L);
+    }
+
     /**
      * Returns the number of leading blocks of a prompt that an engine has cached. A chain has no
      * holes except after events were lost, so that a binary search suffices for a hint.
--- a/policy/src/test/java/dev/kumquatweir/policy/dispatch/DispatcherFixture.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/dispatch/DispatcherFixture.java
@@ -58,7 +58,14 @@
     private int mRequests;
 
     DispatcherFixture() {
-        mDispatcher = PolicyDispatcher.builder("i0", RoutingOptions.of(domain("a"), 1)).build();
+        this(new SimpleRecovery());
+    }
+
+    DispatcherFixture(RecoveryPolicy recovery) {
+        mDispatcher =
+                PolicyDispatcher.builder("i0", RoutingOptions.of(domain("a"), 1))
+                        .recovery(recovery)
+                        .build();
         mDispatcher.configure(DOCUMENT, mNow);
     }
 
@@ -111,6 +118,16 @@
     }
 
     WorkRequest request(Profile profile, long prompt, long output, long limitMillis) {
+        return request("content", profile, prompt, output, limitMillis);
+    }
+
+    /** Returns a request with another content. */
+    WorkRequest other(String content, Profile profile, long prompt, long output) {
+        return request(content, profile, prompt, output, 30_000);
+    }
+
+    private WorkRequest request(
+            String content, Profile profile, long prompt, long output, long limitMillis) {
         return new WorkRequest(
                 new RequestId("r" + ++mRequests),
                 new TeamName("team"),
@@ -119,7 +136,7 @@
                 prompt,
                 output,
                 List.of(),
-                "content",
+                content,
                 profile.repeatable(),
                 mNow,
                 mNow + TimeUnit.MILLISECONDS.toNanos(limitMillis));
--- a/policy/src/test/java/dev/kumquatweir/policy/quarantine/QuarantineTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/quarantine/QuarantineTest.java
@@ -20,8 +20,8 @@
     private static final QuarantineDecision FREE = new QuarantineDecision.RunFreely();
     private static final int UPSTREAMS = 15;
 
-    private final Quarantine mQuarantine = Quarantine.builder().build();
-    private final Quarantine mPeer = Quarantine.builder().build();
+    private final Quarantine mQuarantine = Quarantine.builder().owner("entry-1").build();
+    private final Quarantine mPeer = Quarantine.builder().owner("entry-2").build();
     private int mNextAttempt;
 
     /** Guards against a request that crashes a third upstream, also through another instance. */
@@ -69,7 +69,7 @@
         start("poison", 1, false);
         mQuarantine.died(place(1), DOMAIN, 0);
         start("poison", 2, true);
-        mQuarantine.exclusiveUses().forEach(use -> mPeer.absorb(use, 0));
+        mPeer.absorb("entry-1", mQuarantine.exclusiveUses(0), 0);
         assertThat(mPeer.exclusive(place(2).upstream(), 2 * SECOND), is(true));
         assertThat(mPeer.exclusive(place(2).upstream(), 3 * SECOND), is(false));
         assertThat(mPeer.exclusive(place(3).upstream(), 0), is(false));
