Spread quarantine marks and exclusive uses between instances

Cause: a request refused here could crash two more engines through each other instance.

Ruled out: sending all marks each time (megabytes a second with 10,000 marks); leader permits for now, so a window remains while peers can't reach each other.

DispatchDuty.run becomes public, so that the state is only used on the dispatch duty.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/DispatchDuty.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/DispatchDuty.java
@@ -347,7 +347,7 @@
     }
 
     /** Runs a task that must not be lost: it waits for the next tick if the ring is full. */
-    private void run(LongConsumer task) {
+    public void run(LongConsumer task) {
         Runnable timed = () -> task.accept(mClocks.nowNanos());
         if (!mDuty.offer(timed)) {
             mOverflow.add(timed);
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -14,6 +14,9 @@
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
+import dev.kumquatweir.policy.dispatch.QuarantinedRecovery;
+import dev.kumquatweir.policy.dispatch.SimpleRecovery;
+import dev.kumquatweir.policy.quarantine.Quarantine;
 import dev.kumquatweir.policy.routing.LocalColdAllowance;
 import dev.kumquatweir.policy.routing.RoutingOptions;
 import dev.kumquatweir.program.burn.BurnFile;
@@ -23,6 +26,7 @@
 import dev.kumquatweir.program.control.StoreQuestion;
 import dev.kumquatweir.program.operator.OperatorListener;
 import dev.kumquatweir.program.operator.OperatorRoutes;
+import dev.kumquatweir.program.spread.QuarantineSpread;
 import dev.kumquatweir.program.spread.RegistrySpread;
 import dev.kumquatweir.settings.InstanceSettings;
 import dev.kumquatweir.settings.PeerSettings;
@@ -60,6 +64,7 @@
     private final IoExecutor mExecutor;
     private final UpstreamClients mClients;
     private final DispatchDuty mDispatch;
+    private final QuarantineSpread mQuarantine;
     private final BurnRecorder mBurn;
     private final BurnGathering mGathering;
     private final InstanceHealth mHealth;
@@ -96,15 +101,19 @@
         MetricRegistry metrics = new MetricRegistry();
         String attemptPrefix = settings.id() + ":" + incarnation + ":";
         RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
+        Quarantine quarantine = Quarantine.builder().owner(settings.id().value()).build();
         mDispatch =
                 new DispatchDuty(
                         PolicyDispatcher.builder(attemptPrefix, routing)
                                 .coldAllowance(localShare(settings))
+                                .recovery(new QuarantinedRecovery(new SimpleRecovery(), quarantine))
                                 .build(),
                         new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
                         control.configuration(),
                         new RequestMetrics(metrics, mBurn),
                         clocks);
+        mQuarantine =
+                new QuarantineSpread(quarantine, mDispatch::run, network, otherInstances(settings));
         register(metrics);
         mHealth = new InstanceHealth(control.configuration(), metrics);
         mCallers =
@@ -142,6 +151,7 @@
         mGathering.start();
         mControl.start();
         mDispatch.start();
+        mQuarantine.start();
         mCallers.start();
         mServers =
                 List.of(
@@ -173,6 +183,7 @@
         mServers.forEach(InstanceDaemon::closeGracefully);
         mControl.handOver();
         mCallers.stop();
+        mQuarantine.stop();
         mDispatch.stop();
         mBurn.stop();
         mControl.stop();
@@ -189,6 +200,10 @@
         Gauge<Long> version = () -> mControl.configuration().current().version();
         Gauge<Integer> lease =
                 () -> mControl.configuration().current().inForce(mClocks.nowNanos()) ? 1 : 0;
+        Gauge<Integer> marks = mQuarantine::marks;
+        Gauge<Integer> refused = mQuarantine::refused;
+        metrics.register("kumquatweir_quarantine_marks", marks);
+        metrics.register("kumquatweir_quarantine_refused", refused);
         metrics.register("kumquatweir_requests_running", running);
         metrics.register("kumquatweir_configuration_version", version);
         metrics.register("kumquatweir_configuration_lease_held", lease);
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/spread/QuarantineNews.java
@@ -0,0 +1,19 @@
+package dev.kumquatweir.program.spread;
+
+import dev.kumquatweir.policy.quarantine.ExclusiveUse;
+import dev.kumquatweir.policy.quarantine.QuarantineMark;
+import java.util.List;
+
+/**
+ * What one instance tells the others of its quarantine. Immutable.
+ *
+ * @param marks some of its marks
+ * @param uses all upstreams that it keeps for suspects
+ */
+record QuarantineNews(List<QuarantineMark> marks, List<ExclusiveUse> uses) {
+    /** Copies the lists, so that the record is immutable. */
+    QuarantineNews {
+        marks = List.copyOf(marks);
+        uses = List.copyOf(uses);
+    }
+}
