--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -18,8 +18,11 @@
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
 import dev.kumquatweir.policy.memory.AttemptIds;
+import dev.kumquatweir.policy.dispatch.QuarantinedRecovery;
+import dev.kumquatweir.policy.dispatch.SimpleRecovery;
 import dev.kumquatweir.policy.permit.ColdPermits;
 import dev.kumquatweir.policy.permit.PermitHolder;
+import dev.kumquatweir.policy.quarantine.Quarantine;
 import dev.kumquatweir.policy.routing.RoutingOptions;
 import dev.kumquatweir.program.burn.BurnFile;
 import dev.kumquatweir.program.burn.BurnGathering;
@@ -31,6 +34,7 @@
 import dev.kumquatweir.program.operator.OperatorRoutes;
 import dev.kumquatweir.program.permit.PermitRenewal;
 import dev.kumquatweir.program.permit.RenewingDispatcher;
+import dev.kumquatweir.program.spread.QuarantineSpread;
 import dev.kumquatweir.program.spread.RegistrySpread;
 import dev.kumquatweir.settings.InstanceSettings;
 import dev.kumquatweir.settings.PeerSettings;
@@ -69,6 +73,7 @@
     private final UpstreamClients mClients;
     private final DispatchDuty mDispatch;
     private final MemoryReconciliation mMemory;
+    private final QuarantineSpread mQuarantine;
     private final BurnRecorder mBurn;
     private final BurnGathering mGathering;
     private final InstanceHealth mHealth;
@@ -106,6 +111,7 @@
         AttemptIds attemptIds = new AttemptIds(settings.id(), incarnation);
         RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
         HeldMemory held = new HeldMemory();
+        Quarantine quarantine = Quarantine.builder().owner(settings.id().value()).build();
         PermitHolder permits = new PermitHolder(settings.id(), incarnation);
         ColdPermits cold = new ColdPermits(permits);
         PermitRenewal renewal = new PermitRenewal(permits, cold, control.permits(), metrics);
@@ -114,6 +120,9 @@
                         new RenewingDispatcher(
                                 PolicyDispatcher.builder(attemptIds, routing)
                                         .coldAllowance(cold)
+                                        .recovery(
+                                                new QuarantinedRecovery(
+                                                        new SimpleRecovery(), quarantine))
                                         .build(),
                                 renewal),
                         new AccountedCaller(
@@ -123,6 +132,8 @@
                         control.configuration(),
                         new RequestMetrics(metrics, mBurn),
                         clocks);
+        mQuarantine =
+                new QuarantineSpread(quarantine, mDispatch::run, network, otherInstances(settings));
         register(metrics);
         mMemory = reconciliation(incarnation, network, held, metrics);
         mHealth = new InstanceHealth(control.configuration(), metrics);
@@ -167,6 +178,7 @@
         mControl.start();
         mDispatch.start();
         mMemory.start();
+        mQuarantine.start();
         mCallers.start();
         mServers =
                 List.of(
@@ -198,6 +210,7 @@
         mServers.forEach(InstanceDaemon::closeGracefully);
         mControl.handOver();
         mCallers.stop();
+        mQuarantine.stop();
         mDispatch.stop();
         mMemory.stop();
         mBurn.stop();
@@ -215,6 +228,10 @@
         Gauge<Long> version = () -> mControl.configuration().current().version();
         Gauge<Integer> lease =
                 () -> mControl.configuration().current().inForce(mClocks.nowNanos()) ? 1 : 0;
+        Gauge<Integer> marks = mQuarantine::marks;
+        Gauge<Integer> refused = mQuarantine::refused;
+        metrics.register("kumquatweir_quarantine_marks", marks);
+        metrics.register("kumquatweir_quarantine_refused", refused);
         metrics.register("kumquatweir_requests_running", running);
         metrics.register("kumquatweir_configuration_version", version);
         metrics.register("kumquatweir_configuration_lease_held", lease);
