--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -10,10 +10,14 @@
 import dev.kumquatweir.gateway.caller.CallerPorts;
 import dev.kumquatweir.gateway.caller.CallerServer;
 import dev.kumquatweir.gateway.dispatch.DispatchDuty;
+import dev.kumquatweir.gateway.memory.AccountedCaller;
+import dev.kumquatweir.gateway.memory.HeldMemory;
+import dev.kumquatweir.gateway.upstream.HttpEngineMemory;
 import dev.kumquatweir.gateway.upstream.HttpUpstreamCaller;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
+import dev.kumquatweir.policy.memory.AttemptIds;
 import dev.kumquatweir.policy.permit.ColdPermits;
 import dev.kumquatweir.policy.permit.PermitHolder;
 import dev.kumquatweir.policy.routing.RoutingOptions;
@@ -22,6 +26,7 @@
 import dev.kumquatweir.program.burn.BurnRecorder;
 import dev.kumquatweir.program.control.ControlPlane;
 import dev.kumquatweir.program.control.StoreQuestion;
+import dev.kumquatweir.program.memory.MemoryReconciliation;
 import dev.kumquatweir.program.operator.OperatorListener;
 import dev.kumquatweir.program.operator.OperatorRoutes;
 import dev.kumquatweir.program.permit.PermitRenewal;
@@ -63,6 +68,7 @@
     private final IoExecutor mExecutor;
     private final UpstreamClients mClients;
     private final DispatchDuty mDispatch;
+    private final MemoryReconciliation mMemory;
     private final BurnRecorder mBurn;
     private final BurnGathering mGathering;
     private final InstanceHealth mHealth;
@@ -97,23 +103,28 @@
                         clocks);
         mGathering = new BurnGathering(mBurn, network, otherInstances(settings));
         MetricRegistry metrics = new MetricRegistry();
-        String attemptPrefix = settings.id() + ":" + incarnation + ":";
+        AttemptIds attemptIds = new AttemptIds(settings.id(), incarnation);
         RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
+        HeldMemory held = new HeldMemory();
         PermitHolder permits = new PermitHolder(settings.id(), incarnation);
         ColdPermits cold = new ColdPermits(permits);
         PermitRenewal renewal = new PermitRenewal(permits, cold, control.permits(), metrics);
         mDispatch =
                 new DispatchDuty(
                         new RenewingDispatcher(
-                                PolicyDispatcher.builder(attemptPrefix, routing)
+                                PolicyDispatcher.builder(attemptIds, routing)
                                         .coldAllowance(cold)
                                         .build(),
                                 renewal),
-                        new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
+                        new AccountedCaller(
+                                new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
+                                held,
+                                clocks),
                         control.configuration(),
                         new RequestMetrics(metrics, mBurn),
                         clocks);
         register(metrics);
+        mMemory = reconciliation(incarnation, network, held, metrics);
         mHealth = new InstanceHealth(control.configuration(), metrics);
         mCallers =
                 new CallerServer(
@@ -155,6 +166,7 @@
         mGathering.start();
         mControl.start();
         mDispatch.start();
+        mMemory.start();
         mCallers.start();
         mServers =
                 List.of(
@@ -187,6 +199,7 @@
         mControl.handOver();
         mCallers.stop();
         mDispatch.stop();
+        mMemory.stop();
         mBurn.stop();
         mControl.stop();
         mClients.close();
@@ -207,6 +220,20 @@
         metrics.register("kumquatweir_configuration_lease_held", lease);
     }
 
+    private MemoryReconciliation reconciliation(
+            long incarnation, PeerNetwork network, HeldMemory held, MetricRegistry metrics) {
+        return new MemoryReconciliation(
+                mSettings,
+                incarnation,
+                mControl,
+                network,
+                mDispatch,
+                new HttpEngineMemory(mClients),
+                held,
+                metrics,
+                mClocks);
+    }
+
     private HttpServerContext listen(InetSocketAddress address, StreamingHttpService service) {
         try {
             return HttpServers.forAddress(address)
