--- a/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
@@ -10,6 +10,8 @@
     COMMAND(3),
     /** Asks what a new group has to know of a member's store. */
     FOUNDING(4),
+    /** Renewal of permits for shared limits. */
+    PERMIT(5),
     /** An upstream's announcement. */
     ANNOUNCEMENT(10),
     /** An upstream's load report. */
@@ -24,6 +26,8 @@
     CACHE_WANTED(16),
     /** Marks of requests that crash upstreams. */
     QUARANTINE(15),
+    /** An instance's incarnation, and whether it has ended. */
+    PRESENCE(17),
     /** Asks for sums of the burn counters. */
     BURN(40);
 
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -10,19 +10,27 @@
 import dev.kumquatweir.gateway.caller.CallerPorts;
 import dev.kumquatweir.gateway.caller.CallerServer;
 import dev.kumquatweir.gateway.dispatch.DispatchDuty;
+import dev.kumquatweir.gateway.memory.AccountedCaller;
+import dev.kumquatweir.gateway.memory.HeldMemory;
+import dev.kumquatweir.gateway.upstream.HttpEngineMemory;
 import dev.kumquatweir.gateway.upstream.HttpUpstreamCaller;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
-import dev.kumquatweir.policy.routing.LocalColdAllowance;
+import dev.kumquatweir.policy.memory.AttemptIds;
+import dev.kumquatweir.policy.permit.ColdPermits;
+import dev.kumquatweir.policy.permit.PermitHolder;
 import dev.kumquatweir.policy.routing.RoutingOptions;
 import dev.kumquatweir.program.burn.BurnFile;
 import dev.kumquatweir.program.burn.BurnGathering;
 import dev.kumquatweir.program.burn.BurnRecorder;
 import dev.kumquatweir.program.control.ControlPlane;
 import dev.kumquatweir.program.control.StoreQuestion;
+import dev.kumquatweir.program.memory.MemoryReconciliation;
 import dev.kumquatweir.program.operator.OperatorListener;
 import dev.kumquatweir.program.operator.OperatorRoutes;
+import dev.kumquatweir.program.permit.PermitRenewal;
+import dev.kumquatweir.program.permit.RenewingDispatcher;
 import dev.kumquatweir.program.spread.RegistrySpread;
 import dev.kumquatweir.settings.InstanceSettings;
 import dev.kumquatweir.settings.PeerSettings;
@@ -60,6 +68,7 @@
     private final IoExecutor mExecutor;
     private final UpstreamClients mClients;
     private final DispatchDuty mDispatch;
+    private final MemoryReconciliation mMemory;
     private final BurnRecorder mBurn;
     private final BurnGathering mGathering;
     private final InstanceHealth mHealth;
@@ -94,18 +103,28 @@
                         clocks);
         mGathering = new BurnGathering(mBurn, network, otherInstances(settings));
         MetricRegistry metrics = new MetricRegistry();
-        String attemptPrefix = settings.id() + ":" + incarnation + ":";
+        AttemptIds attemptIds = new AttemptIds(settings.id(), incarnation);
         RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
+        HeldMemory held = new HeldMemory();
+        PermitHolder permits = new PermitHolder(settings.id(), incarnation);
+        ColdPermits cold = new ColdPermits(permits);
+        PermitRenewal renewal = new PermitRenewal(permits, cold, control.permits(), metrics);
         mDispatch =
                 new DispatchDuty(
-                        PolicyDispatcher.builder(attemptPrefix, routing)
-                                .coldAllowance(localShare(settings))
-                                .build(),
-                        new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
+                        new RenewingDispatcher(
+                                PolicyDispatcher.builder(attemptIds, routing)
+                                        .coldAllowance(cold)
+                                        .build(),
+                                renewal),
+                        new AccountedCaller(
+                                new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
+                                held,
+                                clocks),
                         control.configuration(),
                         new RequestMetrics(metrics, mBurn),
                         clocks);
         register(metrics);
+        mMemory = reconciliation(incarnation, network, held, metrics);
         mHealth = new InstanceHealth(control.configuration(), metrics);
         mCallers =
                 new CallerServer(
@@ -115,7 +134,12 @@
                                 control.configuration(), control.claims(), mDispatch, mHealth),
                         clocks,
                         settings.limits().bodyBytes());
-        RegistrySpread spread = new RegistrySpread(mDispatch, network, otherInstances(settings));
+        RegistrySpread spread =
+                new RegistrySpread(
+                        mDispatch,
+                        control.permits().sightings(),
+                        network,
+                        otherInstances(settings));
         mUpstreams =
                 new UpstreamListener(
                         settings.announceKey(),
@@ -142,6 +166,7 @@
         mGathering.start();
         mControl.start();
         mDispatch.start();
+        mMemory.start();
         mCallers.start();
         mServers =
                 List.of(
@@ -174,6 +199,7 @@
         mControl.handOver();
         mCallers.stop();
         mDispatch.stop();
+        mMemory.stop();
         mBurn.stop();
         mControl.stop();
         mClients.close();
@@ -194,6 +220,20 @@
         metrics.register("kumquatweir_configuration_lease_held", lease);
     }
 
+    private MemoryReconciliation reconciliation(
+            long incarnation, PeerNetwork network, HeldMemory held, MetricRegistry metrics) {
+        return new MemoryReconciliation(
+                mSettings,
+                incarnation,
+                mControl,
+                network,
+                mDispatch,
+                new HttpEngineMemory(mClients),
+                held,
+                metrics,
+                mClocks);
+    }
+
     private HttpServerContext listen(InetSocketAddress address, StreamingHttpService service) {
         try {
             return HttpServers.forAddress(address)
@@ -226,11 +266,6 @@
         }
     }
 
-    private static LocalColdAllowance localShare(InstanceSettings settings) {
-        List<InstanceId> sorted = settings.peers().stream().map(PeerSettings::id).sorted().toList();
-        return new LocalColdAllowance(sorted.size(), sorted.indexOf(settings.id()));
-    }
-
     private static List<InstanceId> otherInstances(InstanceSettings settings) {
         return settings.peers().stream()
                 .map(PeerSettings::id)
