--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -18,7 +18,8 @@
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
 import dev.kumquatweir.policy.memory.AttemptIds;
-import dev.kumquatweir.policy.routing.LocalColdAllowance;
+import dev.kumquatweir.policy.permit.ColdPermits;
+import dev.kumquatweir.policy.permit.PermitHolder;
 import dev.kumquatweir.policy.routing.RoutingOptions;
 import dev.kumquatweir.program.burn.BurnFile;
 import dev.kumquatweir.program.burn.BurnGathering;
@@ -28,6 +29,8 @@
 import dev.kumquatweir.program.memory.MemoryReconciliation;
 import dev.kumquatweir.program.operator.OperatorListener;
 import dev.kumquatweir.program.operator.OperatorRoutes;
+import dev.kumquatweir.program.permit.PermitRenewal;
+import dev.kumquatweir.program.permit.RenewingDispatcher;
 import dev.kumquatweir.program.spread.RegistrySpread;
 import dev.kumquatweir.settings.InstanceSettings;
 import dev.kumquatweir.settings.PeerSettings;
@@ -103,15 +106,17 @@
         AttemptIds attemptIds = new AttemptIds(settings.id(), incarnation);
         RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
         HeldMemory held = new HeldMemory();
+        PermitHolder permits = new PermitHolder(settings.id(), incarnation);
+        ColdPermits cold = new ColdPermits(permits);
+        PermitRenewal renewal = new PermitRenewal(permits, cold, control.permits(), metrics);
         mDispatch =
                 new DispatchDuty(
-                        PolicyDispatcher.builder(attemptIds, routing)
-                                .coldAllowance(localShare(settings))
-                                .build(),
-                        new AccountedCaller(
-                                new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
-                                held,
-                                clocks),
+                        new RenewingDispatcher(
+                                PolicyDispatcher.builder(attemptIds, routing)
+                                        .coldAllowance(cold)
+                                        .build(),
+                                renewal),
+                        accountedCaller(held),
                         control.configuration(),
                         new RequestMetrics(metrics, mBurn),
                         clocks);
@@ -126,21 +131,20 @@
                                 control.configuration(), control.claims(), mDispatch, mHealth),
                         clocks,
                         settings.limits().bodyBytes());
-        RegistrySpread spread = new RegistrySpread(mDispatch, network, otherInstances(settings));
+        RegistrySpread spread =
+                new RegistrySpread(
+                        mDispatch,
+                        control.permits().sightings(),
+                        network,
+                        otherInstances(settings));
         mUpstreams =
                 new UpstreamListener(
                         settings.announceKey(),
                         spread,
                         () -> control.configuration().current().inForce(clocks.nowNanos()));
-        OperatorRoutes routes =
-                new OperatorRoutes(
-                        settings,
-                        control,
-                        mDispatch,
-                        new StoreQuestion(network),
-                        mGathering,
-                        clocks);
-        mOperators = new OperatorListener(settings.id(), settings.operators(), routes);
+        mOperators =
+                new OperatorListener(
+                        settings.id(), settings.operators(), operatorRoutes(network));
     }
 
     /**
@@ -207,6 +211,16 @@
         metrics.register("kumquatweir_configuration_lease_held", lease);
     }
 
+    private OperatorRoutes operatorRoutes(PeerNetwork network) {
+        return new OperatorRoutes(
+                mSettings, mControl, mDispatch, new StoreQuestion(network), mGathering, mClocks);
+    }
+
+    private AccountedCaller accountedCaller(HeldMemory held) {
+        return new AccountedCaller(
+                new HttpUpstreamCaller(mClients, mSettings.limits().bodyBytes()), held, mClocks);
+    }
+
     private MemoryReconciliation reconciliation(
             long incarnation, PeerNetwork network, HeldMemory held, MetricRegistry metrics) {
         return new MemoryReconciliation(
@@ -253,11 +267,6 @@
         }
     }
 
-    private static LocalColdAllowance localShare(InstanceSettings settings) {
-        List<InstanceId> sorted = settings.peers().stream().map(PeerSettings::id).sorted().toList();
-        return new LocalColdAllowance(sorted.size(), sorted.indexOf(settings.id()));
-    }
-
     private static List<InstanceId> otherInstances(InstanceSettings settings) {
         return settings.peers().stream()
                 .map(PeerSettings::id)
