Format InstanceDaemon after the merge

The merge of main left one statement of the constructor in another layout than google-java-format gives it, which fails the build's format check in the program module. Applied by spotless; no code changed, nothing else ruled out.

--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -143,8 +143,7 @@
                         spread,
                         () -> control.configuration().current().inForce(clocks.nowNanos()));
         mOperators =
-                new OperatorListener(
-                        settings.id(), settings.operators(), operatorRoutes(network));
+                new OperatorListener(settings.id(), settings.operators(), operatorRoutes(network));
     }
 
     /**
