Compare answers through the instances with direct ones pair by pair

Cause: the overhead of the path was measured by two runs one after the other, at 1 and 8 requests a second; at 32 and 256 concurrent streams it was not known, and two runs meet different batches on the engines. Ruled out: the same prompt both ways, since the second would be served from the prefix cache. Before: no figure at 32 and 256.

--- a/bench/src/main/java/dev/kumquatweir/bench/load/LoadRunner.java
+++ b/bench/src/main/java/dev/kumquatweir/bench/load/LoadRunner.java
@@ -242,28 +242,30 @@
          * @throws IllegalArgumentException if targets, length classes or action paths are missing
          */
         public LoadRunner build() {
-            LoadSettings settings =
-                    new LoadSettings(
-                            mTargets,
-                            mApiKey,
-                            mModel,
-                            mRunName,
-                            mSeed,
-                            mDurationMillis,
-                            mChatsPerSecond,
-                            mLengthClasses,
-                            mPrefixGroups,
-                            mPrefixTokens,
-                            mActionsPerSecond,
-                            mActionPaths,
-                            mLedgers,
-                            mAttempts,
-                            mActionLimitMillis,
-                            mGraceMillis,
-                            mProgressMillis,
-                            mBaselineMillis,
-                            mToleratesInterruptions);
-            return new LoadRunner(settings, mOutput);
+            return new LoadRunner(settings(), mOutput);
+        }
+
+        LoadSettings settings() {
+            return new LoadSettings(
+                    mTargets,
+                    mApiKey,
+                    mModel,
+                    mRunName,
+                    mSeed,
+                    mDurationMillis,
+                    mChatsPerSecond,
+                    mLengthClasses,
+                    mPrefixGroups,
+                    mPrefixTokens,
+                    mActionsPerSecond,
+                    mActionPaths,
+                    mLedgers,
+                    mAttempts,
+                    mActionLimitMillis,
+                    mGraceMillis,
+                    mProgressMillis,
+                    mBaselineMillis,
+                    mToleratesInterruptions);
         }
     }
 }
--- a/program/src/main/java/dev/kumquatweir/program/command/LoadCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/LoadCommand.java
@@ -6,6 +6,7 @@
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import dev.kumquatweir.bench.load.LoadReport;
 import dev.kumquatweir.bench.load.LoadRunner;
+import dev.kumquatweir.bench.load.PairedRunner;
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,10 +15,16 @@
 /** Sends a load of mixed requests and checks every answer token by token. */
 @Command(name = "load", description = "Send a load of mixed requests and verify every answer")
 @Examples(
-        examples =
-                "kumquatweir load --target http://127.0.0.1:7101 --target http://127.0.0.1:7102 "
-                        + "--key ipoh-workshops.example-key --model quote-7b --seconds 20",
-        descriptions = "Loads two instances for 20 s; ends with status 1 if an answer is wrong")
+        examples = {
+            "kumquatweir load --target http://127.0.0.1:7101 --target http://127.0.0.1:7102 "
+                    + "--key ipoh-workshops.example-key --model quote-7b --seconds 20",
+            "kumquatweir load --target http://127.0.0.1:7101 --direct http://127.0.0.1:9001 "
+                    + "--streams 32 --key ipoh-workshops.example-key --model quote-7b"
+        },
+        descriptions = {
+            "Loads two instances for 20 s; ends with status 1 if an answer is wrong",
+            "Compares answers through an instance with those of an engine, pair by pair"
+        })
 public final class LoadCommand implements Callable<Integer> {
     @Option(
             name = "--target",
@@ -54,11 +61,24 @@
             description = "Address of each stand-in service behind the actions, for counting")
     private List<String> mLedgers = new ArrayList<>();
 
+    @Option(
+            name = "--direct",
+            title = "URL",
+            description = "Engine to compare with, pair by pair; the rate and actions are unused")
+    private List<String> mDirect = new ArrayList<>();
+
+    @Option(name = "--streams", title = "N", description = "Concurrent answers with --direct")
+    private int mStreams = 1;
+
     @Option(name = "--seed", title = "N", description = "Seed of the schedule")
     private long mSeed = 1;
 
     @Override
     public Integer call() {
+        return mDirect.isEmpty() ? load() : compare();
+    }
+
+    private int load() {
         LoadRunner.Builder builder =
                 LoadRunner.builder(uris(mTargets))
                         .apiKey(mKey)
@@ -76,6 +96,18 @@
         return report.exitStatus();
     }
 
+    private int compare() {
+        return PairedRunner.builder(uris(mTargets), uris(mDirect))
+                .apiKey(mKey)
+                .model(mModel)
+                .streams(mStreams)
+                .durationMillis(mSeconds * 1_000)
+                .output(System.out::println)
+                .build()
+                .run()
+                .exitStatus();
+    }
+
     private static List<URI> uris(List<String> texts) {
         return texts.stream().map(URI::create).toList();
     }
