Give runs over several engines a reservation port and one rule of shares

Admission added up the memory of the four largest engines, while the router gives equal shares, so with engines of different size a prompt could be admitted that no placement could ever take. Both now ask EqualShares, which also keeps room for the answer on the last engine. Engines of the lane for short prompts are used when the others can't bear the prompt; otherwise the choice is as it was. A split attempt refused for want of memory waits a random time seeded by its attempt, since a fixed delay lets two of them meet again and again, and a split attempt whose main engine is gone is cancelled on its partners too.

--- a/policy/src/main/java/dev/kumquatweir/policy/admission/AdmissionControl.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/admission/AdmissionControl.java
@@ -1,15 +1,13 @@
 package dev.kumquatweir.policy.admission;
 
 import dev.kumquatweir.core.configuration.OversizePolicy;
-import dev.kumquatweir.core.configuration.Profile;
 import dev.kumquatweir.core.failure.RequestFailure;
 import dev.kumquatweir.policy.dispatch.WorkRequest;
+import dev.kumquatweir.policy.oversize.EqualShares;
 import dev.kumquatweir.policy.routing.LearnedRates;
 import dev.kumquatweir.policy.routing.LengthClass;
 import dev.kumquatweir.policy.routing.Pool;
-import dev.kumquatweir.policy.routing.Router;
 import io.vavr.control.Either;
-import java.util.Comparator;
 import java.util.concurrent.TimeUnit;
 
 /** Decides whether a request can end in its time. Holds no state, so that it is thread-safe. */
@@ -43,10 +41,9 @@
                     new RequestFailure.NoUpstream(
                             request.profile().service().value(), NO_UPSTREAM_RETRY_MILLIS));
         }
-        long memoryLimit = memoryLimit(request.profile(), pool);
-        long memory = request.promptTokens() + request.maximumOutputTokens();
-        if (request.model() != null && memory > memoryLimit) {
-            long longest = Math.max(0, memoryLimit - request.maximumOutputTokens());
+        if (request.model() != null && !fits(request, pool)) {
+            long limit = memoryLimit(request, pool);
+            long longest = Math.max(0, limit - request.maximumOutputTokens());
             return Either.left(new RequestFailure.PromptTooLong(request.promptTokens(), longest));
         }
         double needed = workNanos(request, outlook);
@@ -82,15 +79,23 @@
                 Math.clamp(millis, MINIMUM_RETRY_MILLIS, MAXIMUM_RETRY_MILLIS));
     }
 
-    private static long memoryLimit(Profile profile, Pool pool) {
-        if (profile.oversize() == OversizePolicy.REFUSE) {
-            return pool.largestMemoryTokens();
-        }
-        return pool.preferred(LengthClass.LONG).stream()
-                .map(member -> member.load().state().announcement().memoryTokens())
-                .sorted(Comparator.reverseOrder())
-                .limit(Router.MAXIMUM_PARTS)
-                .mapToLong(Long::longValue)
-                .sum();
+    private static boolean fits(WorkRequest request, Pool pool) {
+        long output = request.maximumOutputTokens();
+        long memory = request.promptTokens() + output;
+        return memory <= pool.largestMemoryTokens()
+                || (splits(request) && EqualShares.bear(Pool.memories(pool.all()), memory, output));
+    }
+
+    private static long memoryLimit(WorkRequest request, Pool pool) {
+        long together =
+                splits(request)
+                        ? EqualShares.limit(
+                                Pool.memories(pool.all()), request.maximumOutputTokens())
+                        : 0;
+        return Math.max(pool.largestMemoryTokens(), together);
+    }
+
+    private static boolean splits(WorkRequest request) {
+        return request.profile().oversize() == OversizePolicy.SPLIT;
     }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/Attempts.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/Attempts.java
@@ -154,7 +154,12 @@
         tracked.mRefusals++;
         FailedAttempt failed = failed(tracked, attempt);
         end(tracked, attempt, nowNanos);
-        return sequel(tracked, mRecovery.refused(failed, reason, nowNanos), false);
+        boolean split = !attempt.mPlacement.partners().isEmpty();
+        RecoveryPolicy.Decision decision =
+                split && reason == AttemptEvent.Refusal.MEMORY_FULL
+                        ? SplitDelay.again(attempt.mId, tracked.mRefusals, nowNanos)
+                        : mRecovery.refused(failed, reason, nowNanos);
+        return sequel(tracked, decision, false);
     }
 
     /** Ends an attempt that broke off and may have run in part. */
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/Placer.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/Placer.java
@@ -3,6 +3,7 @@
 import dev.kumquatweir.core.configuration.OversizePolicy;
 import dev.kumquatweir.core.identity.AttemptId;
 import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.oversize.EqualShares;
 import dev.kumquatweir.policy.registry.Announcement;
 import dev.kumquatweir.policy.registry.ColdLimit;
 import dev.kumquatweir.policy.routing.ColdAllowance;
@@ -75,7 +76,7 @@
     private void reserve(TrackedRequest tracked, RunningAttempt attempt, long nowNanos) {
         Placement placement = attempt.mPlacement;
         long memory = tracked.prefillTokens() + tracked.remainingTokens();
-        long share = Router.share(memory, 1 + placement.partners().size());
+        long share = EqualShares.share(memory, 1 + placement.partners().size());
         placement
                 .upstream()
                 .hold(
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
@@ -375,10 +375,11 @@
             if (attempt == null) {
                 continue;
             }
-            if (attempt.mPlacement.partners().contains(gone)) {
-                cancelUpstream(tracked, attempt);
-                breakOff(tracked, attempt, AttemptEvent.Break.UPSTREAM_GONE, nowNanos);
-            } else if (attempt.mPlacement.upstream() == gone) {
+            List<UpstreamLoad> partners = attempt.mPlacement.partners();
+            if (attempt.mPlacement.upstream() == gone || partners.contains(gone)) {
+                if (!partners.isEmpty()) {
+                    cancelUpstream(tracked, attempt);
+                }
                 breakOff(tracked, attempt, AttemptEvent.Break.UPSTREAM_GONE, nowNanos);
             }
         }
--- a/policy/src/main/java/dev/kumquatweir/policy/oversize/OversizePlan.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/oversize/OversizePlan.java
@@ -1,11 +1,14 @@
 package dev.kumquatweir.policy.oversize;
 
+import dev.kumquatweir.core.identity.AttemptId;
 import dev.kumquatweir.policy.memory.MemoryPart;
 import dev.kumquatweir.policy.permit.PermitPart;
 import dev.kumquatweir.policy.permit.PermitResource;
+import dev.kumquatweir.policy.registry.Announcement;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Supplier;
 
 /**
  * How a prompt runs on several engines. Immutable.
@@ -24,6 +27,39 @@
         }
     }
 
+    /**
+     * Splits a prompt into equal shares of memory; the last one has room for the answer too.
+     *
+     * @param promptTokens length of the prompt
+     * @param outputTokens longest answer
+     * @param engines the engines in the order of use, at least two
+     * @param ids makes the attempts of all parts but the last
+     * @param last attempt of the last part
+     */
+    public static OversizePlan ofEqualShares(
+            long promptTokens,
+            long outputTokens,
+            List<Announcement> engines,
+            Supplier<AttemptId> ids,
+            AttemptId last) {
+        long share = EqualShares.share(promptTokens + outputTokens, engines.size());
+        List<PromptPart> parts = new ArrayList<>();
+        for (int number = 0; number < engines.size(); number++) {
+            Announcement engine = engines.get(number);
+            boolean isLast = number == engines.size() - 1;
+            parts.add(
+                    new PromptPart(
+                            number,
+                            engine.id(),
+                            engine.incarnation(),
+                            isLast ? last : ids.get(),
+                            number * share,
+                            isLast ? promptTokens : (number + 1) * share,
+                            share));
+        }
+        return new OversizePlan(parts);
+    }
+
     /** Returns the last part, whose engine generates the answer. */
     public PromptPart last() {
         return parts.getLast();
--- a/policy/src/main/java/dev/kumquatweir/policy/oversize/OversizeRun.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/oversize/OversizeRun.java
@@ -3,7 +3,6 @@
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.policy.dispatch.AttemptEvent;
 import dev.kumquatweir.policy.memory.MemoryLedger;
-import dev.kumquatweir.policy.memory.ReserveDecision;
 import dev.kumquatweir.policy.permit.PermitHolder;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -13,9 +12,9 @@
 import java.util.Set;
 
 /**
- * Runs one prompt over several engines. All engines are reserved by one permit, granted whole or
- * not at all, before the first step; on each way out the permit, the memory, the attempts and the
- * exports are released. Not thread-safe: owned by the dispatch duty.
+ * Runs one prompt over several engines. The reservation of all engines, granted whole or not at
+ * all, comes before the first step; on each way out the reservation, the attempts and the exports
+ * are released. Not thread-safe: owned by one duty.
  */
 public final class OversizeRun {
     private enum Phase {
@@ -26,22 +25,23 @@
 
     private final OversizePlan mPlan;
     private final List<OversizeStep> mSteps;
-    private final PermitHolder mPermits;
-    private final MemoryLedger mLedger;
-    private final String mPermit;
+    private final OversizeReservation mReservation;
     private final Map<PromptPart, String> mHandles = new LinkedHashMap<>();
     private final Set<PromptPart> mStarted = new HashSet<>();
     private final Set<UpstreamId> mLost = new HashSet<>();
     private Phase mPhase = Phase.WAITING;
     private int mNextStep;
 
-    /** Makes a run that waits for its engines; its first tick asks for them. */
+    /** Makes a run whose engines are reserved by a permit and in the account of this instance. */
     public OversizeRun(OversizePlan plan, PermitHolder permits, MemoryLedger ledger) {
+        this(plan, new PermitReservation(plan, permits, ledger));
+    }
+
+    /** Makes a run that waits for its engines; its first tick asks for them. */
+    public OversizeRun(OversizePlan plan, OversizeReservation reservation) {
         mPlan = plan;
         mSteps = plan.steps();
-        mPermits = permits;
-        mLedger = ledger;
-        mPermit = plan.last().attempt().value();
+        mReservation = reservation;
     }
 
     /** Takes an event and returns what is to be done now, in order. */
@@ -63,23 +63,12 @@
     }
 
     private List<OversizeAction> tick(long nowNanos) {
-        if (mPhase == Phase.RUNNING && mPermits.surplus().contains(mPermit)) {
+        if (mPhase == Phase.RUNNING && mReservation.withdrawn()) {
             return broken(mPlan.last().upstream(), AttemptEvent.Break.UPSTREAM_GONE);
         }
-        if (mPhase != Phase.WAITING) {
-            return List.of();
-        }
-        mPermits.want(mPermit, mPlan.permitParts());
-        // Waiting for local memory with the permit in hand can't deadlock: what is in the way are
-        // single attempts, which end by themselves.
-        boolean reserved =
-                mPermits.valid(mPermit, nowNanos)
-                        && mLedger.reserveAll(mPlan.memoryParts(), nowNanos)
-                                instanceof ReserveDecision.Reserved;
-        if (!reserved) {
+        if (mPhase != Phase.WAITING || !mReservation.acquire(nowNanos)) {
             return List.of();
         }
-        mPermits.use(mPermit, nowNanos);
         mPhase = Phase.RUNNING;
         return List.of(perform());
     }
@@ -100,7 +89,7 @@
                     : List.of(new OversizeAction.ReleaseKv(part.upstream(), handle));
         }
         mHandles.put(part, handle);
-        mLedger.exported(part.upstream(), handle, mPlan.last().attempt());
+        mReservation.exported(part, handle);
         return done(new OversizeStep.ExportKv(part));
     }
 
@@ -138,7 +127,7 @@
             boolean reachable = !mLost.contains(part.upstream());
             String handle = mHandles.get(part);
             if (handle != null) {
-                mLedger.exportReleased(part.upstream(), handle);
+                mReservation.exportReleased(part, handle);
                 if (reachable) {
                     actions.add(new OversizeAction.ReleaseKv(part.upstream(), handle));
                 }
@@ -149,9 +138,8 @@
             if (reachable && mStarted.contains(part) && !finished) {
                 actions.add(new OversizeAction.Cancel(part.upstream(), part.attempt()));
             }
-            mLedger.release(part.attempt());
         }
-        mPermits.release(mPermit);
+        mReservation.release();
         actions.add(last);
         return actions;
     }
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/oversize/PermitReservation.java
@@ -0,0 +1,60 @@
+package dev.kumquatweir.policy.oversize;
+
+import dev.kumquatweir.policy.memory.MemoryLedger;
+import dev.kumquatweir.policy.memory.ReserveDecision;
+import dev.kumquatweir.policy.permit.PermitHolder;
+
+/**
+ * Holds the memory by one permit for all engines and by reservations in the account of this
+ * instance. Not thread-safe.
+ */
+public final class PermitReservation implements OversizeReservation {
+    private final OversizePlan mPlan;
+    private final PermitHolder mPermits;
+    private final MemoryLedger mLedger;
+    private final String mPermit;
+
+    /** Makes a reservation that asks for nothing yet. */
+    public PermitReservation(OversizePlan plan, PermitHolder permits, MemoryLedger ledger) {
+        mPlan = plan;
+        mPermits = permits;
+        mLedger = ledger;
+        mPermit = plan.last().attempt().value();
+    }
+
+    @Override
+    public boolean acquire(long nowNanos) {
+        mPermits.want(mPermit, mPlan.permitParts());
+        // Waiting for local memory with the permit in hand can't deadlock: what is in the way are
+        // single attempts, which end by themselves.
+        boolean reserved =
+                mPermits.valid(mPermit, nowNanos)
+                        && mLedger.reserveAll(mPlan.memoryParts(), nowNanos)
+                                instanceof ReserveDecision.Reserved;
+        if (reserved) {
+            mPermits.use(mPermit, nowNanos);
+        }
+        return reserved;
+    }
+
+    @Override
+    public boolean withdrawn() {
+        return mPermits.surplus().contains(mPermit);
+    }
+
+    @Override
+    public void exported(PromptPart part, String handle) {
+        mLedger.exported(part.upstream(), handle, mPlan.last().attempt());
+    }
+
+    @Override
+    public void exportReleased(PromptPart part, String handle) {
+        mLedger.exportReleased(part.upstream(), handle);
+    }
+
+    @Override
+    public void release() {
+        mPlan.parts().forEach(part -> mLedger.release(part.attempt()));
+        mPermits.release(mPermit);
+    }
+}
--- a/policy/src/main/java/dev/kumquatweir/policy/routing/Pool.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/routing/Pool.java
@@ -94,6 +94,13 @@
         return length == LengthClass.SHORT ? mLongLane : mShortLane;
     }
 
+    /** Returns the memory of each member, in tokens. */
+    public static List<Long> memories(List<Member> members) {
+        return members.stream()
+                .map(member -> member.load().state().announcement().memoryTokens())
+                .toList();
+    }
+
     /** Returns the memory of the largest engine, in tokens. */
     public long largestMemoryTokens() {
         return mLargestMemoryTokens;
--- a/policy/src/main/java/dev/kumquatweir/policy/routing/Router.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/routing/Router.java
@@ -1,6 +1,7 @@
 package dev.kumquatweir.policy.routing;
 
 import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.oversize.EqualShares;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -14,9 +15,6 @@
  * thread-safe: owned by the dispatch duty.
  */
 public final class Router {
-    /** Engines at most that share the memory of one prompt. */
-    public static final int MAXIMUM_PARTS = 4;
-
     private static final int AFFINITY_CANDIDATES = 3;
     private static final double JITTER = 0.05;
 
@@ -177,14 +175,17 @@
      */
     private @Nullable Placement spread(Pool pool, PlacementQuery query, long nowNanos) {
         List<Pool.Member> byFreeMemory =
-                pool.preferred(LengthClass.LONG).stream()
+                splitMembers(pool, query).stream()
                         .filter(member -> mCapacity.open(member, query, nowNanos))
                         .filter(member -> !member.load().cold())
                         .sorted(Comparator.comparingLong(Router::usedMemory))
-                        .limit(MAXIMUM_PARTS)
+                        .limit(EqualShares.MAXIMUM_PARTS)
                         .toList();
         for (int parts = 2; parts <= byFreeMemory.size(); parts++) {
-            long share = share(query.memoryTokens(), parts);
+            long share = EqualShares.share(query.memoryTokens(), parts);
+            if (!EqualShares.holdsAnswer(share, query.outputTokens(), parts)) {
+                return null;
+            }
             List<UpstreamLoad> engines =
                     byFreeMemory.subList(0, parts).stream().map(Pool.Member::load).toList();
             if (engines.stream().allMatch(load -> mCapacity.fits(load, share))) {
@@ -200,9 +201,13 @@
         return null;
     }
 
-    /** Returns the memory that each of several engines gives to one prompt. */
-    public static long share(long memoryTokens, int parts) {
-        return (memoryTokens + parts - 1) / parts;
+    /** Engines of the lane for short prompts are used only if the others can't bear the prompt. */
+    private static List<Pool.Member> splitMembers(Pool pool, PlacementQuery query) {
+        List<Pool.Member> preferred = pool.preferred(LengthClass.LONG);
+        boolean enough =
+                EqualShares.bear(
+                        Pool.memories(preferred), query.memoryTokens(), query.outputTokens());
+        return enough ? preferred : pool.all();
     }
 
     private long cachedTokens(UpstreamLoad load, PlacementQuery query) {
