Serve prompts beyond one engine in the daemon

Such prompts were refused at once, since nothing carried out the runs of policy.oversize; a dossier of more than one engine's memory was always lost. OversizeCaller stands between the dispatch duty and the engine client: an attempt with partners becomes an OversizeRun on a duty of its own, which exports and imports the KV caches and streams the last part's answer through the same exchange. Lease and failure domain are checked before each part; each way out cancels the attempts and releases exports and imports, repeated if no answer comes, and a planned stop waits for that. Ruled out: a second queue for runs beside the dispatcher, which would need deadlines and fairness of its own. Requests that may not be repeated keep the refusal, because their answer would be sent after the time up to which their claim allows sending.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/caller/SubmissionFactory.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/SubmissionFactory.java
@@ -95,8 +95,8 @@
     }
 
     /**
-     * Checks and completes a submission. The engine client does not move KV caches between engines
-     * yet, so a prompt beyond one engine is refused at once instead of failing at its deadline.
+     * Checks and completes a submission. A request that may not be repeated is not split: its
+     * answer would be sent long after the time up to which its claim allows sending.
      */
     private Either<RequestFailure, Submission> submission(
             RequestId id,
@@ -114,7 +114,7 @@
                 new WorkRequest(
                         id,
                         team.name(),
-                        profile.withOversize(OversizePolicy.REFUSE),
+                        repeatable ? profile : profile.withOversize(OversizePolicy.REFUSE),
                         model,
                         promptTokens(work),
                         maximumTokens(work),
--- a/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/AttemptOrder.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/AttemptOrder.java
@@ -9,7 +9,9 @@
  *
  * @param attempt the attempt
  * @param upstream where to send it
+ * @param partners further engines for a prompt beyond one engine, empty for all other work
  * @param work what to do
+ * @param kvHandles imported caches that cover the start of the prompt, in order
  * @param resumeOffset tokens that the caller already has
  * @param resumeText the text of those tokens
  * @param priority priority on the engine, 0 to 9
@@ -20,10 +22,20 @@
 public record AttemptOrder(
         AttemptId attempt,
         Announcement upstream,
+        List<Announcement> partners,
         Work work,
+        List<String> kvHandles,
         long resumeOffset,
         String resumeText,
         int priority,
         long remainingMillis,
         List<Long> prefixHashes,
-        boolean repeatable) {}
+        boolean repeatable) {
+
+    /** Copies the lists, so that the record is immutable. */
+    public AttemptOrder {
+        partners = List.copyOf(partners);
+        kvHandles = List.copyOf(kvHandles);
+        prefixHashes = List.copyOf(prefixHashes);
+    }
+}
--- a/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/DispatchDuty.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/DispatchDuty.java
@@ -265,7 +265,9 @@
             return;
         }
         running.begin(start.attempt());
-        if (upstream == null || !maySend(running, upstream, nowNanos)) {
+        if (upstream == null
+                || !mUpstreams.keySet().containsAll(start.partners())
+                || !maySend(running, upstream, nowNanos)) {
             AttemptEvent refused =
                     new AttemptEvent.Refused(start.attempt(), AttemptEvent.Refusal.NOT_SENT);
             offerEvent(refused);
@@ -276,7 +278,9 @@
                 new AttemptOrder(
                         start.attempt(),
                         upstream,
+                        start.partners().stream().map(mUpstreams::get).toList(),
                         running.work(),
+                        List.of(),
                         running.tokens(),
                         running.text(),
                         start.priority(),
--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/EngineClient.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/EngineClient.java
@@ -119,6 +119,10 @@
         ArrayNode hashes = body.putArray("prefix_hashes");
         order.prefixHashes().forEach(hashes::add);
         body.set("parameters", work.parameters());
+        if (!order.kvHandles().isEmpty()) {
+            ArrayNode handles = body.putArray("kv_handles");
+            order.kvHandles().forEach(handles::add);
+        }
         if (order.resumeOffset() > 0) {
             body.putObject("resume")
                     .put("offset", order.resumeOffset())
@@ -127,8 +131,7 @@
         return body;
     }
 
-    private static StreamingHttpRequest post(
-            StreamingHttpClient client, String path, ObjectNode body) {
+    static StreamingHttpRequest post(StreamingHttpClient client, String path, ObjectNode body) {
         Buffer content = client.executionContext().bufferAllocator().fromUtf8(body.toString());
         return client.post(path)
                 .setHeader(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
--- a/program/src/main/java/dev/kumquatweir/program/command/StandinEngineCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/StandinEngineCommand.java
@@ -6,6 +6,7 @@
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import dev.kumquatweir.standin.StandinEngine;
 import dev.kumquatweir.standin.StandinEngineSettings;
+import dev.kumquatweir.standin.model.EngineLimits;
 import dev.kumquatweir.standin.model.EngineSpeed;
 import java.util.ArrayList;
 import java.util.List;
@@ -39,6 +40,9 @@
             description = "Run this many times as fast as the usual engine")
     private double mTimeScale = 1;
 
+    @Option(name = "--memory-tokens", title = "TOKENS", description = "KV cache memory")
+    private long mMemoryTokens = EngineLimits.USUAL.memoryTokens();
+
     @Override
     public Integer call() throws Exception {
         StandinEngineSettings settings =
@@ -49,6 +53,7 @@
                         .models(mModels)
                         .startsCold(mCold)
                         .checksFencing(!mIgnoreFencing)
+                        .limits(EngineLimits.USUAL.withMemoryTokens(mMemoryTokens))
                         .speed(EngineSpeed.USUAL.scaled(mTimeScale))
                         .reports(reports())
                         .build();
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -10,10 +10,14 @@
 import dev.kumquatweir.gateway.caller.CallerPorts;
 import dev.kumquatweir.gateway.caller.CallerServer;
 import dev.kumquatweir.gateway.dispatch.DispatchDuty;
+import dev.kumquatweir.gateway.oversize.OversizeCaller;
+import dev.kumquatweir.gateway.oversize.PartIds;
 import dev.kumquatweir.gateway.upstream.HttpUpstreamCaller;
+import dev.kumquatweir.gateway.upstream.KvClient;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
+import dev.kumquatweir.policy.oversize.EngineAdmission;
 import dev.kumquatweir.policy.routing.LocalColdAllowance;
 import dev.kumquatweir.policy.routing.RoutingOptions;
 import dev.kumquatweir.program.burn.BurnFile;
@@ -59,6 +63,7 @@
     private final Clocks mClocks;
     private final IoExecutor mExecutor;
     private final UpstreamClients mClients;
+    private final OversizeCaller mOversize;
     private final DispatchDuty mDispatch;
     private final BurnRecorder mBurn;
     private final BurnGathering mGathering;
@@ -96,12 +101,20 @@
         MetricRegistry metrics = new MetricRegistry();
         String attemptPrefix = settings.id() + ":" + incarnation + ":";
         RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
+        mOversize =
+                new OversizeCaller(
+                        new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
+                        new KvClient(mClients),
+                        control.configuration(),
+                        clocks,
+                        new PartIds(settings.id(), incarnation),
+                        plan -> EngineAdmission.INSTANCE);
         mDispatch =
                 new DispatchDuty(
                         PolicyDispatcher.builder(attemptPrefix, routing)
                                 .coldAllowance(localShare(settings))
                                 .build(),
-                        new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
+                        mOversize,
                         control.configuration(),
                         new RequestMetrics(metrics, mBurn),
                         clocks);
@@ -141,6 +154,7 @@
         mBurn.start();
         mGathering.start();
         mControl.start();
+        mOversize.start();
         mDispatch.start();
         mCallers.start();
         mServers =
@@ -170,10 +184,12 @@
         while (busy() && mClocks.nowNanos() - startNanos < limitNanos) {
             LockSupport.parkNanos(DRAIN_POLL_NANOS);
         }
+        mOversize.abandonAll();
         mServers.forEach(InstanceDaemon::closeGracefully);
         mControl.handOver();
         mCallers.stop();
         mDispatch.stop();
+        mOversize.stop();
         mBurn.stop();
         mControl.stop();
         mClients.close();
@@ -181,7 +197,7 @@
     }
 
     private boolean busy() {
-        return mDispatch.running() > 0 || mCallers.pendingRecords() > 0;
+        return mDispatch.running() > 0 || mOversize.open() > 0 || mCallers.pendingRecords() > 0;
     }
 
     private void register(MetricRegistry metrics) {
--- a/standin/src/main/java/dev/kumquatweir/standin/model/EngineLimits.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/model/EngineLimits.java
@@ -23,4 +23,16 @@
     /** A usual engine: 400,000 tokens, 64 in a batch, 2 while cold, cold for 20 s. */
     public static final EngineLimits USUAL =
             new EngineLimits(400_000, 64, 2, 8_000, false, 20_000, 10_000);
+
+    /** Returns the same limits with other memory. */
+    public EngineLimits withMemoryTokens(long tokens) {
+        return new EngineLimits(
+                tokens,
+                maxRunning,
+                coldRequests,
+                coldPrefillTokens,
+                refusesBeyondColdLimit,
+                coldMillis,
+                retainMillis);
+    }
 }
