--- a/program/src/main/java/dev/kumquatweir/program/command/StandinEngineCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/StandinEngineCommand.java
@@ -31,6 +31,18 @@
     @Option(name = "--cold", description = "Start cold")
     private boolean mCold;
 
+    @Option(
+            name = "--cold-requests",
+            title = "NUMBER",
+            description = "Requests that the engine bears while it is cold")
+    private int mColdRequests = EngineLimits.USUAL.coldRequests();
+
+    @Option(
+            name = "--cold-millis",
+            title = "MILLISECONDS",
+            description = "Time until a cold engine is warm; 0 for never")
+    private long mColdMillis = EngineLimits.USUAL.coldMillis();
+
     @Option(name = "--ignore-fencing", description = "Take orders with old fencing numbers")
     private boolean mIgnoreFencing;
 
@@ -52,8 +64,8 @@
                         .service(service())
                         .models(mModels)
                         .startsCold(mCold)
+                        .limits(limits())
                         .checksFencing(!mIgnoreFencing)
-                        .limits(EngineLimits.USUAL.withMemoryTokens(mMemoryTokens))
                         .speed(EngineSpeed.USUAL.scaled(mTimeScale))
                         .reports(reports())
                         .build();
@@ -61,4 +73,16 @@
         engine.start();
         return runUntilTerminated(engine);
     }
+
+    private EngineLimits limits() {
+        EngineLimits usual = EngineLimits.USUAL;
+        return new EngineLimits(
+                mMemoryTokens,
+                usual.maxRunning(),
+                mColdRequests,
+                usual.coldPrefillTokens(),
+                usual.refusesBeyondColdLimit(),
+                mColdMillis,
+                usual.retainMillis());
+    }
 }
