--- a/gateway/src/main/java/dev/kumquatweir/gateway/oversize/PartIds.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/oversize/PartIds.java
@@ -2,6 +2,7 @@
 
 import dev.kumquatweir.core.identity.AttemptId;
 import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.policy.memory.AttemptIds;
 import dev.kumquatweir.policy.memory.AttemptOrigin;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
@@ -25,6 +26,7 @@
 
     @Override
     public AttemptId get() {
-        return new AttemptOrigin(mInstance, mIncarnation, mNext.getAndIncrement()).attemptId();
+        return AttemptIds.idOf(
+                new AttemptOrigin(mInstance, mIncarnation, mNext.getAndIncrement()));
     }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/Placer.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/Placer.java
@@ -3,16 +3,20 @@
 import dev.kumquatweir.core.configuration.OversizePolicy;
 import dev.kumquatweir.core.identity.AttemptId;
 import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.memory.AttemptIds;
 import dev.kumquatweir.policy.oversize.EqualShares;
 import dev.kumquatweir.policy.registry.Announcement;
 import dev.kumquatweir.policy.registry.ColdLimit;
 import dev.kumquatweir.policy.routing.ColdAllowance;
 import dev.kumquatweir.policy.routing.Hold;
+import dev.kumquatweir.policy.routing.LengthClass;
 import dev.kumquatweir.policy.routing.Placement;
 import dev.kumquatweir.policy.routing.PlacementQuery;
 import dev.kumquatweir.policy.routing.Router;
 import dev.kumquatweir.policy.routing.UpstreamLoad;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -20,32 +24,38 @@
  * thread-safe: owned by the dispatch duty.
  */
 final class Placer {
-    /** Longest prompts, in tokens, of the steps by which the priority on an engine falls. */
-    private static final long[] PRIORITY_STEPS_TOKENS = {2_048, 8_192, 65_536};
+    /** Most tokens of the steps by which the priority on an engine falls. */
+    private static final long[] PRIORITY_STEPS_TOKENS = {512, 1_024, 2_048, 8_192, 65_536};
+
+    /** Steps above the priority of the profile at which the smallest prefill starts. */
+    private static final int PRIORITY_RISE = 2;
 
     private final Router mRouter;
     private final ColdAllowance mColdAllowance;
-    private final String mAttemptPrefix;
-    private long mAttempts;
+    private final AttemptIds mAttemptIds;
 
     /**
      * Makes a placer.
      *
-     * @param attemptPrefix start of each attempt id; differs for each instance and each start of it
+     * @param attemptIds makes the ids of the attempts
      */
-    Placer(Router router, ColdAllowance coldAllowance, String attemptPrefix) {
+    Placer(Router router, ColdAllowance coldAllowance, AttemptIds attemptIds) {
         mRouter = router;
         mColdAllowance = coldAllowance;
-        mAttemptPrefix = attemptPrefix;
+        mAttemptIds = attemptIds;
     }
 
-    /** Places a request and makes the attempt its current one; returns null if none can take it. */
-    @Nullable DispatchAction place(TrackedRequest tracked, long nowNanos) {
-        Placement placement = mRouter.place(query(tracked), nowNanos);
+    /**
+     * Places a request and makes the attempt its current one; returns null if none can take it.
+     *
+     * @param closed upstreams that may not take it, besides those that it avoids itself
+     */
+    @Nullable DispatchAction place(TrackedRequest tracked, Set<UpstreamId> closed, long nowNanos) {
+        Placement placement = mRouter.place(query(tracked, closed), nowNanos);
         if (placement == null) {
             return null;
         }
-        AttemptId id = new AttemptId(mAttemptPrefix + "." + ++mAttempts);
+        AttemptId id = mAttemptIds.next();
         long prefill = Math.max(0, tracked.prefillTokens() - placement.cachedTokens());
         RunningAttempt attempt =
                 new RunningAttempt(id, placement, tracked.mCallerTokens, prefill, nowNanos);
@@ -62,7 +72,7 @@
                 target.id(),
                 target.incarnation(),
                 tracked.mCallerTokens,
-                priority(tracked),
+                priority(tracked, prefill),
                 partners);
     }
 
@@ -105,8 +115,13 @@
         }
     }
 
-    private static PlacementQuery query(TrackedRequest tracked) {
+    private static PlacementQuery query(TrackedRequest tracked, Set<UpstreamId> closed) {
         WorkRequest request = tracked.mRequest;
+        Set<UpstreamId> avoided = tracked.mAvoidedUpstreams;
+        if (!closed.isEmpty()) {
+            avoided = new HashSet<>(avoided);
+            avoided.addAll(closed);
+        }
         return new PlacementQuery(
                 request.profile().service(),
                 request.model(),
@@ -116,16 +131,24 @@
                 Math.max(1, tracked.mExpectedOutput - tracked.mCallerTokens),
                 request.prefixHashes(),
                 request.profile().oversize() == OversizePolicy.SPLIT,
-                tracked.mAvoidedUpstreams,
+                avoided,
                 tracked.mAvoidedDomains);
     }
 
-    /** Returns the priority on the engine: shorter prompts first within an urgency. */
-    private static int priority(TrackedRequest tracked) {
+    /**
+     * Returns the priority on the engine: less work first within an urgency. A short prompt counts
+     * by what the engine has to prefill, since a chunk of a cached prompt delays others by a chunk
+     * only. A long one counts by its length, because the hint of its cache is less certain.
+     */
+    private static int priority(TrackedRequest tracked, long prefillTokens) {
+        long tokens =
+                tracked.mLength == LengthClass.SHORT
+                        ? prefillTokens
+                        : tracked.mRequest.promptTokens();
         int lower = 0;
         for (long step : PRIORITY_STEPS_TOKENS) {
-            lower += tracked.mRequest.promptTokens() > step ? 1 : 0;
+            lower += tokens > step ? 1 : 0;
         }
-        return Math.clamp(tracked.mRequest.profile().priority() - lower, 0, 9);
+        return Math.clamp(tracked.mRequest.profile().priority() + PRIORITY_RISE - lower, 0, 9);
     }
 }
--- a/policy/src/test/java/dev/kumquatweir/policy/dispatch/DispatcherFixture.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/dispatch/DispatcherFixture.java
@@ -10,12 +10,14 @@
 import dev.kumquatweir.core.failure.RequestFailure;
 import dev.kumquatweir.core.identity.AttemptId;
 import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.identity.ModelName;
 import dev.kumquatweir.core.identity.ProfileName;
 import dev.kumquatweir.core.identity.RequestId;
 import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.identity.TeamName;
 import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.memory.AttemptIds;
 import dev.kumquatweir.policy.registry.Announcement;
 import dev.kumquatweir.policy.registry.ColdLimit;
 import dev.kumquatweir.policy.registry.LoadReport;
@@ -58,7 +60,16 @@
     private int mRequests;
 
     DispatcherFixture() {
-        mDispatcher = PolicyDispatcher.builder("i0", RoutingOptions.of(domain("a"), 1)).build();
+        this(new SimpleRecovery());
+    }
+
+    DispatcherFixture(RecoveryPolicy recovery) {
+        mDispatcher =
+                PolicyDispatcher.builder(
+                                new AttemptIds(new InstanceId("i0"), 1),
+                                RoutingOptions.of(domain("a"), 1))
+                        .recovery(recovery)
+                        .build();
         mDispatcher.configure(DOCUMENT, mNow);
     }
 
@@ -111,6 +122,16 @@
     }
 
     WorkRequest request(Profile profile, long prompt, long output, long limitMillis) {
+        return request("content", profile, prompt, output, limitMillis);
+    }
+
+    /** Returns a request with another content. */
+    WorkRequest other(String content, Profile profile, long prompt, long output) {
+        return request(content, profile, prompt, output, 30_000);
+    }
+
+    private WorkRequest request(
+            String content, Profile profile, long prompt, long output, long limitMillis) {
         return new WorkRequest(
                 new RequestId("r" + ++mRequests),
                 new TeamName("team"),
@@ -119,7 +140,7 @@
                 prompt,
                 output,
                 List.of(),
-                "content",
+                content,
                 profile.repeatable(),
                 mNow,
                 mNow + TimeUnit.MILLISECONDS.toNanos(limitMillis));
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -10,6 +10,10 @@
 import dev.kumquatweir.gateway.caller.CallerPorts;
 import dev.kumquatweir.gateway.caller.CallerServer;
 import dev.kumquatweir.gateway.dispatch.DispatchDuty;
+import dev.kumquatweir.gateway.memory.AccountedCaller;
+import dev.kumquatweir.gateway.memory.HeldMemory;
+import dev.kumquatweir.gateway.upstream.HttpEngineMemory;
+import dev.kumquatweir.gateway.oversize.AccountedKvCalls;
 import dev.kumquatweir.gateway.oversize.OversizeCaller;
 import dev.kumquatweir.gateway.oversize.PartIds;
 import dev.kumquatweir.gateway.upstream.HttpUpstreamCaller;
@@ -18,18 +22,24 @@
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
 import dev.kumquatweir.policy.oversize.EngineAdmission;
+import dev.kumquatweir.policy.memory.AttemptIds;
+import dev.kumquatweir.policy.dispatch.QuarantinedRecovery;
+import dev.kumquatweir.policy.dispatch.SimpleRecovery;
 import dev.kumquatweir.policy.permit.ColdPermits;
 import dev.kumquatweir.policy.permit.PermitHolder;
+import dev.kumquatweir.policy.quarantine.Quarantine;
 import dev.kumquatweir.policy.routing.RoutingOptions;
 import dev.kumquatweir.program.burn.BurnFile;
 import dev.kumquatweir.program.burn.BurnGathering;
 import dev.kumquatweir.program.burn.BurnRecorder;
 import dev.kumquatweir.program.control.ControlPlane;
 import dev.kumquatweir.program.control.StoreQuestion;
+import dev.kumquatweir.program.memory.MemoryReconciliation;
 import dev.kumquatweir.program.operator.OperatorListener;
 import dev.kumquatweir.program.operator.OperatorRoutes;
 import dev.kumquatweir.program.permit.PermitRenewal;
 import dev.kumquatweir.program.permit.RenewingDispatcher;
+import dev.kumquatweir.program.spread.QuarantineSpread;
 import dev.kumquatweir.program.spread.RegistrySpread;
 import dev.kumquatweir.settings.InstanceSettings;
 import dev.kumquatweir.settings.PeerSettings;
@@ -68,6 +78,8 @@
     private final UpstreamClients mClients;
     private final OversizeCaller mOversize;
     private final DispatchDuty mDispatch;
+    private final MemoryReconciliation mMemory;
+    private final QuarantineSpread mQuarantine;
     private final BurnRecorder mBurn;
     private final BurnGathering mGathering;
     private final InstanceHealth mHealth;
@@ -102,12 +114,17 @@
                         clocks);
         mGathering = new BurnGathering(mBurn, network, otherInstances(settings));
         MetricRegistry metrics = new MetricRegistry();
-        String attemptPrefix = settings.id() + ":" + incarnation + ":";
+        AttemptIds attemptIds = new AttemptIds(settings.id(), incarnation);
         RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
+        HeldMemory held = new HeldMemory();
+        Quarantine quarantine = Quarantine.builder().owner(settings.id().value()).build();
         mOversize =
                 new OversizeCaller(
-                        new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
-                        new KvClient(mClients),
+                        new AccountedCaller(
+                                new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
+                                held,
+                                clocks),
+                        new AccountedKvCalls(new KvClient(mClients), held),
                         control.configuration(),
                         clocks,
                         new PartIds(settings.id(), incarnation),
@@ -118,15 +135,21 @@
         mDispatch =
                 new DispatchDuty(
                         new RenewingDispatcher(
-                                PolicyDispatcher.builder(attemptPrefix, routing)
+                                PolicyDispatcher.builder(attemptIds, routing)
                                         .coldAllowance(cold)
+                                        .recovery(
+                                                new QuarantinedRecovery(
+                                                        new SimpleRecovery(), quarantine))
                                         .build(),
                                 renewal),
                         mOversize,
                         control.configuration(),
                         new RequestMetrics(metrics, mBurn),
                         clocks);
+        mQuarantine =
+                new QuarantineSpread(quarantine, mDispatch::run, network, otherInstances(settings));
         register(metrics);
+        mMemory = reconciliation(incarnation, network, held, metrics);
         mHealth = new InstanceHealth(control.configuration(), metrics);
         mCallers =
                 new CallerServer(
@@ -169,6 +192,8 @@
         mControl.start();
         mOversize.start();
         mDispatch.start();
+        mMemory.start();
+        mQuarantine.start();
         mCallers.start();
         mServers =
                 List.of(
@@ -201,8 +226,10 @@
         mServers.forEach(InstanceDaemon::closeGracefully);
         mControl.handOver();
         mCallers.stop();
+        mQuarantine.stop();
         mDispatch.stop();
         mOversize.stop();
+        mMemory.stop();
         mBurn.stop();
         mControl.stop();
         mClients.close();
@@ -218,11 +245,29 @@
         Gauge<Long> version = () -> mControl.configuration().current().version();
         Gauge<Integer> lease =
                 () -> mControl.configuration().current().inForce(mClocks.nowNanos()) ? 1 : 0;
+        Gauge<Integer> marks = mQuarantine::marks;
+        Gauge<Integer> refused = mQuarantine::refused;
+        metrics.register("kumquatweir_quarantine_marks", marks);
+        metrics.register("kumquatweir_quarantine_refused", refused);
         metrics.register("kumquatweir_requests_running", running);
         metrics.register("kumquatweir_configuration_version", version);
         metrics.register("kumquatweir_configuration_lease_held", lease);
     }
 
+    private MemoryReconciliation reconciliation(
+            long incarnation, PeerNetwork network, HeldMemory held, MetricRegistry metrics) {
+        return new MemoryReconciliation(
+                mSettings,
+                incarnation,
+                mControl,
+                network,
+                mDispatch,
+                new HttpEngineMemory(mClients),
+                held,
+                metrics,
+                mClocks);
+    }
+
     private HttpServerContext listen(InetSocketAddress address, StreamingHttpService service) {
         try {
             return HttpServers.forAddress(address)
