--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/EngineClient.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/EngineClient.java
@@ -119,6 +119,10 @@
         ArrayNode hashes = body.putArray("prefix_hashes");
         order.prefixHashes().forEach(hashes::add);
         body.set("parameters", work.parameters());
+        if (!order.kvHandles().isEmpty()) {
+            ArrayNode handles = body.putArray("kv_handles");
+            order.kvHandles().forEach(handles::add);
+        }
         if (order.resumeOffset() > 0) {
             body.putObject("resume")
                     .put("offset", order.resumeOffset())
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
@@ -387,10 +387,10 @@
         mRecovery.died(death, announcement.domain(), nowNanos);
         for (TrackedRequest tracked : mAttempts.using(gone)) {
             RunningAttempt attempt = tracked.mCurrent;
-            if (attempt != null && attempt.mPlacement.upstream() != gone) {
-                cancelUpstream(tracked, attempt);
-            }
             if (attempt != null) {
+                if (!attempt.mPlacement.partners().isEmpty()) {
+                    cancelUpstream(tracked, attempt);
+                }
                 breakOff(tracked, attempt, AttemptEvent.Break.UPSTREAM_GONE, nowNanos);
             }
         }
--- a/program/src/main/java/dev/kumquatweir/program/command/StandinEngineCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/StandinEngineCommand.java
@@ -52,6 +52,9 @@
             description = "Factor on all times of the usual engine; 5 is five times as slow")
     private double mTimeScale = 1;
 
+    @Option(name = "--memory-tokens", title = "TOKENS", description = "KV cache memory")
+    private long mMemoryTokens = EngineLimits.USUAL.memoryTokens();
+
     @Override
     public Integer call() throws Exception {
         StandinEngineSettings settings =
@@ -74,7 +77,7 @@
     private EngineLimits limits() {
         EngineLimits usual = EngineLimits.USUAL;
         return new EngineLimits(
-                usual.memoryTokens(),
+                mMemoryTokens,
                 usual.maxRunning(),
                 mColdRequests,
                 usual.coldPrefillTokens(),
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -12,14 +12,19 @@
 import dev.kumquatweir.gateway.dispatch.DispatchDuty;
 import dev.kumquatweir.gateway.memory.AccountedCaller;
 import dev.kumquatweir.gateway.memory.HeldMemory;
+import dev.kumquatweir.gateway.oversize.AccountedKvCalls;
+import dev.kumquatweir.gateway.oversize.OversizeCaller;
+import dev.kumquatweir.gateway.oversize.PartIds;
 import dev.kumquatweir.gateway.upstream.HttpEngineMemory;
 import dev.kumquatweir.gateway.upstream.HttpUpstreamCaller;
+import dev.kumquatweir.gateway.upstream.KvClient;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
 import dev.kumquatweir.policy.dispatch.QuarantinedRecovery;
 import dev.kumquatweir.policy.dispatch.SimpleRecovery;
 import dev.kumquatweir.policy.memory.AttemptIds;
+import dev.kumquatweir.policy.oversize.EngineAdmission;
 import dev.kumquatweir.policy.permit.ColdPermits;
 import dev.kumquatweir.policy.permit.PermitHolder;
 import dev.kumquatweir.policy.quarantine.Quarantine;
@@ -71,6 +76,7 @@
     private final Clocks mClocks;
     private final IoExecutor mExecutor;
     private final UpstreamClients mClients;
+    private final OversizeCaller mOversize;
     private final DispatchDuty mDispatch;
     private final MemoryReconciliation mMemory;
     private final QuarantineSpread mQuarantine;
@@ -112,6 +118,17 @@
         RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
         HeldMemory held = new HeldMemory();
         Quarantine quarantine = Quarantine.builder().owner(settings.id().value()).build();
+        mOversize =
+                new OversizeCaller(
+                        new AccountedCaller(
+                                new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
+                                held,
+                                clocks),
+                        new AccountedKvCalls(new KvClient(mClients), held),
+                        control.configuration(),
+                        clocks,
+                        new PartIds(settings.id(), incarnation),
+                        plan -> EngineAdmission.INSTANCE);
         PermitHolder permits = new PermitHolder(settings.id(), incarnation);
         ColdPermits cold = new ColdPermits(permits);
         PermitRenewal renewal = new PermitRenewal(permits, cold, control.permits(), metrics);
@@ -125,10 +142,7 @@
                                                         new SimpleRecovery(), quarantine))
                                         .build(),
                                 renewal),
-                        new AccountedCaller(
-                                new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
-                                held,
-                                clocks),
+                        mOversize,
                         control.configuration(),
                         new RequestMetrics(metrics, mBurn),
                         clocks);
@@ -176,6 +190,7 @@
         mBurn.start();
         mGathering.start();
         mControl.start();
+        mOversize.start();
         mDispatch.start();
         mMemory.start();
         mQuarantine.start();
@@ -207,11 +222,13 @@
         while (busy() && mClocks.nowNanos() - startNanos < limitNanos) {
             LockSupport.parkNanos(DRAIN_POLL_NANOS);
         }
+        mOversize.abandonAll();
         mServers.forEach(InstanceDaemon::closeGracefully);
         mControl.handOver();
         mCallers.stop();
         mQuarantine.stop();
         mDispatch.stop();
+        mOversize.stop();
         mMemory.stop();
         mBurn.stop();
         mControl.stop();
@@ -220,7 +237,7 @@
     }
 
     private boolean busy() {
-        return mDispatch.running() > 0 || mCallers.pendingRecords() > 0;
+        return mDispatch.running() > 0 || mOversize.open() > 0 || mCallers.pendingRecords() > 0;
     }
 
     private void register(MetricRegistry metrics) {
