Tell the caller of a quarantined prompt that its outcome is unknown

Cause: a prompt that is refused after it crashed two engines got the failure of a refused newcomer, which says ran: no, although its own attempts were sent. The failure now carries what is known of the request: unknown once an attempt was sent, no at admission. Ruled out: dropping the field from the type, since a repeat that was never sent is still a true no.

--- a/core/src/main/java/dev/kumquatweir/core/failure/RequestFailure.java
+++ b/core/src/main/java/dev/kumquatweir/core/failure/RequestFailure.java
@@ -283,8 +283,14 @@
      * The request crashed upstreams before and is refused until the mark expires.
      *
      * @param crashedUpstreams how many upstreams it crashed
+     * @param ran what is known about its execution
      */
-    record Quarantined(int crashedUpstreams) implements RequestFailure {
+    record Quarantined(int crashedUpstreams, Ran ran) implements RequestFailure {
+        /** Returns the same failure of a request about whose execution something else is known. */
+        public Quarantined withRan(Ran known) {
+            return new Quarantined(crashedUpstreams, known);
+        }
+
         @Override
         public String code() {
             return "quarantined";
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/RunGuard.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/RunGuard.java
@@ -43,7 +43,7 @@
          *
          * @param failure what its caller is told
          */
-        record Refused(RequestFailure failure) implements Clearance {}
+        record Refused(RequestFailure.Quarantined failure) implements Clearance {}
     }
 
     /**
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/SuspectRoom.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/SuspectRoom.java
@@ -100,7 +100,8 @@
         Step step =
                 switch (clearance(tracked, pool, nowNanos)) {
                     case RunGuard.Clearance.Free free -> new Step.Queues();
-                    case RunGuard.Clearance.Refused refused -> new Step.Fails(refused.failure());
+                    case RunGuard.Clearance.Refused refused ->
+                            new Step.Fails(refused.failure().withRan(tracked.ran()));
                     case RunGuard.Clearance.Later later -> WAITS;
                     case RunGuard.Clearance.Alone alone ->
                             isolate(tracked, pool, alone.avoided(), nowNanos);
--- a/policy/src/main/java/dev/kumquatweir/policy/quarantine/Quarantine.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/quarantine/Quarantine.java
@@ -1,5 +1,6 @@
 package dev.kumquatweir.policy.quarantine;
 
+import dev.kumquatweir.core.failure.Ran;
 import dev.kumquatweir.core.failure.RequestFailure;
 import dev.kumquatweir.core.identity.AttemptId;
 import dev.kumquatweir.core.identity.FailureDomain;
@@ -75,7 +76,7 @@
         int confirmed = mMarks.count(contentHash, BlameState.CONFIRMED, nowNanos);
         int provisional = mMarks.count(contentHash, BlameState.PROVISIONAL, nowNanos);
         if (confirmed >= mDeathLimit) {
-            return new QuarantineDecision.Refuse(new RequestFailure.Quarantined(confirmed));
+            return new QuarantineDecision.Refuse(new RequestFailure.Quarantined(confirmed, Ran.NO));
         }
         if (confirmed + provisional == 0) {
             return new QuarantineDecision.RunFreely();
--- a/policy/src/test/java/dev/kumquatweir/policy/dispatch/QuarantinedRecoveryTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/dispatch/QuarantinedRecoveryTest.java
@@ -2,11 +2,13 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
+import dev.kumquatweir.core.failure.Ran;
 import dev.kumquatweir.core.failure.RequestFailure;
 import dev.kumquatweir.policy.quarantine.Quarantine;
 import java.util.ArrayList;
@@ -35,11 +37,11 @@
         List<DispatchAction> actions = passUntilAction();
         assertThat(
                 ((DispatchAction.Fail) actions.getFirst()).failure(),
-                instanceOf(RequestFailure.Quarantined.class));
+                equalTo(new RequestFailure.Quarantined(2, Ran.UNKNOWN)));
         assertThat(
                 mFixture.admit(mFixture.request(DispatcherFixture.QUESTION, 1_000, 100, 30_000))
                         .getLeft(),
-                instanceOf(RequestFailure.Quarantined.class));
+                equalTo(new RequestFailure.Quarantined(2, Ran.NO)));
     }
 
     /** Guards against a suspect that starts beside other work, here or of another instance. */
