Let prompts over several engines run again after a crash

Cause: a prompt that ran on an engine when it died is a suspect and runs alone on one engine. A prompt beyond one engine's memory fits on none, so it waited for its turn until its deadline and was lost. It now runs as before and is refused after 2 deaths like any other. Ruled out: reserving all its engines for it alone, which would close most of a small fleet for minutes after each death. Before: the new test found no second start in 10 s of virtual time. After: QuarantinedRecoveryTest green (6).

--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/SuspectRoom.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/SuspectRoom.java
@@ -152,12 +152,8 @@
             Set<UpstreamId> avoided,
             long nowNanos) {
         Set<UpstreamId> closed = mGuard.closedUpstreams(nowNanos);
-        long memory = tracked.prefillTokens() + tracked.remainingTokens();
         Predicate<UpstreamLoad> open =
-                load ->
-                        load.usable(nowNanos)
-                                && !closed.contains(id(load))
-                                && load.state().announcement().memoryTokens() >= memory;
+                load -> load.usable(nowNanos) && !closed.contains(id(load)) && holds(load, tracked);
         boolean others = pool.stream().anyMatch(member -> !avoided.contains(id(member.load())));
         pool.stream()
                 .map(Pool.Member::load)
@@ -181,9 +177,23 @@
         }
     }
 
+    /**
+     * A prompt that no upstream can hold by itself can't run alone; waiting for its turn would only
+     * lose it at its deadline. It runs as before until it is refused.
+     */
     private RunGuard.Clearance clearance(
             TrackedRequest tracked, Collection<Pool.Member> pool, long nowNanos) {
-        return mGuard.clearance(tracked.mRequest, pool.size(), nowNanos);
+        RunGuard.Clearance clearance = mGuard.clearance(tracked.mRequest, pool.size(), nowNanos);
+        if (clearance instanceof RunGuard.Clearance.Refused
+                || pool.stream().anyMatch(member -> holds(member.load(), tracked))) {
+            return clearance;
+        }
+        return new RunGuard.Clearance.Free();
+    }
+
+    private static boolean holds(UpstreamLoad load, TrackedRequest tracked) {
+        long memory = tracked.prefillTokens() + tracked.remainingTokens();
+        return load.state().announcement().memoryTokens() >= memory;
     }
 
     private Collection<Pool.Member> pool(TrackedRequest tracked, long nowNanos) {
--- a/policy/src/test/java/dev/kumquatweir/policy/dispatch/QuarantinedRecoveryTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/dispatch/QuarantinedRecoveryTest.java
@@ -124,6 +124,15 @@
                 is("CONFIRMED"));
     }
 
+    /** Guards against a document that waits till its deadline for an engine that could hold it. */
+    @Test
+    void promptsOverSeveralEnginesRunAgainAfterCrash() {
+        startEngines();
+        mFixture.admit(mFixture.request(DispatcherFixture.DOSSIER, 150_000, 100, 3_600_000));
+        crash(mFixture.starts().getFirst());
+        assertThat(passUntilStart().partners(), not(empty()));
+    }
+
     private void startEngines() {
         for (int engine = 1; engine <= ENGINES; engine++) {
             mFixture.engine("e" + engine, engine % 2 == 0 ? "a" : "b", 1, false);
