Take what gives work to upstreams out of InstanceDaemon and answers out of ReplicaDuty

UpstreamWork now wires dispatch, runs over several engines, permits, quarantine and memory reconciliation; ReplicaAnswers builds the answers to reads; the list of the other instances, made in three places, is a method of InstanceSettings. The replica's role, term and commit index, known only from status, become metrics.

--- a/program/src/main/java/dev/kumquatweir/program/control/ControlPlane.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ControlPlane.java
@@ -26,6 +26,9 @@
      */
     CompletionStage<ControlReply> ask(ControlRequest request, long limitNanos);
 
+    /** Returns how far the replica of this instance is. */
+    ReplicaStatus replica();
+
     /** Hands leadership over and gives leases back, before a planned stop. Waits up to 2 s. */
     void handOver();
 
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
@@ -3,7 +3,6 @@
 import dev.kumquatweir.agreement.codec.CommandCodec;
 import dev.kumquatweir.agreement.codec.StateCodec;
 import dev.kumquatweir.agreement.lease.ConfigurationLeaseTable;
-import dev.kumquatweir.agreement.lease.ForceStatus;
 import dev.kumquatweir.agreement.lease.LeaseAsk;
 import dev.kumquatweir.agreement.lease.LeaseGrant;
 import dev.kumquatweir.agreement.lease.LeaseTimes;
@@ -80,6 +79,7 @@
     private Membership mKnownMembership = Membership.EMPTY;
     private long mExpiredNanos;
     private volatile Optional<InstanceId> mLeader = Optional.empty();
+    private volatile ReplicaStatus mStatus = ReplicaStatus.NONE;
     private volatile @Nullable StorageCompletion mSynced;
 
     /**
@@ -149,6 +149,11 @@
         return mLeader;
     }
 
+    /** Returns how far this replica is, at most one tick old. */
+    ReplicaStatus status() {
+        return mStatus;
+    }
+
     /** Takes a message of another replica. */
     void receive(RaftMessage message) {
         step(new RaftInput.Receive(message));
@@ -224,9 +229,13 @@
         switch (request) {
             case ControlRequest.Propose propose -> propose(propose.command(), reply);
             case ControlRequest.ReadConfiguration read ->
-                    read(reply, state -> configuration(state, read.version()));
-            case ControlRequest.ReadMembers _ -> read(reply, state -> members());
-            case ControlRequest.ReadForce read -> reply.complete(force(read.version()));
+                    read(reply, state -> ReplicaAnswers.configuration(state, read.version()));
+            case ControlRequest.ReadMembers _ ->
+                    read(reply, state -> ReplicaAnswers.members(mNode));
+            case ControlRequest.ReadForce read ->
+                    reply.complete(
+                            ReplicaAnswers.force(
+                                    mLeases, read.version(), leaderName(), mClocks.nowNanos()));
             case ControlRequest.ChangeMembers change -> {
                 long id = mPending.add(reply);
                 stepNow(new RaftInput.ChangeMembership(id, change.change()));
@@ -250,37 +259,6 @@
         stepNow(new RaftInput.Read(id));
     }
 
-    private ControlReply configuration(StateMachine state, long version) {
-        long wanted = version == 0 ? state.configurationVersion() : version;
-        Bytes document =
-                wanted == state.configurationVersion()
-                        ? state.configurationDocument()
-                        : state.configurationDocument(wanted).orElse(Bytes.EMPTY);
-        return new ControlReply.Configuration(wanted, document, state.history());
-    }
-
-    private ControlReply members() {
-        return new ControlReply.Members(
-                mNode.membership().members(),
-                mNode.self().name(),
-                mNode.term(),
-                mNode.commitIndex());
-    }
-
-    private ControlReply force(long version) {
-        long nowNanos = mClocks.nowNanos();
-        return switch (mLeases.status(version, nowNanos)) {
-            case ForceStatus.InForce _ -> new ControlReply.Force(true, List.of(), 0);
-            case ForceStatus.Waiting waiting ->
-                    new ControlReply.Force(
-                            false,
-                            waiting.instances().stream().map(InstanceId::value).toList(),
-                            TimeUnit.NANOSECONDS.toMillis(waiting.untilNanos() - nowNanos));
-            case ForceStatus.NotLeading _ ->
-                    new ControlReply.Failed(new ControlFailure.NotLeader(leaderName()));
-        };
-    }
-
     private void tick() {
         StorageCompletion synced = mSynced;
         if (synced != null) {
@@ -296,6 +274,9 @@
         if (mNode.isReadyLeader()) {
             leadingTick(mClocks.nowNanos());
         }
+        mStatus =
+                new ReplicaStatus(
+                        mNode.role() == RaftRole.LEADER, mNode.term(), mNode.commitIndex());
     }
 
     private void leadingTick(long nowNanos) {
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicatedControl.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicatedControl.java
@@ -147,6 +147,12 @@
         return mLeader.ask(request, limitNanos);
     }
 
+    @Override
+    public ReplicaStatus replica() {
+        ReplicaDuty replica = mReplica;
+        return replica == null ? ReplicaStatus.NONE : replica.status();
+    }
+
     @Override
     public void handOver() {
         waitFor(mLeases.surrender(HAND_OVER_NANOS));
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -5,44 +5,20 @@
 import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.failure.Failure;
 import dev.kumquatweir.core.failure.FailureException;
-import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.gateway.caller.CallerPorts;
 import dev.kumquatweir.gateway.caller.CallerServer;
-import dev.kumquatweir.gateway.dispatch.DispatchDuty;
-import dev.kumquatweir.gateway.memory.AccountedCaller;
-import dev.kumquatweir.gateway.memory.HeldMemory;
-import dev.kumquatweir.gateway.oversize.AccountedKvCalls;
-import dev.kumquatweir.gateway.oversize.OversizeCaller;
-import dev.kumquatweir.gateway.oversize.PartIds;
-import dev.kumquatweir.gateway.upstream.HttpEngineMemory;
-import dev.kumquatweir.gateway.upstream.HttpUpstreamCaller;
-import dev.kumquatweir.gateway.upstream.KvClient;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
-import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
-import dev.kumquatweir.policy.dispatch.QuarantinedRecovery;
-import dev.kumquatweir.policy.dispatch.SimpleRecovery;
-import dev.kumquatweir.policy.memory.AttemptIds;
-import dev.kumquatweir.policy.oversize.EngineAdmission;
-import dev.kumquatweir.policy.permit.ColdPermits;
-import dev.kumquatweir.policy.permit.PermitHolder;
-import dev.kumquatweir.policy.quarantine.Quarantine;
-import dev.kumquatweir.policy.routing.RoutingOptions;
 import dev.kumquatweir.program.burn.BurnFile;
 import dev.kumquatweir.program.burn.BurnGathering;
 import dev.kumquatweir.program.burn.BurnRecorder;
 import dev.kumquatweir.program.control.ControlPlane;
 import dev.kumquatweir.program.control.StoreQuestion;
-import dev.kumquatweir.program.memory.MemoryReconciliation;
 import dev.kumquatweir.program.operator.OperatorListener;
 import dev.kumquatweir.program.operator.OperatorRoutes;
-import dev.kumquatweir.program.permit.PermitRenewal;
-import dev.kumquatweir.program.permit.RenewingDispatcher;
-import dev.kumquatweir.program.spread.QuarantineSpread;
 import dev.kumquatweir.program.spread.RegistrySpread;
 import dev.kumquatweir.settings.InstanceSettings;
-import dev.kumquatweir.settings.PeerSettings;
 import dev.kumquatweir.transport.PeerNetwork;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpServerContext;
@@ -76,10 +52,7 @@
     private final Clocks mClocks;
     private final IoExecutor mExecutor;
     private final UpstreamClients mClients;
-    private final OversizeCaller mOversize;
-    private final DispatchDuty mDispatch;
-    private final MemoryReconciliation mMemory;
-    private final QuarantineSpread mQuarantine;
+    private final UpstreamWork mWork;
     private final BurnRecorder mBurn;
     private final BurnGathering mGathering;
     private final InstanceHealth mHealth;
@@ -112,73 +85,43 @@
                 new BurnRecorder(
                         settings.dataFolder().map(folder -> new BurnFile(folder.resolve("burn"))),
                         clocks);
-        mGathering = new BurnGathering(mBurn, network, otherInstances(settings));
+        mGathering = new BurnGathering(mBurn, network, settings.otherInstances());
         MetricRegistry metrics = new MetricRegistry();
-        AttemptIds attemptIds = new AttemptIds(settings.id(), incarnation);
-        RoutingOptions routing = RoutingOptions.of(settings.domain(), settings.id().hashCode());
-        HeldMemory held = new HeldMemory();
-        Quarantine quarantine = Quarantine.builder().owner(settings.id().value()).build();
-        mOversize =
-                new OversizeCaller(
-                        new AccountedCaller(
-                                new HttpUpstreamCaller(mClients, settings.limits().bodyBytes()),
-                                held,
-                                clocks),
-                        new AccountedKvCalls(new KvClient(mClients), held),
-                        control.configuration(),
-                        clocks,
-                        new PartIds(settings.id(), incarnation),
-                        plan -> EngineAdmission.INSTANCE);
-        PermitHolder permits = new PermitHolder(settings.id(), incarnation);
-        ColdPermits cold = new ColdPermits(permits);
-        PermitRenewal renewal = new PermitRenewal(permits, cold, control.permits(), metrics);
-        mDispatch =
-                new DispatchDuty(
-                        new RenewingDispatcher(
-                                PolicyDispatcher.builder(attemptIds, routing)
-                                        .coldAllowance(cold)
-                                        .recovery(
-                                                new QuarantinedRecovery(
-                                                        new SimpleRecovery(), quarantine))
-                                        .build(),
-                                renewal),
-                        mOversize,
-                        control.configuration(),
+        mWork =
+                new UpstreamWork(
+                        settings,
+                        control,
+                        network,
+                        mClients,
                         new RequestMetrics(metrics, mBurn),
-                        clocks);
-        mQuarantine =
-                new QuarantineSpread(quarantine, mDispatch::run, network, otherInstances(settings));
+                        metrics,
+                        clocks,
+                        incarnation);
         register(metrics);
-        mMemory = reconciliation(incarnation, network, held, metrics);
         mHealth = new InstanceHealth(control.configuration(), metrics);
         mCallers =
                 new CallerServer(
                         settings.id(),
                         incarnation,
                         new CallerPorts(
-                                control.configuration(), control.claims(), mDispatch, mHealth),
+                                control.configuration(),
+                                control.claims(),
+                                mWork.dispatch(),
+                                mHealth),
                         clocks,
                         settings.limits().bodyBytes());
         RegistrySpread spread =
                 new RegistrySpread(
-                        mDispatch,
+                        mWork.dispatch(),
                         control.permits().sightings(),
                         network,
-                        otherInstances(settings));
+                        settings.otherInstances());
         mUpstreams =
                 new UpstreamListener(
                         settings.announceKey(),
                         spread,
                         () -> control.configuration().current().inForce(clocks.nowNanos()));
-        OperatorRoutes routes =
-                new OperatorRoutes(
-                        settings,
-                        control,
-                        mDispatch,
-                        new StoreQuestion(network),
-                        mGathering,
-                        clocks);
-        mOperators = new OperatorListener(settings.id(), settings.operators(), routes);
+        mOperators = new OperatorListener(settings.id(), settings.operators(), routes(network));
     }
 
     /**
@@ -190,10 +133,7 @@
         mBurn.start();
         mGathering.start();
         mControl.start();
-        mOversize.start();
-        mDispatch.start();
-        mMemory.start();
-        mQuarantine.start();
+        mWork.start();
         mCallers.start();
         mServers =
                 List.of(
@@ -214,7 +154,7 @@
 
     /** Stops without cutting an admitted request: readiness fails first, admitted work finishes. */
     public void stop() {
-        LOG.info("instance_draining", "running", mDispatch.running());
+        LOG.info("instance_draining", "running", mWork.dispatch().running());
         mHealth.drain();
         LockSupport.parkNanos(BALANCER_NOTICE_NANOS);
         long limitNanos = TimeUnit.MILLISECONDS.toNanos(mSettings.limits().drainMillis());
@@ -222,49 +162,42 @@
         while (busy() && mClocks.nowNanos() - startNanos < limitNanos) {
             LockSupport.parkNanos(DRAIN_POLL_NANOS);
         }
-        mOversize.abandonAll();
+        mWork.abandonRuns();
         mServers.forEach(InstanceDaemon::closeGracefully);
         mControl.handOver();
         mCallers.stop();
-        mQuarantine.stop();
-        mDispatch.stop();
-        mOversize.stop();
-        mMemory.stop();
+        mWork.stop();
         mBurn.stop();
         mControl.stop();
         mClients.close();
-        LOG.info("instance_stopped", "cut", mDispatch.running());
+        LOG.info("instance_stopped", "cut", mWork.dispatch().running());
     }
 
     private boolean busy() {
-        return mDispatch.running() > 0 || mOversize.open() > 0 || mCallers.pendingRecords() > 0;
+        return mWork.open() || mCallers.pendingRecords() > 0;
     }
 
     private void register(MetricRegistry metrics) {
-        Gauge<Integer> running = mDispatch::running;
         Gauge<Long> version = () -> mControl.configuration().current().version();
         Gauge<Integer> lease =
                 () -> mControl.configuration().current().inForce(mClocks.nowNanos()) ? 1 : 0;
-        Gauge<Integer> marks = mQuarantine::marks;
-        Gauge<Integer> refused = mQuarantine::refused;
-        metrics.register("kumquatweir_quarantine_marks", marks);
-        metrics.register("kumquatweir_quarantine_refused", refused);
-        metrics.register("kumquatweir_requests_running", running);
+        Gauge<Integer> leading = () -> mControl.replica().leading() ? 1 : 0;
+        Gauge<Long> term = () -> mControl.replica().term();
+        Gauge<Long> commits = () -> mControl.replica().commitIndex();
+        metrics.register("kumquatweir_replica_leading", leading);
+        metrics.register("kumquatweir_replica_term", term);
+        metrics.register("kumquatweir_replica_commit_index", commits);
         metrics.register("kumquatweir_configuration_version", version);
         metrics.register("kumquatweir_configuration_lease_held", lease);
     }
 
-    private MemoryReconciliation reconciliation(
-            long incarnation, PeerNetwork network, HeldMemory held, MetricRegistry metrics) {
-        return new MemoryReconciliation(
+    private OperatorRoutes routes(PeerNetwork network) {
+        return new OperatorRoutes(
                 mSettings,
-                incarnation,
                 mControl,
-                network,
-                mDispatch,
-                new HttpEngineMemory(mClients),
-                held,
-                metrics,
+                mWork.dispatch(),
+                new StoreQuestion(network),
+                mGathering,
                 mClocks);
     }
 
@@ -299,11 +232,4 @@
             LOG.fault("listener_not_closed", exception);
         }
     }
-
-    private static List<InstanceId> otherInstances(InstanceSettings settings) {
-        return settings.peers().stream()
-                .map(PeerSettings::id)
-                .filter(id -> !id.equals(settings.id()))
-                .toList();
-    }
 }
--- a/program/src/main/java/dev/kumquatweir/program/memory/MemoryReconciliation.java
+++ b/program/src/main/java/dev/kumquatweir/program/memory/MemoryReconciliation.java
@@ -47,7 +47,7 @@
             MetricRegistry metrics,
             Clocks clocks) {
         mNetwork = network;
-        mPresence = new PresenceFrames(network, others(settings), incarnation);
+        mPresence = new PresenceFrames(network, settings.otherInstances(), incarnation);
         MemoryPorts ports =
                 new MemoryPorts(
                         engines,
@@ -91,13 +91,6 @@
                         });
     }
 
-    private static List<InstanceId> others(InstanceSettings settings) {
-        return settings.peers().stream()
-                .map(PeerSettings::id)
-                .filter(id -> !id.equals(settings.id()))
-                .toList();
-    }
-
     private static List<InstanceId> voters(InstanceSettings settings) {
         return settings.peers().stream().filter(PeerSettings::voter).map(PeerSettings::id).toList();
     }
--- a/settings/src/main/java/dev/kumquatweir/settings/InstanceSettings.java
+++ b/settings/src/main/java/dev/kumquatweir/settings/InstanceSettings.java
@@ -40,6 +40,11 @@
         operators = List.copyOf(operators);
     }
 
+    /** Returns the other instances of the cluster. */
+    public List<InstanceId> otherInstances() {
+        return peers.stream().map(PeerSettings::id).filter(peer -> !peer.equals(id)).toList();
+    }
+
     /** Returns what the settings say of this instance as a peer. */
     public PeerSettings self() {
         return peers.stream().filter(peer -> peer.id().equals(id)).findFirst().orElseThrow();
