Take the check of waiting requests out of PolicyDispatcher

WaitingCheck now decides whether a waiting request is urgent or hopeless; the constants and their reasons moved with it, and the second name of the deadline margin is gone. Ruled out: moving the handling of cold surplus instead, which touches queues, attempts and the outbox.

--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
@@ -1,7 +1,6 @@
 package dev.kumquatweir.policy.dispatch;
 
 import dev.kumquatweir.core.configuration.ConfigurationDocument;
-import dev.kumquatweir.core.configuration.RequestClass;
 import dev.kumquatweir.core.failure.RequestFailure;
 import dev.kumquatweir.core.identity.RequestId;
 import dev.kumquatweir.core.identity.UpstreamId;
@@ -39,24 +38,11 @@
  * <p>Not thread-safe: owned by the dispatch duty.
  */
 public final class PolicyDispatcher implements Dispatcher {
-    /** Time before its deadline at which a request fails. */
-    static final long DEADLINE_MARGIN_NANOS = Deadlines.MARGIN_NANOS;
-
     private static final long CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     /** Waiting work is tried again after this time even if nothing shows that it now fits. */
     private static final long SERVE_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
-    /**
-     * A document with less time left than this multiple of its own time is served before all other
-     * work. Short work is not: under overload all of it comes to that point, and serving the latest
-     * first makes the rest late as well.
-     */
-    private static final double URGENT_FACTOR = 2;
-
-    /** Time after which work may return to an upstream that it avoids, if no other takes it. */
-    private static final long AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
     private final Map<RequestId, TrackedRequest> mRequests = new HashMap<>();
     private final Deadlines mDeadlines = new Deadlines();
     private final List<DispatchAction> mOutbox = new ArrayList<>();
@@ -64,6 +50,7 @@
     private final PrefixIndex mPrefixes = new PrefixIndex();
     private final WorkQueues mQueues = new WorkQueues();
     private final Teacher mTeacher = new Teacher();
+    private final WaitingCheck mWaitingCheck = new WaitingCheck(mAdmission, mTeacher);
     private final Fleet mFleet;
     private final ColdAllowance mColdAllowance;
     private final RecoveryPolicy mRecovery;
@@ -352,25 +339,14 @@
     }
 
     private void checkWaiting(TrackedRequest tracked, long nowNanos) {
-        if (!tracked.mAvoidedUpstreams.isEmpty()
-                && nowNanos - tracked.mNotBeforeNanos > AVOID_NANOS) {
-            tracked.mAvoidedUpstreams = Set.of();
-        }
-        WorkRequest request = tracked.mRequest;
-        AdmissionControl.Outlook outlook =
-                new AdmissionControl.Outlook(
-                        mTeacher.rates(request.profile().service()),
-                        0,
-                        tracked.mExpectedOutput - tracked.mCallerTokens,
-                        0);
-        double needed = mAdmission.workNanos(request, outlook);
-        long left = request.deadlineNanos() - nowNanos;
-        if (left < needed && tracked.mayBeShed()) {
-            fail(tracked, AdmissionControl.overloaded(needed), nowNanos);
-        } else if (left < needed * URGENT_FACTOR
-                && request.profile().requestClass() == RequestClass.LONG
-                && tracked.mUrgency < TrackedRequest.URGENT) {
-            mQueues.changeUrgency(tracked, TrackedRequest.URGENT, nowNanos);
+        switch (mWaitingCheck.check(tracked, nowNanos)) {
+            case WaitingCheck.Verdict.Waits waits -> {
+                // Checked again later.
+            }
+            case WaitingCheck.Verdict.Urgent urgent ->
+                    mQueues.changeUrgency(tracked, TrackedRequest.URGENT, nowNanos);
+            case WaitingCheck.Verdict.Hopeless hopeless ->
+                    fail(tracked, hopeless.failure(), nowNanos);
         }
     }
 
--- a/policy/src/test/java/dev/kumquatweir/policy/dispatch/PolicyDispatcherTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/dispatch/PolicyDispatcherTest.java
@@ -87,7 +87,7 @@
                 DispatcherFixture.DOCUMENT.withDomainsOut(Set.of(DispatcherFixture.domain("a"))),
                 mFixture.mNow);
         assertThat(mFixture.starts(), empty());
-        mFixture.mNow = request.deadlineNanos() - PolicyDispatcher.DEADLINE_MARGIN_NANOS;
+        mFixture.mNow = request.deadlineNanos() - Deadlines.MARGIN_NANOS;
         List<DispatchAction> actions = mFixture.actions();
         assertThat(actions, hasSize(1));
         RequestFailure failure = ((DispatchAction.Fail) actions.getFirst()).failure();
