Decide on suspects with the quarantine's own type

Cause: RunGuard had a sealed type of its own with the four cases of QuarantineDecision, and QuarantinedRecovery did nothing but translate one into the other; a reader had to learn both. RunGuard now returns QuarantineDecision. Ruled out: keeping the port free of the quarantine package, since it names UpstreamDeath of it already. The tests of both packages are green; the checks are the same.

--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/QuarantinedRecovery.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/QuarantinedRecovery.java
@@ -27,7 +27,7 @@
 
     @Override
     public Optional<RequestFailure> refusal(WorkRequest request, long nowNanos) {
-        if (clearance(request, 0, nowNanos) instanceof Clearance.Refused refused) {
+        if (decide(request, 0, nowNanos) instanceof QuarantineDecision.Refuse refused) {
             return Optional.of(refused.failure());
         }
         return mNext.refusal(request, nowNanos);
@@ -55,16 +55,10 @@
     }
 
     @Override
-    public Clearance clearance(WorkRequest request, int liveUpstreams, long nowNanos) {
-        if (!quarantined(request)) {
-            return new Clearance.Free();
-        }
-        return switch (mQuarantine.decide(request.contentHash(), liveUpstreams, nowNanos)) {
-            case QuarantineDecision.RunFreely free -> new Clearance.Free();
-            case QuarantineDecision.RunAlone alone -> new Clearance.Alone(alone.avoided());
-            case QuarantineDecision.Wait wait -> new Clearance.Later(wait.untilNanos());
-            case QuarantineDecision.Refuse refuse -> new Clearance.Refused(refuse.failure());
-        };
+    public QuarantineDecision decide(WorkRequest request, int liveUpstreams, long nowNanos) {
+        return quarantined(request)
+                ? mQuarantine.decide(request.contentHash(), liveUpstreams, nowNanos)
+                : new QuarantineDecision.RunFreely();
     }
 
     @Override
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/RunGuard.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/RunGuard.java
@@ -1,9 +1,9 @@
 package dev.kumquatweir.policy.dispatch;
 
-import dev.kumquatweir.core.failure.RequestFailure;
 import dev.kumquatweir.core.identity.AttemptId;
 import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.quarantine.QuarantineDecision;
 import dev.kumquatweir.policy.quarantine.UpstreamDeath;
 import java.util.Set;
 
@@ -14,45 +14,13 @@
  * <p>Not thread-safe: owned by the dispatch duty. Times are monotonic nanoseconds of one clock.
  */
 public interface RunGuard {
-    /** How a request may run. */
-    sealed interface Clearance {
-        /** Beside other work. */
-        record Free() implements Clearance {}
-
-        /**
-         * Alone on an upstream, which has to be reserved first.
-         *
-         * @param avoided upstreams that may have died of it
-         */
-        record Alone(Set<UpstreamId> avoided) implements Clearance {
-            /** Copies the set, so that the record is immutable. */
-            public Alone {
-                avoided = Set.copyOf(avoided);
-            }
-        }
-
-        /**
-         * Not yet.
-         *
-         * @param untilNanos when to ask again
-         */
-        record Later(long untilNanos) implements Clearance {}
-
-        /**
-         * Not at all.
-         *
-         * @param failure what its caller is told
-         */
-        record Refused(RequestFailure.Quarantined failure) implements Clearance {}
-    }
-
     /**
      * Decides how a request may run; asked before each attempt.
      *
      * @param liveUpstreams upstreams that could run it
      */
-    default Clearance clearance(WorkRequest request, int liveUpstreams, long nowNanos) {
-        return new Clearance.Free();
+    default QuarantineDecision decide(WorkRequest request, int liveUpstreams, long nowNanos) {
+        return new QuarantineDecision.RunFreely();
     }
 
     /** Returns the upstreams that are kept for work that runs alone and take nothing else. */
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/SuspectRoom.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/SuspectRoom.java
@@ -2,6 +2,7 @@
 
 import dev.kumquatweir.core.failure.RequestFailure;
 import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.quarantine.QuarantineDecision;
 import dev.kumquatweir.policy.quarantine.UpstreamDeath;
 import dev.kumquatweir.policy.registry.Announcement;
 import dev.kumquatweir.policy.registry.LoadReport;
@@ -64,8 +65,8 @@
 
     /** Returns whether a queued request has to wait here instead. */
     boolean takes(TrackedRequest tracked, long nowNanos) {
-        return !(clearance(tracked, pool(tracked, nowNanos), nowNanos)
-                instanceof RunGuard.Clearance.Free);
+        return !(decide(tracked, pool(tracked, nowNanos), nowNanos)
+                instanceof QuarantineDecision.RunFreely);
     }
 
     /** Adds a request that was taken out of its queue; returns false if there is no room. */
@@ -98,12 +99,12 @@
         tracked.mNotBeforeNanos = nowNanos + RETRY_NANOS;
         Collection<Pool.Member> pool = pool(tracked, nowNanos);
         Step step =
-                switch (clearance(tracked, pool, nowNanos)) {
-                    case RunGuard.Clearance.Free free -> new Step.Queues();
-                    case RunGuard.Clearance.Refused refused ->
+                switch (decide(tracked, pool, nowNanos)) {
+                    case QuarantineDecision.RunFreely free -> new Step.Queues();
+                    case QuarantineDecision.Refuse refused ->
                             new Step.Fails(refused.failure().withRan(tracked.ran()));
-                    case RunGuard.Clearance.Later later -> WAITS;
-                    case RunGuard.Clearance.Alone alone ->
+                    case QuarantineDecision.Wait wait -> WAITS;
+                    case QuarantineDecision.RunAlone alone ->
                             isolate(tracked, pool, alone.avoided(), nowNanos);
                 };
         if (!(step instanceof Step.Waits)) {
@@ -181,14 +182,14 @@
      * A prompt that no upstream can hold by itself can't run alone; waiting for its turn would only
      * lose it at its deadline. It runs as before until it is refused.
      */
-    private RunGuard.Clearance clearance(
+    private QuarantineDecision decide(
             TrackedRequest tracked, Collection<Pool.Member> pool, long nowNanos) {
-        RunGuard.Clearance clearance = mGuard.clearance(tracked.mRequest, pool.size(), nowNanos);
-        if (clearance instanceof RunGuard.Clearance.Refused
+        QuarantineDecision decision = mGuard.decide(tracked.mRequest, pool.size(), nowNanos);
+        if (decision instanceof QuarantineDecision.Refuse
                 || pool.stream().anyMatch(member -> holds(member.load(), tracked))) {
-            return clearance;
+            return decision;
         }
-        return new RunGuard.Clearance.Free();
+        return new QuarantineDecision.RunFreely();
     }
 
     private static boolean holds(UpstreamLoad load, TrackedRequest tracked) {
