Share the concurrent streams of three process tests

Cause: PermitWithdrawalIt and PoisonIt had copied the streams that wait for their first token, and the check of whole answers, from ServingFailureIt. StreamedAnswers holds them now; limits, prompts of their own and checks are the same, only the text before a prompt's number differs.

--- a/program/src/test/java/dev/kumquatweir/program/system/PermitWithdrawalIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/PermitWithdrawalIt.java
@@ -1,16 +1,11 @@
 package dev.kumquatweir.program.system;
 
 import static org.hamcrest.MatcherAssert.assertThat;
-import static org.hamcrest.Matchers.emptyString;
-import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -36,12 +31,7 @@
                             Waiting.until(
                                     engine + " answers",
                                     () -> requests(cluster, engine).status() == 200));
-            CountDownLatch begun = new CountDownLatch(STREAMS);
-            List<CompletableFuture<Caller.Streamed>> answers =
-                    IntStream.range(0, STREAMS)
-                            .mapToObj(number -> stream(cluster, number, begun))
-                            .toList();
-            assertThat(begun.await(90, TimeUnit.SECONDS), is(true));
+            StreamedAnswers answers = StreamedAnswers.start(cluster, "withdrawn", STREAMS, TOKENS);
             String engine =
                     running(cluster, "engine-1") >= running(cluster, "engine-2")
                             ? "engine-1"
@@ -59,13 +49,7 @@
                     () -> running(cluster, engine) <= COLD_LIMIT);
             assertThat("crashes while cold", crashes(cluster, engine), is(0));
             cluster.fault(engine, "cold", "false");
-            for (int number = 0; number < STREAMS; number++) {
-                Caller.Streamed answer =
-                        answers.get(number).orTimeout(150, TimeUnit.SECONDS).join();
-                assertThat(answer.error(), emptyString());
-                assertThat(answer.text(), equalTo(Caller.expected(prompt(number), TOKENS)));
-                assertThat(answer.complete(), is(true));
-            }
+            answers.checkAllWhole();
         }
     }
 
@@ -74,22 +58,6 @@
         cluster.startEngine(id, domain, "--cold-millis", "0", "--cold-requests", limit);
     }
 
-    private static CompletableFuture<Caller.Streamed> stream(
-            LocalCluster cluster, int number, CountDownLatch begun) {
-        boolean[] counted = new boolean[1];
-        return Caller.streamLater(
-                cluster.url(number % LocalCluster.INSTANCES),
-                "quick",
-                prompt(number),
-                TOKENS,
-                text -> {
-                    if (!counted[0]) {
-                        counted[0] = true;
-                        begun.countDown();
-                    }
-                });
-    }
-
     private static int running(LocalCluster cluster, String engine) {
         return requests(cluster, engine).json().path("requests").size();
     }
@@ -105,8 +73,4 @@
     private static Caller.Answer requests(LocalCluster cluster, String engine) {
         return Caller.askStandin(cluster.upstreamUrl(engine) + "/engine/v1/requests", "");
     }
-
-    private static String prompt(int number) {
-        return "withdrawn " + number;
-    }
 }
--- a/program/src/test/java/dev/kumquatweir/program/system/PoisonIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/PoisonIt.java
@@ -1,17 +1,11 @@
 package dev.kumquatweir.program.system;
 
 import static org.hamcrest.MatcherAssert.assertThat;
-import static org.hamcrest.Matchers.emptyString;
-import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -41,12 +35,7 @@
                             Waiting.until(engine + " answers", () -> state(cluster, engine) >= 0));
             cluster.awaitEngines();
             ENGINES.forEach(engine -> cluster.fault(engine, "crash_on", "\"poisonous\""));
-            CountDownLatch begun = new CountDownLatch(STREAMS);
-            List<CompletableFuture<Caller.Streamed>> innocent =
-                    IntStream.range(0, STREAMS)
-                            .mapToObj(number -> stream(cluster, number, begun))
-                            .toList();
-            assertThat(begun.await(90, TimeUnit.SECONDS), is(true));
+            StreamedAnswers innocent = StreamedAnswers.start(cluster, "innocent", STREAMS, TOKENS);
             Caller.Answer first = Caller.complete(cluster.url(0), "quick", POISON, 10);
             assertThat("crashes", crashes(cluster), lessThanOrEqualTo(2));
             assertThat(first.toString(), first.type(), is("quarantined"));
@@ -56,36 +45,10 @@
                 assertThat(again.toString(), again.type(), is("quarantined"));
             }
             assertThat("crashes", crashes(cluster), is(before));
-            for (int number = 0; number < STREAMS; number++) {
-                Caller.Streamed answer =
-                        innocent.get(number).orTimeout(150, TimeUnit.SECONDS).join();
-                assertThat(answer.error(), emptyString());
-                assertThat(answer.text(), equalTo(Caller.expected(prompt(number), TOKENS)));
-                assertThat(answer.complete(), is(true));
-            }
+            innocent.checkAllWhole();
         }
     }
 
-    private static CompletableFuture<Caller.Streamed> stream(
-            LocalCluster cluster, int number, CountDownLatch begun) {
-        boolean[] counted = new boolean[1];
-        return Caller.streamLater(
-                cluster.url(number % LocalCluster.INSTANCES),
-                "quick",
-                prompt(number),
-                TOKENS,
-                text -> {
-                    if (!counted[0]) {
-                        counted[0] = true;
-                        begun.countDown();
-                    }
-                });
-    }
-
-    private static String prompt(int number) {
-        return "innocent prompt " + number;
-    }
-
     private static int crashes(LocalCluster cluster) {
         return ENGINES.stream().mapToInt(engine -> state(cluster, engine)).sum();
     }
--- a/program/src/test/java/dev/kumquatweir/program/system/ServingFailureIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/ServingFailureIt.java
@@ -2,9 +2,7 @@
 
 import static java.util.Comparator.comparingInt;
 import static org.hamcrest.MatcherAssert.assertThat;
-import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.emptyString;
-import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
@@ -12,10 +10,6 @@
 
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
@@ -56,7 +50,7 @@
     /** Guards against answers cut, doubled or stuck when an engine stops answering. */
     @Test
     void frozenEngine() throws InterruptedException {
-        Running running = new Running("frozen");
+        StreamedAnswers running = start("frozen");
         String engine = busiestEngine();
         sCluster.fault(engine, "freeze", "true");
         try {
@@ -69,7 +63,7 @@
     /** Guards against waiting for ever on connections whose state a middlebox dropped. */
     @Test
     void silentConnections() throws InterruptedException {
-        Running running = new Running("silent");
+        StreamedAnswers running = start("silent");
         sCluster.fault(busiestEngine(), "silent", "true");
         running.checkWholeOrFailed();
     }
@@ -77,7 +71,7 @@
     /** Guards against tokens lost or doubled when an engine's process dies. */
     @Test
     void dyingEngine() throws InterruptedException {
-        Running running = new Running("dying");
+        StreamedAnswers running = start("dying");
         LocalProcess engine = sCluster.upstream(busiestEngine());
         engine.kill();
         try {
@@ -90,7 +84,7 @@
     /** Guards against streams lost on an engine that becomes cold without a word. */
     @Test
     void engineTurningCold() throws InterruptedException {
-        Running running = new Running("cold");
+        StreamedAnswers running = start("cold");
         String engine = busiestEngine();
         sCluster.fault(engine, "cold", "\"hidden\"");
         try {
@@ -103,7 +97,7 @@
     /** Guards against a truncated answer that looks complete, and against harm to other streams. */
     @Test
     void killedInstanceBreaksOnlyItsOwnStreams() throws InterruptedException {
-        Running running = new Running("killed");
+        StreamedAnswers running = start("killed");
         sCluster.instance(2).kill();
         try {
             for (int number = 0; number < STREAMS; number++) {
@@ -124,7 +118,7 @@
     /** Guards against a planned stop that cuts streams or leaves the balancer uninformed. */
     @Test
     void terminatedInstanceEndsItsStreamsFirst() throws InterruptedException {
-        Running running = new Running("terminated");
+        StreamedAnswers running = start("terminated");
         LocalProcess instance = sCluster.instance(1);
         instance.beginTermination();
         try {
@@ -139,6 +133,10 @@
         }
     }
 
+    private static StreamedAnswers start(String name) throws InterruptedException {
+        return StreamedAnswers.start(sCluster, name, STREAMS, TOKENS);
+    }
+
     /** Returns the engine that most streams run on, so that a fault there hits some. */
     private static String busiestEngine() {
         String busiest =
@@ -154,72 +152,4 @@
     private static Caller.Answer requests(String engine) {
         return Caller.askStandin(sCluster.upstreamUrl(engine) + "/engine/v1/requests", "");
     }
-
-    /** Streams through all instances, each of which has begun. */
-    private static final class Running {
-        private final String mName;
-        private final List<CompletableFuture<Caller.Streamed>> mAnswers;
-
-        Running(String name) throws InterruptedException {
-            mName = name;
-            CountDownLatch begun = new CountDownLatch(STREAMS);
-            mAnswers =
-                    IntStream.range(0, STREAMS).mapToObj(number -> stream(number, begun)).toList();
-            assertThat(begun.await(90, TimeUnit.SECONDS), is(true));
-        }
-
-        Caller.Streamed answer(int number) {
-            return mAnswers.get(number).orTimeout(150, TimeUnit.SECONDS).join();
-        }
-
-        boolean done(int number) {
-            return mAnswers.get(number).isDone();
-        }
-
-        String expected(int number) {
-            return Caller.expected(prompt(number), TOKENS);
-        }
-
-        void checkWhole(int number) {
-            Caller.Streamed answer = answer(number);
-            assertThat(answer.error(), emptyString());
-            assertThat(answer.text(), equalTo(expected(number)));
-            assertThat(answer.complete(), is(true));
-        }
-
-        void checkAllWhole() {
-            IntStream.range(0, STREAMS).forEach(this::checkWhole);
-        }
-
-        void checkWholeOrFailed() {
-            for (int number = 0; number < STREAMS; number++) {
-                Caller.Streamed answer = answer(number);
-                if (answer.complete()) {
-                    checkWhole(number);
-                } else {
-                    assertThat(answer.error(), containsString("\"ran\":"));
-                    assertThat(expected(number), startsWith(answer.text()));
-                }
-            }
-        }
-
-        private CompletableFuture<Caller.Streamed> stream(int number, CountDownLatch begun) {
-            boolean[] counted = new boolean[1];
-            return Caller.streamLater(
-                    sCluster.url(number % LocalCluster.INSTANCES),
-                    "quick",
-                    prompt(number),
-                    TOKENS,
-                    text -> {
-                        if (!counted[0]) {
-                            counted[0] = true;
-                            begun.countDown();
-                        }
-                    });
-        }
-
-        private String prompt(int number) {
-            return "stream " + mName + " " + number;
-        }
-    }
 }
