Bound how long a suspect waits for an empty upstream

Cause: the quarantine runs what was on a dead engine alone, and a suspect waited for its reserved upstream to become empty until its deadline. An engine at work is rarely empty, and a long prompt that had reserved an engine of the lane for short prompts could never start there. Ruled out: a free run after the wait without a reservation for all, which would let two suspects share an engine and blame a neighbour twice. Conclusion: a suspect waits 3 s at most, then runs apart from other suspects.

--- a/bench/src/main/java/dev/kumquatweir/bench/Contender.java
+++ b/bench/src/main/java/dev/kumquatweir/bench/Contender.java
@@ -4,7 +4,11 @@
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.policy.dispatch.Dispatcher;
 import dev.kumquatweir.policy.dispatch.PolicyDispatcher;
+import dev.kumquatweir.policy.dispatch.QuarantinedRecovery;
+import dev.kumquatweir.policy.dispatch.RecoveryPolicy;
+import dev.kumquatweir.policy.dispatch.SimpleRecovery;
 import dev.kumquatweir.policy.memory.AttemptIds;
+import dev.kumquatweir.policy.quarantine.Quarantine;
 import dev.kumquatweir.policy.routing.LengthStrategy;
 import dev.kumquatweir.policy.routing.LocalColdAllowance;
 import dev.kumquatweir.policy.routing.RoutingOptions;
@@ -78,6 +82,7 @@
                                         .coldAllowance(
                                                 new LocalColdAllowance(
                                                         Deployment.INSTANCES, instance))
+                                        .recovery(recovery("i" + instance))
                                         .build());
                     }
                     return dispatchers;
@@ -89,6 +94,12 @@
         return options -> options.withStrategy(strategy);
     }
 
+    /** As in the daemon, but instances hear nothing of each other's marks. */
+    private static RecoveryPolicy recovery(String instance) {
+        return new QuarantinedRecovery(
+                new SimpleRecovery(), Quarantine.builder().owner(instance).build());
+    }
+
     private static Contender baseline(Baseline rule) {
         return new Contender(
                 rule.name().toLowerCase(Locale.ROOT).replace('_', '-'),
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
@@ -232,7 +232,7 @@
     private boolean place(TrackedRequest tracked, long nowNanos) {
         if (mSuspects.takes(tracked, nowNanos)) {
             mQueues.remove(tracked, nowNanos);
-            if (!mSuspects.add(tracked)) {
+            if (!mSuspects.add(tracked, nowNanos)) {
                 fail(tracked, AdmissionControl.overloaded(0), nowNanos);
             }
             return false;
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/SuspectRoom.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/SuspectRoom.java
@@ -35,6 +35,15 @@
 
     private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /**
+     * Longest wait for a reserved upstream to become empty, and then for room on it. After an
+     * ordinary death most suspects are innocent, and waiting for a long document to end, or on an
+     * engine of the lane for short prompts, has cost questions and dossiers their deadlines. The
+     * reservation still keeps other suspects away, so that a second death leaves one request with
+     * two.
+     */
+    private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
     /** What follows for a request that was offered. */
     sealed interface Step {
         /** It waits here. */
@@ -70,7 +79,8 @@
     }
 
     /** Adds a request that was taken out of its queue; returns false if there is no room. */
-    boolean add(TrackedRequest tracked) {
+    boolean add(TrackedRequest tracked, long nowNanos) {
+        tracked.mSuspectNanos = nowNanos;
         return mWaiting.size() < MOST_REQUESTS && mWaiting.add(tracked);
     }
 
@@ -132,7 +142,8 @@
             reserve(tracked, pool, avoided, nowNanos);
             return WAITS;
         }
-        if (!idle(target, tracked.mReservedNanos)) {
+        if (!idle(target, tracked.mReservedNanos)
+                && nowNanos - tracked.mSuspectNanos < PATIENCE_NANOS) {
             return WAITS;
         }
         Set<UpstreamId> others = new HashSet<>();
@@ -140,7 +151,8 @@
         others.remove(id(target));
         DispatchAction start = mPlacer.place(tracked, others, nowNanos);
         if (start == null) {
-            return WAITS;
+            tracked.mRunsBesideOthers = nowNanos - tracked.mSuspectNanos >= PATIENCE_NANOS;
+            return tracked.mRunsBesideOthers ? new Step.Queues() : WAITS;
         }
         tracked.mReserved = null;
         return new Step.Starts(start);
@@ -179,14 +191,17 @@
     }
 
     /**
-     * A prompt that no upstream can hold by itself can't run alone; waiting for its turn would only
-     * lose it at its deadline. It runs as before until it is refused.
+     * A prompt that no upstream can hold by itself can't run alone, and one that found no room in
+     * time has waited enough; waiting on would only lose them at their deadlines. They run as
+     * before until they are refused.
      */
     private QuarantineDecision decide(
             TrackedRequest tracked, Collection<Pool.Member> pool, long nowNanos) {
         QuarantineDecision decision = mGuard.decide(tracked.mRequest, pool.size(), nowNanos);
-        if (decision instanceof QuarantineDecision.Refuse
-                || pool.stream().anyMatch(member -> holds(member.load(), tracked))) {
+        boolean mayWait =
+                !tracked.mRunsBesideOthers
+                        && pool.stream().anyMatch(member -> holds(member.load(), tracked));
+        if (decision instanceof QuarantineDecision.Refuse || mayWait) {
             return decision;
         }
         return new QuarantineDecision.RunFreely();
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/TrackedRequest.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/TrackedRequest.java
@@ -32,6 +32,8 @@
     Set<FailureDomain> mAvoidedDomains = Set.of();
     @Nullable UpstreamLoad mReserved;
     long mReservedNanos;
+    long mSuspectNanos;
+    boolean mRunsBesideOthers;
 
     TrackedRequest(WorkRequest request, long expectedOutput) {
         mRequest = request;
--- a/policy/src/test/java/dev/kumquatweir/policy/dispatch/QuarantinedRecoveryTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/dispatch/QuarantinedRecoveryTest.java
@@ -124,6 +124,20 @@
                 is("CONFIRMED"));
     }
 
+    /** Guards against admitted work that misses its deadline where no upstream ever empties. */
+    @Test
+    void suspectsRunBesideOthersAfterWaiting() {
+        startEngines();
+        mFixture.admitQuestion();
+        crash(mFixture.starts().getFirst());
+        List<DispatchAction.Start> starts = List.of();
+        for (int round = 0; round < 100 && starts.isEmpty(); round++) {
+            report(1);
+            starts = mFixture.starts();
+        }
+        assertThat(starts, not(empty()));
+    }
+
     /** Guards against a document that waits till its deadline for an engine that could hold it. */
     @Test
     void promptsOverSeveralEnginesRunAgainAfterCrash() {
