Name classes by their terms of the field

Cause: read as a newcomer, PermitOffice, UpstreamSightings, SuspectRoom, QuarantineNews and Teacher are private or figurative names. They are PermitIssuer, UpstreamObservations, SuspectQueue, QuarantineUpdate and RateLearner now, with their variables and the pages that name them. Ruled out: renaming wire fields or log events, which were plain already.

--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/Attempts.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/Attempts.java
@@ -42,13 +42,13 @@
     private final RecoveryPolicy mRecovery;
     private final Placer mPlacer;
     private final WorkQueues mQueues;
-    private final Teacher mTeacher;
+    private final RateLearner mRateLearner;
 
-    Attempts(RecoveryPolicy recovery, Placer placer, WorkQueues queues, Teacher teacher) {
+    Attempts(RecoveryPolicy recovery, Placer placer, WorkQueues queues, RateLearner rateLearner) {
         mRecovery = recovery;
         mPlacer = placer;
         mQueues = queues;
-        mTeacher = teacher;
+        mRateLearner = rateLearner;
     }
 
     /**
@@ -144,7 +144,7 @@
         if (!attempt.mFirstToken) {
             attempt.mFirstToken = true;
             attempt.mFirstTokenNanos = nowNanos;
-            mTeacher.firstToken(tracked, attempt, nowNanos);
+            mRateLearner.firstToken(tracked, attempt, nowNanos);
             return new Sequel.Running(true);
         }
         return running;
@@ -153,7 +153,7 @@
     /** Ends an attempt with a whole answer. */
     private Sequel finished(
             TrackedRequest tracked, RunningAttempt attempt, long outputTokens, long nowNanos) {
-        mTeacher.finished(tracked, attempt, outputTokens, nowNanos);
+        mRateLearner.finished(tracked, attempt, outputTokens, nowNanos);
         mRecovery.finished(tracked.mRequest, attempt.mId, nowNanos);
         end(tracked, attempt, nowNanos);
         return new Sequel.Done();
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
@@ -49,14 +49,14 @@
     private final AdmissionControl mAdmission = new AdmissionControl();
     private final PrefixIndex mPrefixes = new PrefixIndex();
     private final WorkQueues mQueues = new WorkQueues();
-    private final Teacher mTeacher = new Teacher();
-    private final WaitingCheck mWaitingCheck = new WaitingCheck(mAdmission, mTeacher);
+    private final RateLearner mRateLearner = new RateLearner();
+    private final WaitingCheck mWaitingCheck = new WaitingCheck(mAdmission, mRateLearner);
     private final Fleet mFleet;
     private final ColdAllowance mColdAllowance;
     private final RecoveryPolicy mRecovery;
     private final Placer mPlacer;
     private final Attempts mAttempts;
-    private final SuspectRoom mSuspects;
+    private final SuspectQueue mSuspects;
     private ConfigurationDocument mDocument = ConfigurationDocument.EMPTY;
     private long mCheckedNanos = Long.MIN_VALUE;
     private long mServedNanos = Long.MIN_VALUE;
@@ -68,8 +68,8 @@
         mRecovery = builder.mRecovery;
         Router router = new Router(mFleet, mPrefixes, mColdAllowance, builder.mRouting);
         mPlacer = new Placer(router, mColdAllowance, builder.mAttemptIds);
-        mAttempts = new Attempts(mRecovery, mPlacer, mQueues, mTeacher);
-        mSuspects = new SuspectRoom(mRecovery, mFleet, mPlacer);
+        mAttempts = new Attempts(mRecovery, mPlacer, mQueues, mRateLearner);
+        mSuspects = new SuspectQueue(mRecovery, mFleet, mPlacer);
     }
 
     /**
@@ -131,10 +131,10 @@
             return Either.left(refusal.get());
         }
         Pool pool = mFleet.pool(request.profile().service(), request.model(), nowNanos);
-        OutputEstimate output = mTeacher.output(request);
+        OutputEstimate output = mRateLearner.output(request);
         AdmissionControl.Outlook outlook =
                 new AdmissionControl.Outlook(
-                        mTeacher.rates(request.profile().service()),
+                        mRateLearner.rates(request.profile().service()),
                         mPrefixes.cachedTokens(request.prefixHashes(), request.promptTokens()),
                         output.cautious(request.maximumOutputTokens()),
                         mQueues.queueNanos(request, nowNanos));
@@ -252,12 +252,12 @@
 
     private void offerSuspect(TrackedRequest tracked, long nowNanos) {
         switch (mSuspects.offer(tracked, nowNanos)) {
-            case SuspectRoom.Step.Waits waits -> {
+            case SuspectQueue.Step.Waits waits -> {
                 // Offered again later.
             }
-            case SuspectRoom.Step.Queues queues -> mQueues.addAgain(tracked, true, nowNanos);
-            case SuspectRoom.Step.Starts starts -> started(tracked, starts.action(), true);
-            case SuspectRoom.Step.Fails fails -> fail(tracked, fails.failure(), nowNanos);
+            case SuspectQueue.Step.Queues queues -> mQueues.addAgain(tracked, true, nowNanos);
+            case SuspectQueue.Step.Starts starts -> started(tracked, starts.action(), true);
+            case SuspectQueue.Step.Fails fails -> fail(tracked, fails.failure(), nowNanos);
         }
     }
 
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/Teacher.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/RateLearner.java
@@ -15,7 +15,7 @@
  * Learns the rates of upstreams and services and the lengths of answers from what attempts showed.
  * Not thread-safe: owned by the dispatch duty.
  */
-final class Teacher {
+final class RateLearner {
     /**
      * A first token within this multiple of its estimate shows that the upstream bears its load.
      */
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/SuspectRoom.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/SuspectQueue.java
@@ -26,7 +26,7 @@
  * starts once the upstream has reported, after the other instances heard of the reservation, that
  * it runs nothing. Not thread-safe: owned by the dispatch duty.
  */
-final class SuspectRoom {
+final class SuspectQueue {
     /** More than one crash can leave behind; further ones are refused as overload. */
     private static final int MOST_REQUESTS = 1_000;
 
@@ -66,7 +66,7 @@
     private final Placer mPlacer;
     private final Set<TrackedRequest> mWaiting = new LinkedHashSet<>();
 
-    SuspectRoom(RunGuard guard, Fleet fleet, Placer placer) {
+    SuspectQueue(RunGuard guard, Fleet fleet, Placer placer) {
         mGuard = guard;
         mFleet = fleet;
         mPlacer = placer;
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/WaitingCheck.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/WaitingCheck.java
@@ -19,7 +19,7 @@
     private static final long AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final AdmissionControl mAdmission;
-    private final Teacher mTeacher;
+    private final RateLearner mRateLearner;
 
     /** What becomes of it. */
     sealed interface Verdict {
@@ -36,9 +36,9 @@
     private static final Verdict WAITS = new Verdict.Waits();
     private static final Verdict URGENT = new Verdict.Urgent();
 
-    WaitingCheck(AdmissionControl admission, Teacher teacher) {
+    WaitingCheck(AdmissionControl admission, RateLearner rateLearner) {
         mAdmission = admission;
-        mTeacher = teacher;
+        mRateLearner = rateLearner;
     }
 
     /** Decides, and forgets which upstreams the request avoided once that was long enough. */
@@ -50,7 +50,7 @@
         WorkRequest request = tracked.mRequest;
         AdmissionControl.Outlook outlook =
                 new AdmissionControl.Outlook(
-                        mTeacher.rates(request.profile().service()),
+                        mRateLearner.rates(request.profile().service()),
                         0,
                         tracked.mExpectedOutput - tracked.mCallerTokens,
                         0);
--- a/program/src/main/java/dev/kumquatweir/program/control/PermitClient.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/PermitClient.java
@@ -10,7 +10,7 @@
 import dev.kumquatweir.program.permit.PermitAnswer;
 import dev.kumquatweir.program.permit.PermitCodec;
 import dev.kumquatweir.program.permit.PermitPort;
-import dev.kumquatweir.program.permit.UpstreamSightings;
+import dev.kumquatweir.program.permit.UpstreamObservations;
 import dev.kumquatweir.transport.PeerNetwork;
 import dev.kumquatweir.transport.Responder;
 import java.util.Optional;
@@ -28,19 +28,19 @@
     private final LeaderClient mLeader;
     private final PeerNetwork mNetwork;
     private final @Nullable ReplicaDuty mReplica;
-    private final UpstreamSightings mSightings;
+    private final UpstreamObservations mObservations;
 
     PermitClient(
             InstanceId self,
             LeaderClient leader,
             PeerNetwork network,
             @Nullable ReplicaDuty replica,
-            UpstreamSightings sightings) {
+            UpstreamObservations observations) {
         mSelf = self;
         mLeader = leader;
         mNetwork = network;
         mReplica = replica;
-        mSightings = sightings;
+        mObservations = observations;
     }
 
     /** Begins to answer other instances. */
@@ -71,8 +71,8 @@
     }
 
     @Override
-    public UpstreamSightings sightings() {
-        return mSightings;
+    public UpstreamObservations observations() {
+        return mObservations;
     }
 
     private void answer(InstanceId peer, Bytes payload, Responder responder) {
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
@@ -32,7 +32,7 @@
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.policy.permit.PermitGrant;
 import dev.kumquatweir.policy.permit.PermitRequest;
-import dev.kumquatweir.program.permit.PermitOffice;
+import dev.kumquatweir.program.permit.PermitIssuer;
 import dev.kumquatweir.storage.StorageDuty;
 import dev.kumquatweir.storage.StorageListener;
 import java.util.ArrayDeque;
@@ -71,7 +71,7 @@
     private final Duty mSnapshots;
     private final ConfigurationLeaseTable mLeases =
             new ConfigurationLeaseTable(LeaseTimes.STANDARD, LARGEST_LEASE_TABLE);
-    private final PermitOffice mPermits;
+    private final PermitIssuer mPermits;
     private final PendingReplies mPending = new PendingReplies();
     private final Deque<StorageWrite> mUnsubmitted = new ArrayDeque<>();
     private StateMachine mState = new StateMachine(StateLimits.STANDARD);
@@ -102,7 +102,7 @@
         mClocks = ports.clocks();
         mSender = ports.sender();
         mOnMembership = ports.onMembership();
-        mPermits = new PermitOffice(ports.sightings());
+        mPermits = new PermitIssuer(ports.observations());
         mFirstConfiguration = firstConfiguration;
         mNode =
                 new RaftNode(
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaPorts.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaPorts.java
@@ -3,7 +3,7 @@
 import dev.kumquatweir.agreement.port.Membership;
 import dev.kumquatweir.agreement.raft.RaftMessage;
 import dev.kumquatweir.core.time.Clocks;
-import dev.kumquatweir.program.permit.UpstreamSightings;
+import dev.kumquatweir.program.permit.UpstreamObservations;
 import java.util.function.Consumer;
 
 /**
@@ -13,11 +13,11 @@
  * @param sender sends a message to another replica; it may be lost
  * @param onMembership told when the members of the group have changed
  * @param onFatal ends the process: the store or the replica can't go on safely
- * @param sightings what this instance heard of upstreams, for the limits of permits
+ * @param observations what this instance heard of upstreams, for the limits of permits
  */
 record ReplicaPorts(
         Clocks clocks,
         Consumer<RaftMessage> sender,
         Consumer<Membership> onMembership,
         Runnable onFatal,
-        UpstreamSightings sightings) {}
+        UpstreamObservations observations) {}
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicatedControl.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicatedControl.java
@@ -17,7 +17,7 @@
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.program.instance.FrameType;
 import dev.kumquatweir.program.permit.PermitPort;
-import dev.kumquatweir.program.permit.UpstreamSightings;
+import dev.kumquatweir.program.permit.UpstreamObservations;
 import dev.kumquatweir.settings.InstanceSettings;
 import dev.kumquatweir.settings.PeerSettings;
 import dev.kumquatweir.transport.PeerNetwork;
@@ -64,8 +64,8 @@
         mNetwork = network;
         mClocks = clocks;
         long processNonce = new SecureRandom().nextLong();
-        UpstreamSightings sightings = new UpstreamSightings(clocks);
-        mReplica = store == null ? null : replica(store, firstConfiguration, onFatal, sightings);
+        UpstreamObservations observations = new UpstreamObservations(clocks);
+        mReplica = store == null ? null : replica(store, firstConfiguration, onFatal, observations);
         mLeader =
                 new LeaderClient(
                         settings.id(),
@@ -75,7 +75,7 @@
                         clocks);
         mLeases = new LeaseKeeper(settings.id(), processNonce, mLeader, network, mReplica, clocks);
         mClaims = new ReplicatedClaims(settings.id(), processNonce, mLeader);
-        mPermits = new PermitClient(settings.id(), mLeader, network, mReplica, sightings);
+        mPermits = new PermitClient(settings.id(), mLeader, network, mReplica, observations);
     }
 
     /**
@@ -176,13 +176,14 @@
             FoundingDuty.Ready store,
             Optional<Bytes> firstConfiguration,
             Runnable onFatal,
-            UpstreamSightings sightings) {
+            UpstreamObservations observations) {
         return new ReplicaDuty(
                 RaftSettings.builder(mSettings.cluster()).build(),
                 mSettings.id(),
                 store.state(),
                 store.store(),
-                new ReplicaPorts(mClocks, this::send, this::membershipChanged, onFatal, sightings),
+                new ReplicaPorts(
+                        mClocks, this::send, this::membershipChanged, onFatal, observations),
                 firstConfiguration);
     }
 
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -113,7 +113,7 @@
         RegistrySpread spread =
                 new RegistrySpread(
                         mWork.dispatch(),
-                        control.permits().sightings(),
+                        control.permits().observations(),
                         network,
                         settings.otherInstances());
         mUpstreams =
--- a/program/src/main/java/dev/kumquatweir/program/permit/PermitOffice.java
+++ b/program/src/main/java/dev/kumquatweir/program/permit/PermitIssuer.java
@@ -24,8 +24,8 @@
  * The leader's side of permits: one ledger for each term, with limits from what the upstreams said
  * to this instance. Not thread-safe: owned by the control duty.
  */
-public final class PermitOffice {
-    private static final EventLog LOG = EventLog.of(PermitOffice.class);
+public final class PermitIssuer {
+    private static final EventLog LOG = EventLog.of(PermitIssuer.class);
     private static final double LOADS_PER_SECOND = 1;
     private static final double LOADS_BURST = 1;
     private static final long SWEEP_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -35,7 +35,7 @@
 
     private static final long SUMMARY_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-    private final UpstreamSightings mSightings;
+    private final UpstreamObservations mObservations;
     private @Nullable PermitLedger mLedger;
     private ColdRamp mRamp = ColdRamp.builder().build();
     private long mSweptNanos;
@@ -43,9 +43,9 @@
     private long mGranted;
     private long mRefused;
 
-    /** Makes an office that does not lead. */
-    public PermitOffice(UpstreamSightings sightings) {
-        mSightings = sightings;
+    /** Makes an issuer that does not lead. */
+    public PermitIssuer(UpstreamObservations observations) {
+        mObservations = observations;
     }
 
     /** Begins a term of leadership with an empty ledger. */
@@ -89,7 +89,7 @@
             return;
         }
         mSweptNanos = nowNanos;
-        Iterable<UpstreamId> silent = mSightings.forget(SILENT_NANOS);
+        Iterable<UpstreamId> silent = mObservations.forget(SILENT_NANOS);
         PermitLedger ledger = mLedger;
         if (ledger == null) {
             return;
@@ -137,12 +137,12 @@
     }
 
     private void learnCold(PermitLedger ledger, UpstreamId upstream, long nowNanos) {
-        UpstreamSightings.Sighting sighting = mSightings.find(upstream);
-        if (sighting == null) {
+        UpstreamObservations.Observation observation = mObservations.find(upstream);
+        if (observation == null) {
             return;
         }
-        mRamp.announced(sighting.announcement(), nowNanos);
-        LoadReport load = sighting.load();
+        mRamp.announced(observation.announcement(), nowNanos);
+        LoadReport load = observation.load();
         if (load != null) {
             mRamp.reported(load, nowNanos);
         }
@@ -151,24 +151,24 @@
         PermitResource prefill = new PermitResource.ColdPrefill(upstream);
         if (mRamp.limit(upstream).orElse(null) instanceof RampLimit.Unlimited) {
             // Only a holder that knows the upstream as cold claims; it may have heard it first.
-            ColdLimit limit = sighting.announcement().coldLimit();
-            long incarnation = sighting.announcement().incarnation();
+            ColdLimit limit = observation.announcement().coldLimit();
+            long incarnation = observation.announcement().incarnation();
             ledger.limit(requests, incarnation, limit.requests());
             ledger.limit(prefill, incarnation, limit.prefillTokens());
         }
         if (load != null && load.cold()) {
-            ledger.observe(requests, load.running() + load.queued(), sighting.heardNanos());
-            ledger.observe(prefill, load.prefillBacklogTokens(), sighting.heardNanos());
+            ledger.observe(requests, load.running() + load.queued(), observation.heardNanos());
+            ledger.observe(prefill, load.prefillBacklogTokens(), observation.heardNanos());
         }
     }
 
     private void learnMemory(PermitLedger ledger, PermitResource.EngineMemory memory) {
-        UpstreamSightings.Sighting sighting = mSightings.find(memory.upstream());
-        if (sighting != null) {
+        UpstreamObservations.Observation observation = mObservations.find(memory.upstream());
+        if (observation != null) {
             ledger.limit(
                     memory,
-                    sighting.announcement().incarnation(),
-                    sighting.announcement().memoryTokens());
+                    observation.announcement().incarnation(),
+                    observation.announcement().memoryTokens());
         }
     }
 
--- a/program/src/main/java/dev/kumquatweir/program/permit/PermitPort.java
+++ b/program/src/main/java/dev/kumquatweir/program/permit/PermitPort.java
@@ -15,5 +15,5 @@
     CompletionStage<Optional<PermitGrant>> renew(PermitRequest request);
 
     /** Returns where this instance notes what upstreams say, in case it leads. */
-    UpstreamSightings sightings();
+    UpstreamObservations observations();
 }
--- a/program/src/main/java/dev/kumquatweir/program/permit/UpstreamSightings.java
+++ b/program/src/main/java/dev/kumquatweir/program/permit/UpstreamObservations.java
@@ -14,7 +14,7 @@
  * claimed, so that the reports of thousands of warm upstreams cost the control duty nothing.
  * Thread-safe.
  */
-public final class UpstreamSightings {
+public final class UpstreamObservations {
     /**
      * What was heard of one upstream. Immutable.
      *
@@ -22,22 +22,23 @@
      * @param load its newest report of the same incarnation, null before the first
      * @param heardNanos when the newest of the two was heard
      */
-    public record Sighting(Announcement announcement, @Nullable LoadReport load, long heardNanos) {}
+    public record Observation(
+            Announcement announcement, @Nullable LoadReport load, long heardNanos) {}
 
     private final Clocks mClocks;
-    private final Map<UpstreamId, Sighting> mSightings = new ConcurrentHashMap<>();
+    private final Map<UpstreamId, Observation> mObservations = new ConcurrentHashMap<>();
 
     /** Makes an empty collection. */
-    public UpstreamSightings(Clocks clocks) {
+    public UpstreamObservations(Clocks clocks) {
         mClocks = clocks;
     }
 
     /** Takes an announcement; an older incarnation is ignored. */
     public void announced(Announcement announcement) {
-        mSightings.merge(
+        mObservations.merge(
                 announcement.id(),
-                new Sighting(announcement, null, mClocks.nowNanos()),
-                UpstreamSightings::newer);
+                new Observation(announcement, null, mClocks.nowNanos()),
+                UpstreamObservations::newer);
     }
 
     /**
@@ -47,7 +48,7 @@
      */
     public boolean reported(LoadReport report) {
         return null
-                != mSightings.computeIfPresent(
+                != mObservations.computeIfPresent(
                         report.id(),
                         (id, known) -> {
                             LoadReport load = known.load();
@@ -55,43 +56,44 @@
                                     known.announcement().incarnation() == report.incarnation();
                             boolean newer = load == null || load.sequence() < report.sequence();
                             return same && newer
-                                    ? new Sighting(known.announcement(), report, mClocks.nowNanos())
+                                    ? new Observation(
+                                            known.announcement(), report, mClocks.nowNanos())
                                     : known;
                         });
     }
 
     /** Takes the word of an upstream that it leaves. */
     public void left(UpstreamId upstream, long incarnation) {
-        mSightings.computeIfPresent(
+        mObservations.computeIfPresent(
                 upstream,
                 (id, known) -> known.announcement().incarnation() > incarnation ? known : null);
     }
 
     /** Returns what is known of an upstream, null if nothing is. */
-    public @Nullable Sighting find(UpstreamId upstream) {
-        return mSightings.get(upstream);
+    public @Nullable Observation find(UpstreamId upstream) {
+        return mObservations.get(upstream);
     }
 
     /** Forgets upstreams that were not heard for so long and returns them. */
     public List<UpstreamId> forget(long silentNanos) {
         long nowNanos = mClocks.nowNanos();
         List<UpstreamId> silent =
-                mSightings.entrySet().stream()
+                mObservations.entrySet().stream()
                         .filter(entry -> nowNanos - entry.getValue().heardNanos() > silentNanos)
                         .map(Map.Entry::getKey)
                         .toList();
-        silent.forEach(mSightings::remove);
+        silent.forEach(mObservations::remove);
         return silent;
     }
 
-    private static Sighting newer(Sighting known, Sighting fresh) {
+    private static Observation newer(Observation known, Observation fresh) {
         long before = known.announcement().incarnation();
         long after = fresh.announcement().incarnation();
         if (before > after) {
             return known;
         }
         return before == after
-                ? new Sighting(fresh.announcement(), known.load(), fresh.heardNanos())
+                ? new Observation(fresh.announcement(), known.load(), fresh.heardNanos())
                 : fresh;
     }
 }
--- a/program/src/main/java/dev/kumquatweir/program/spread/QuarantineCodec.java
+++ b/program/src/main/java/dev/kumquatweir/program/spread/QuarantineCodec.java
@@ -17,7 +17,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-/** Form of quarantine news between instances. Thread-safe: holds no state. */
+/** Form of quarantine updates between instances. Thread-safe: holds no state. */
 final class QuarantineCodec {
     /** Bounds of one frame; a sender with more sends several. */
     static final int MOST_MARKS = 256;
@@ -36,20 +36,20 @@
 
     private QuarantineCodec() {}
 
-    static Bytes encode(QuarantineNews news) {
+    static Bytes encode(QuarantineUpdate update) {
         return new PackWriter()
                 .array(NEWS_FIELDS)
-                .list(news.marks(), QuarantineCodec::write)
-                .list(news.uses(), QuarantineCodec::write)
+                .list(update.marks(), QuarantineCodec::write)
+                .list(update.uses(), QuarantineCodec::write)
                 .finish();
     }
 
-    static Either<MalformedContent, QuarantineNews> news(Bytes content) {
+    static Either<MalformedContent, QuarantineUpdate> update(Bytes content) {
         return PackReader.decode(
                 content,
                 reader -> {
                     reader.array(NEWS_FIELDS);
-                    return new QuarantineNews(
+                    return new QuarantineUpdate(
                             list(reader, MOST_MARKS, QuarantineCodec::readMark),
                             list(reader, MOST_USES, QuarantineCodec::readUse));
                 });
--- a/program/src/main/java/dev/kumquatweir/program/spread/QuarantineSpread.java
+++ b/program/src/main/java/dev/kumquatweir/program/spread/QuarantineSpread.java
@@ -75,8 +75,8 @@
         network.handle(
                 FrameType.QUARANTINE.number(),
                 (peer, payload, responder) ->
-                        QuarantineCodec.news(payload)
-                                .peek(news -> mDispatch.accept(now -> absorb(peer, news, now)))
+                        QuarantineCodec.update(payload)
+                                .peek(update -> mDispatch.accept(now -> absorb(peer, update, now)))
                                 .peekLeft(fault -> LOG.failure("frame_malformed", fault)));
     }
 
@@ -100,9 +100,9 @@
         return mRefusedCount;
     }
 
-    private void absorb(InstanceId peer, QuarantineNews news, long nowNanos) {
-        news.marks().forEach(mark -> mQuarantine.absorb(mark, nowNanos));
-        mQuarantine.absorb(peer.value(), news.uses(), nowNanos);
+    private void absorb(InstanceId peer, QuarantineUpdate update, long nowNanos) {
+        update.marks().forEach(mark -> mQuarantine.absorb(mark, nowNanos));
+        mQuarantine.absorb(peer.value(), update.uses(), nowNanos);
     }
 
     private void spread(long nowNanos) {
@@ -134,7 +134,8 @@
         }
         for (int from = 0; from == 0 || from < marks.size(); from += QuarantineCodec.MOST_MARKS) {
             int to = Math.min(marks.size(), from + QuarantineCodec.MOST_MARKS);
-            Bytes frame = QuarantineCodec.encode(new QuarantineNews(marks.subList(from, to), uses));
+            Bytes frame =
+                    QuarantineCodec.encode(new QuarantineUpdate(marks.subList(from, to), uses));
             mPeers.forEach(peer -> mNetwork.send(peer, FrameType.QUARANTINE.number(), frame));
         }
     }
--- a/program/src/main/java/dev/kumquatweir/program/spread/QuarantineNews.java
+++ b/program/src/main/java/dev/kumquatweir/program/spread/QuarantineUpdate.java
@@ -10,9 +10,9 @@
  * @param marks some of its marks
  * @param uses all upstreams that it keeps for suspects
  */
-record QuarantineNews(List<QuarantineMark> marks, List<ExclusiveUse> uses) {
+record QuarantineUpdate(List<QuarantineMark> marks, List<ExclusiveUse> uses) {
     /** Copies the lists, so that the record is immutable. */
-    QuarantineNews {
+    QuarantineUpdate {
         marks = List.copyOf(marks);
         uses = List.copyOf(uses);
     }
--- a/program/src/main/java/dev/kumquatweir/program/spread/RegistrySpread.java
+++ b/program/src/main/java/dev/kumquatweir/program/spread/RegistrySpread.java
@@ -11,7 +11,7 @@
 import dev.kumquatweir.policy.registry.CacheEvents;
 import dev.kumquatweir.policy.registry.LoadReport;
 import dev.kumquatweir.program.instance.FrameType;
-import dev.kumquatweir.program.permit.UpstreamSightings;
+import dev.kumquatweir.program.permit.UpstreamObservations;
 import dev.kumquatweir.transport.PeerNetwork;
 import io.vavr.control.Either;
 import java.util.List;
@@ -30,7 +30,7 @@
     private static final EventLog LOG = EventLog.of(RegistrySpread.class);
 
     private final DispatchDuty mDispatch;
-    private final UpstreamSightings mSightings;
+    private final UpstreamObservations mObservations;
     private final PeerNetwork mNetwork;
     private final List<InstanceId> mPeers;
     private final Set<UpstreamId> mResyncWanted = ConcurrentHashMap.newKeySet();
@@ -38,16 +38,16 @@
     /**
      * Registers for the frames that it takes.
      *
-     * @param sightings told of what upstreams say, for the limits of permits
+     * @param observations told of what upstreams say, for the limits of permits
      * @param peers the other instances
      */
     public RegistrySpread(
             DispatchDuty dispatch,
-            UpstreamSightings sightings,
+            UpstreamObservations observations,
             PeerNetwork network,
             List<InstanceId> peers) {
         mDispatch = dispatch;
-        mSightings = sightings;
+        mObservations = observations;
         mNetwork = network;
         mPeers = List.copyOf(peers);
         handle(FrameType.ANNOUNCEMENT, RegistryCodec::announcement, this::take);
@@ -95,7 +95,7 @@
     @Override
     public void left(UpstreamId upstream, long incarnation) {
         mResyncWanted.remove(upstream);
-        mSightings.left(upstream, incarnation);
+        mObservations.left(upstream, incarnation);
         mDispatch.left(upstream, incarnation);
         spread(
                 FrameType.LEAVE,
@@ -103,16 +103,16 @@
     }
 
     private void take(Announcement announcement) {
-        mSightings.announced(announcement);
+        mObservations.announced(announcement);
         mDispatch.announced(announcement);
     }
 
     /** An upstream that was silent may be forgotten there and still known to the dispatch duty. */
     private void note(LoadReport report) {
-        if (!mSightings.reported(report)) {
+        if (!mObservations.reported(report)) {
             mDispatch
                     .upstream(report.id())
-                    .thenAccept(known -> known.ifPresent(mSightings::announced));
+                    .thenAccept(known -> known.ifPresent(mObservations::announced));
         }
     }
 
@@ -164,7 +164,7 @@
     }
 
     private void leftAtPeer(RegistryCodec.Start start) {
-        mSightings.left(start.id(), start.incarnation());
+        mObservations.left(start.id(), start.incarnation());
         mDispatch.left(start.id(), start.incarnation());
     }
 
--- a/program/src/test/java/dev/kumquatweir/program/permit/SharedColdLimitTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/permit/SharedColdLimitTest.java
@@ -45,8 +45,9 @@
     private final List<Delivery> mDeliveries = new ArrayList<>();
     private long mNowNanos;
     private boolean mLeaderReachable = true;
-    private UpstreamSightings mSightings = new UpstreamSightings(new Clocks(() -> 0, () -> 0));
-    private PermitOffice mLeader = new PermitOffice(mSightings);
+    private UpstreamObservations mObservations =
+            new UpstreamObservations(new Clocks(() -> 0, () -> 0));
+    private PermitIssuer mLeader = new PermitIssuer(mObservations);
 
     private record Delivery(long atNanos, Runnable action) {}
 
@@ -120,17 +121,18 @@
         assertThat("running together", running, lessThanOrEqualTo(limit));
     }
 
-    private PermitOffice leader(int limit) {
-        UpstreamSightings sightings = new UpstreamSightings(new Clocks(() -> mNowNanos, () -> 0));
-        mSightings = sightings;
+    private PermitIssuer leader(int limit) {
+        UpstreamObservations observations =
+                new UpstreamObservations(new Clocks(() -> mNowNanos, () -> 0));
+        mObservations = observations;
         announce(limit);
-        PermitOffice office = new PermitOffice(sightings);
-        office.beginLeadership(mNowNanos);
-        return office;
+        PermitIssuer issuer = new PermitIssuer(observations);
+        issuer.beginLeadership(mNowNanos);
+        return issuer;
     }
 
     private void announce(int limit) {
-        mSightings.announced(
+        mObservations.announced(
                 new Announcement(
                         ENGINE,
                         1,
@@ -217,8 +219,8 @@
         }
 
         @Override
-        public UpstreamSightings sightings() {
-            return mSightings;
+        public UpstreamObservations observations() {
+            return mObservations;
         }
     }
 }
--- a/program/src/test/java/dev/kumquatweir/program/spread/QuarantineCodecTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/spread/QuarantineCodecTest.java
@@ -19,18 +19,18 @@
     private static final ExclusiveUse USE =
             new ExclusiveUse(new UpstreamId("engine-2"), 7, "hash", "entry-1", true, 3);
 
-    /** Guards against news that reach other instances changed. */
+    /** Guards against updates that reach other instances changed. */
     @Test
-    void newsSurviveTheWire() {
-        QuarantineNews news = new QuarantineNews(List.of(mark("hash", 5)), List.of(USE));
-        assertThat(QuarantineCodec.news(QuarantineCodec.encode(news)).get(), is(news));
+    void updatesSurviveTheWire() {
+        QuarantineUpdate update = new QuarantineUpdate(List.of(mark("hash", 5)), List.of(USE));
+        assertThat(QuarantineCodec.update(QuarantineCodec.encode(update)).get(), is(update));
     }
 
     /** Guards against truncated or prolonged frames that are taken in part. */
     @Test
     void refusesFramesOfAnotherLength() {
         byte[] frame =
-                QuarantineCodec.encode(new QuarantineNews(List.of(mark("hash", 5)), List.of(USE)))
+                QuarantineCodec.encode(new QuarantineUpdate(List.of(mark("hash", 5)), List.of(USE)))
                         .toArray();
         for (int size = 0; size < frame.length; size++) {
             assertThat(refused(Arrays.copyOf(frame, size)), is(true));
@@ -53,11 +53,11 @@
     }
 
     private static boolean refused(List<QuarantineMark> marks) {
-        return refused(QuarantineCodec.encode(new QuarantineNews(marks, List.of())).toArray());
+        return refused(QuarantineCodec.encode(new QuarantineUpdate(marks, List.of())).toArray());
     }
 
     private static boolean refused(byte[] frame) {
-        return QuarantineCodec.news(Bytes.copyOf(frame)).isLeft();
+        return QuarantineCodec.update(Bytes.copyOf(frame)).isLeft();
     }
 
     private static QuarantineMark mark(String hash, long remainingNanos) {
