Estimate the tokens of a prompt in one place

Cause: reading the change once more showed the rule of 4 characters a token three times in the gateway (PromptBlocks, PromptCut, AccountedCaller) and the length of a block twice; a change of one would have made runs over several engines cut prompts elsewhere than admission counts them. PromptBlocks is now shared by all. Ruled out: moving it to core, since only the gateway sees prompts as text. All modules compile with all checks; the 25 tests of the gateway are green; the process tests were not run again.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/caller/SubmissionFactory.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/SubmissionFactory.java
@@ -12,6 +12,7 @@
 import dev.kumquatweir.core.identity.ModelName;
 import dev.kumquatweir.core.identity.ProfileName;
 import dev.kumquatweir.core.identity.RequestId;
+import dev.kumquatweir.gateway.dispatch.PromptBlocks;
 import dev.kumquatweir.gateway.dispatch.Work;
 import dev.kumquatweir.policy.dispatch.WorkRequest;
 import io.vavr.control.Either;
--- a/gateway/src/main/java/dev/kumquatweir/gateway/memory/AccountedCaller.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/memory/AccountedCaller.java
@@ -7,6 +7,7 @@
 import dev.kumquatweir.gateway.dispatch.AttemptListener;
 import dev.kumquatweir.gateway.dispatch.AttemptOrder;
 import dev.kumquatweir.gateway.dispatch.GenerationSummary;
+import dev.kumquatweir.gateway.dispatch.PromptBlocks;
 import dev.kumquatweir.gateway.dispatch.UpstreamCaller;
 import dev.kumquatweir.gateway.dispatch.Work;
 import dev.kumquatweir.policy.dispatch.AttemptEvent;
@@ -14,9 +15,6 @@
 
 /** Enters each attempt on an engine into {@link HeldMemory} for as long as it is wanted. */
 public final class AccountedCaller implements UpstreamCaller {
-    /** Prompt tokens are estimated as characters / 4, rounded up, as in the engine protocol. */
-    private static final int CHARACTERS_PER_TOKEN = 4;
-
     private final UpstreamCaller mNext;
     private final HeldMemory mHeld;
     private final Clocks mClocks;
@@ -63,8 +61,7 @@
     }
 
     private static long tokens(Work.Generation generation) {
-        long prompt = Math.ceilDiv(generation.prompt().length(), CHARACTERS_PER_TOKEN);
-        return prompt + generation.maximumTokens();
+        return PromptBlocks.tokens(generation.prompt()) + generation.maximumTokens();
     }
 
     /** Removes the attempt at its end. */
--- a/gateway/src/main/java/dev/kumquatweir/gateway/oversize/OversizeExecution.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/oversize/OversizeExecution.java
@@ -8,6 +8,7 @@
 import dev.kumquatweir.gateway.dispatch.AttemptListener;
 import dev.kumquatweir.gateway.dispatch.AttemptOrder;
 import dev.kumquatweir.gateway.dispatch.GenerationSummary;
+import dev.kumquatweir.gateway.dispatch.PromptBlocks;
 import dev.kumquatweir.gateway.dispatch.Work;
 import dev.kumquatweir.policy.dispatch.AttemptEvent;
 import dev.kumquatweir.policy.oversize.OversizeAction;
@@ -72,7 +73,7 @@
         engines.forEach(engine -> mEngines.put(engine.id(), engine));
         OversizePlan plan =
                 OversizePlan.ofEqualShares(
-                        PromptCut.tokens(work.prompt()),
+                        PromptBlocks.tokens(work.prompt()),
                         work.maximumTokens(),
                         engines,
                         ids,
@@ -83,7 +84,7 @@
                 "attempt",
                 mOrder.attempt(),
                 "prompt_tokens",
-                PromptCut.tokens(work.prompt()),
+                PromptBlocks.tokens(work.prompt()),
                 "engines",
                 engines.stream().map(engine -> engine.id().value()).toList());
         tick();
--- a/gateway/src/main/java/dev/kumquatweir/gateway/oversize/PromptCut.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/oversize/PromptCut.java
@@ -1,6 +1,7 @@
 package dev.kumquatweir.gateway.oversize;
 
 import dev.kumquatweir.gateway.dispatch.AttemptOrder;
+import dev.kumquatweir.gateway.dispatch.PromptBlocks;
 import dev.kumquatweir.gateway.dispatch.Work;
 import dev.kumquatweir.policy.oversize.PromptPart;
 import dev.kumquatweir.policy.registry.Announcement;
@@ -8,16 +9,8 @@
 
 /** Makes the order of one part of a prompt. Holds no state. */
 final class PromptCut {
-    private static final int CHARACTERS_IN_TOKEN = 4;
-    private static final int CHARACTERS_IN_BLOCK = 256 * CHARACTERS_IN_TOKEN;
-
     private PromptCut() {}
 
-    /** Returns the estimated length of a prompt in tokens. */
-    static long tokens(String prompt) {
-        return ((long) prompt.length() + CHARACTERS_IN_TOKEN - 1) / CHARACTERS_IN_TOKEN;
-    }
-
     /** Returns the order that processes a part without an answer. */
     static AttemptOrder prefill(
             AttemptOrder whole,
@@ -33,7 +26,7 @@
                                 0,
                                 Math.min(
                                         whole.prefixHashes().size(),
-                                        prompt.length() / CHARACTERS_IN_BLOCK));
+                                        prompt.length() / PromptBlocks.CHARACTERS_IN_BLOCK));
         return new AttemptOrder(
                 part.attempt(),
                 engine,
@@ -66,7 +59,7 @@
 
     /** A pair of surrogates is one character of the text and is not cut apart. */
     private static String upTo(String prompt, long tokens) {
-        int end = (int) Math.min(prompt.length(), tokens * CHARACTERS_IN_TOKEN);
+        int end = (int) Math.min(prompt.length(), tokens * PromptBlocks.CHARACTERS_IN_TOKEN);
         boolean inPair =
                 end > 0
                         && end < prompt.length()
--- a/gateway/src/test/java/dev/kumquatweir/gateway/oversize/FakeEngines.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/oversize/FakeEngines.java
@@ -4,6 +4,7 @@
 import dev.kumquatweir.gateway.dispatch.AttemptListener;
 import dev.kumquatweir.gateway.dispatch.AttemptOrder;
 import dev.kumquatweir.gateway.dispatch.GenerationSummary;
+import dev.kumquatweir.gateway.dispatch.PromptBlocks;
 import dev.kumquatweir.gateway.dispatch.UpstreamCaller;
 import dev.kumquatweir.gateway.dispatch.Work;
 import dev.kumquatweir.policy.dispatch.AttemptEvent;
@@ -79,7 +80,7 @@
     private void answer(AttemptOrder order, String held, AttemptListener listener) {
         Work.Generation work = (Work.Generation) order.work();
         listener.accepted();
-        long tokens = PromptCut.tokens(work.prompt());
+        long tokens = PromptBlocks.tokens(work.prompt());
         if (work.maximumTokens() > 0) {
             listener.token(order.resumeOffset(), "word ");
             mHeld.remove(held);
