--- a/agreement/src/main/java/dev/kumquatweir/agreement/codec/CommandCodec.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/codec/CommandCodec.java
@@ -7,6 +7,7 @@
 import dev.kumquatweir.core.control.ClaimOutcome;
 import dev.kumquatweir.core.control.RecordedAnswer;
 import dev.kumquatweir.core.identity.CommandId;
+import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.IdempotencyKey;
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.identity.RequestId;
@@ -26,6 +27,8 @@
     private static final int RECORD_OUTCOME = 4;
     private static final int EXPIRE = 5;
     private static final int TAKE_EPOCH = 6;
+    private static final int PUT_ROUTING = 7;
+    private static final int SET_DOMAIN = 8;
     private static final int FINISHED = 1;
     private static final int UNKNOWN = 2;
     private static final int NOT_RUN = 3;
@@ -60,6 +63,10 @@
                     head(writer, TAKE_EPOCH, command)
                             .text(take.purpose())
                             .text(take.holder().value());
+            case StateCommand.PutRouting put ->
+                    head(writer, PUT_ROUTING, command).number(put.version()).bytes(put.document());
+            case StateCommand.SetDomain set ->
+                    head(writer, SET_DOMAIN, command).text(set.domain().value()).flag(set.out());
         }
         return writer.finish();
     }
@@ -100,6 +107,10 @@
             case EXPIRE -> new StateCommand.Expire(now);
             case TAKE_EPOCH ->
                     new StateCommand.TakeEpoch(now, reader.text(), new InstanceId(reader.text()));
+            case PUT_ROUTING -> new StateCommand.PutRouting(now, reader.number(), reader.bytes());
+            case SET_DOMAIN ->
+                    new StateCommand.SetDomain(
+                            now, new FailureDomain(reader.text()), reader.flag());
             default -> throw new MalformedException("unknown command " + kind);
         };
     }
--- a/agreement/src/main/java/dev/kumquatweir/agreement/codec/StateCodec.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/codec/StateCodec.java
@@ -6,12 +6,14 @@
 import dev.kumquatweir.agreement.state.ConfigurationChange;
 import dev.kumquatweir.agreement.state.FencingEpoch;
 import dev.kumquatweir.agreement.state.InstanceStart;
+import dev.kumquatweir.agreement.state.RoutingImage;
 import dev.kumquatweir.agreement.state.StateImage;
 import dev.kumquatweir.agreement.state.StateLimits;
 import dev.kumquatweir.agreement.state.StateResult;
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.control.RecordedAnswer;
 import dev.kumquatweir.core.identity.CommandId;
+import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.pack.MalformedContent;
 import dev.kumquatweir.core.pack.MalformedException;
@@ -23,10 +25,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Encodes the state machine's snapshots. Thread-safe. */
 public final class StateCodec {
-    private static final int FORMAT = 1;
+    private static final int FORMAT = 2;
     private static final int ACCEPTED = 1;
     private static final int CONFLICT = 2;
     private static final int TOO_LARGE = 3;
@@ -64,6 +67,7 @@
                                 .text(epoch.holder().value()));
         writer.list(image.expiryCursor().stream().toList(), CommandCodec::writeKey);
         writer.list(image.claims().entrySet(), StateCodec::writeClaim);
+        writeRouting(writer, image.routing());
         return writer.finish();
     }
 
@@ -98,7 +102,26 @@
                                         source.number(),
                                         new InstanceId(source.text()))),
                 reader.list(CommandCodec::readKey).stream().findFirst(),
-                readMap(reader, CommandCodec::readKey, StateCodec::readClaim));
+                readMap(reader, CommandCodec::readKey, StateCodec::readClaim),
+                readRouting(reader));
+    }
+
+    /** Writes what is in force for routing; equal images give equal bytes. */
+    public static void writeRouting(PackWriter writer, RoutingImage routing) {
+        writer.number(routing.version()).bytes(routing.document()).number(routing.changes());
+        writer.list(
+                routing.domainsOut().stream().sorted().toList(),
+                (target, domain) -> target.text(domain.value()));
+    }
+
+    /** Reads what {@link #writeRouting} wrote. */
+    public static RoutingImage readRouting(PackReader reader)
+            throws IOException, MalformedException {
+        long version = reader.number();
+        Bytes document = reader.bytes();
+        long changes = reader.number();
+        List<FailureDomain> domains = reader.list(source -> new FailureDomain(source.text()));
+        return new RoutingImage(version, document, Set.copyOf(domains), changes);
     }
 
     private static <K, V> Map<K, V> readMap(
--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/Leader.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/Leader.java
@@ -165,7 +165,9 @@
         mRequests.onAcknowledged(nowNanos);
     }
 
-    /** Commits what a quorum has synced; entries of earlier terms only by one of this term. */
+    /**
+     * Commits what enough voters have synced; entries of earlier terms only by one of this term.
+     */
     void advanceCommit(long nowNanos) {
         Membership membership = mLog.membership();
         List<Long> durable =
@@ -173,7 +175,8 @@
                         .map(this::durableIndex)
                         .sorted(Comparator.reverseOrder())
                         .toList();
-        long index = durable.get(membership.quorum() - 1);
+        int copies = Math.min(mSettings.durableCopies(), durable.size());
+        long index = durable.get(Math.max(membership.quorum(), copies) - 1);
         boolean ownTerm = mLog.term(index) == mTerm || !mSettings.has(RaftRule.COMMIT_IN_OWN_TERM);
         if (index > mReplica.commitIndex() && ownTerm) {
             mReplica.commitTo(index);
--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftNode.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftNode.java
@@ -6,6 +6,7 @@
 import dev.kumquatweir.agreement.port.StoredState;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
@@ -158,6 +159,25 @@
         return leader != null && leader.hasCommittedInTerm();
     }
 
+    /**
+     * Returns how long ago a member last answered, as the leader sees it; empty if this replica
+     * does not lead or the member is not known.
+     */
+    public OptionalLong silentNanos(MemberId member, long nowNanos) {
+        Leader leader = mReplica.leader();
+        Progress progress = leader == null ? null : leader.progress(member);
+        return progress == null
+                ? OptionalLong.empty()
+                : OptionalLong.of(progress.contactAge(nowNanos));
+    }
+
+    /** Returns whether a member has synced all that is committed, as the leader sees it. */
+    public boolean caughtUp(MemberId member) {
+        Leader leader = mReplica.leader();
+        Progress progress = leader == null ? null : leader.progress(member);
+        return progress != null && progress.matchIndex() >= mReplica.commitIndex();
+    }
+
     // Helpers
 
     Replica replica() {
--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftSettings.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftSettings.java
@@ -99,6 +99,14 @@
         return mValues.mBacklogBytes;
     }
 
+    /**
+     * Returns on how many voters an entry has to be synced before it is committed, if that is more
+     * than a quorum: a small group must survive the loss of more disks than its quorum allows for.
+     */
+    public int durableCopies() {
+        return mValues.mDurableCopies;
+    }
+
     boolean has(RaftRule rule) {
         return mValues.mRules.contains(rule);
     }
@@ -120,6 +128,7 @@
         private int mTrailingEntries = 1_000;
         private int mLargestProposalBytes = 4 * 1024 * 1024;
         private long mBacklogBytes = 16L * 1024 * 1024;
+        private int mDurableCopies = 1;
 
         private Builder(String clusterId) {
             mClusterId = clusterId;
@@ -141,6 +150,7 @@
             mTrailingEntries = other.mTrailingEntries;
             mLargestProposalBytes = other.mLargestProposalBytes;
             mBacklogBytes = other.mBacklogBytes;
+            mDurableCopies = other.mDurableCopies;
         }
 
         /** Sets the time between heartbeats. */
@@ -186,6 +196,12 @@
             return this;
         }
 
+        /** Sets on how many voters an entry has to be synced at least, all of them if fewer. */
+        public Builder durableCopies(int copies) {
+            mDurableCopies = copies;
+            return this;
+        }
+
         Builder without(RaftRule rule) {
             mRules.remove(rule);
             return this;
--- a/agreement/src/main/java/dev/kumquatweir/agreement/state/StateCommand.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/state/StateCommand.java
@@ -3,6 +3,7 @@
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.control.ClaimOutcome;
 import dev.kumquatweir.core.identity.CommandId;
+import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.InstanceId;
 
 /**
@@ -25,6 +26,9 @@
             case RecordOutcome(var _, var claimant, var key, var outcome) ->
                     new RecordOutcome(millis, claimant, key, outcome);
             case Expire _ -> new Expire(millis);
+            case PutRouting(var _, var version, var document) ->
+                    new PutRouting(millis, version, document);
+            case SetDomain(var _, var domain, var out) -> new SetDomain(millis, domain, out);
             case TakeEpoch(var _, var purpose, var holder) ->
                     new TakeEpoch(millis, purpose, holder);
         };
@@ -89,4 +93,21 @@
      * @param holder who takes it
      */
     record TakeEpoch(long nowMillis, String purpose, InstanceId holder) implements StateCommand {}
+
+    /**
+     * Stores a routing document under the number its author gave it, if that is higher than the one
+     * held. A lower or equal one changes nothing, so that the command may be sent again.
+     *
+     * @param version number of the document, from 1
+     * @param document the document, opaque here
+     */
+    record PutRouting(long nowMillis, long version, Bytes document) implements StateCommand {}
+
+    /**
+     * Takes a failure domain out of service or returns it. The same command again changes nothing.
+     *
+     * @param domain the failure domain
+     * @param out whether upstreams of the domain get no new work
+     */
+    record SetDomain(long nowMillis, FailureDomain domain, boolean out) implements StateCommand {}
 }
--- a/agreement/src/main/java/dev/kumquatweir/agreement/state/StateImage.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/state/StateImage.java
@@ -20,6 +20,7 @@
  * @param epochs fencing epochs by purpose
  * @param expiryCursor where the next expiry step goes on
  * @param claims claims in the order of their keys
+ * @param routing the routing document in force and the failure domains out of service
  */
 public record StateImage(
         StateLimits limits,
@@ -31,4 +32,5 @@
         List<InstanceStart> instances,
         List<FencingEpoch> epochs,
         Optional<ClaimKey> expiryCursor,
-        Map<ClaimKey, ClaimRecord> claims) {}
+        Map<ClaimKey, ClaimRecord> claims,
+        RoutingImage routing) {}
--- a/agreement/src/main/java/dev/kumquatweir/agreement/state/StateMachine.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/state/StateMachine.java
@@ -23,6 +23,7 @@
     private final InstanceTable mInstances;
     private final ClaimTable mClaims;
     private final Map<String, FencingEpoch> mEpochs = new LinkedHashMap<>();
+    private RoutingImage mRouting = RoutingImage.EMPTY;
     private long mClockMillis;
 
     /**
@@ -70,12 +71,14 @@
                 List.copyOf(mInstances.starts()),
                 List.copyOf(mEpochs.values()),
                 mClaims.expiryCursor(),
-                new TreeMap<>(mClaims.claims()));
+                new TreeMap<>(mClaims.claims()),
+                mRouting);
     }
 
     private static StateMachine ofImage(StateImage image) {
         var machine = new StateMachine(image.limits());
         machine.mClockMillis = image.clockMillis();
+        machine.mRouting = image.routing();
         machine.mConfiguration.restore(
                 image.version(), image.documents(), image.history(), image.results());
         machine.mInstances.restore(image.instances());
@@ -122,6 +125,11 @@
         return List.copyOf(mConfiguration.history());
     }
 
+    /** Returns the routing document in force and the failure domains out of service. */
+    public RoutingImage routing() {
+        return mRouting;
+    }
+
     /** Returns a claim, if there is one. */
     public Optional<ClaimRecord> claim(ClaimKey key) {
         return Optional.ofNullable(mClaims.claims().get(key));
@@ -149,6 +157,14 @@
             case StateCommand.RecordOutcome outcome -> mClaims.recordOutcome(outcome, mClockMillis);
             case StateCommand.Expire _ -> mClaims.expire(mClockMillis);
             case StateCommand.TakeEpoch take -> takeEpoch(take, index);
+            case StateCommand.PutRouting put -> {
+                mRouting = mRouting.withDocument(put.version(), put.document());
+                yield new StateResult.RoutingHeld(mRouting.version());
+            }
+            case StateCommand.SetDomain set -> {
+                mRouting = mRouting.withDomain(set.domain(), set.out());
+                yield new StateResult.DomainSet();
+            }
         };
     }
 
--- a/agreement/src/main/java/dev/kumquatweir/agreement/state/StateResult.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/state/StateResult.java
@@ -99,6 +99,16 @@
      */
     record EpochTaken(long epoch) implements StateResult {}
 
+    /**
+     * The routing document was considered.
+     *
+     * @param heldVersion version held from now on, at least that of the command
+     */
+    record RoutingHeld(long heldVersion) implements StateResult {}
+
+    /** The failure domain is in the state that was asked for. */
+    record DomainSet() implements StateResult {}
+
     /** Reasons for {@link ClaimRefused}. */
     enum Reason {
         /** The claimant's instance has started anew, or is not known. */
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/EventCutter.java
@@ -0,0 +1,88 @@
+package dev.kumquatweir.gateway.forward;
+
+import dev.kumquatweir.core.bytes.Bytes;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Cuts the bytes of an event stream into whole events, so that an event which an upstream left
+ * unfinished is never passed on. Keeps the bytes of each event as they are. Not thread-safe.
+ */
+final class EventCutter {
+    /** An upstream whose event is longer is not speaking the protocol. */
+    private static final int LONGEST_EVENT_BYTES = 1024 * 1024;
+
+    private static final String ID = "id:";
+
+    private final ByteArrayOutputStream mEvent = new ByteArrayOutputStream();
+    private final StringBuilder mLine = new StringBuilder();
+    private long mId = NO_ID;
+    private boolean mTooLong;
+
+    static final long NO_ID = -1;
+
+    /**
+     * A whole event.
+     *
+     * @param id its id, {@link #NO_ID} if it has none
+     * @param content its bytes with the empty line that ends it
+     */
+    record Event(long id, Bytes content) {}
+
+    /** Takes the next bytes and returns the events that they complete. */
+    List<Event> feed(byte[] part) {
+        List<Event> events = new ArrayList<>();
+        for (byte next : part) {
+            mEvent.write(next);
+            if (next != '\n') {
+                mLine.append((char) (next & 0xff));
+            } else {
+                endLine(events);
+            }
+        }
+        mTooLong = mTooLong || mEvent.size() > LONGEST_EVENT_BYTES;
+        return events;
+    }
+
+    /** Returns whether an event is too long to be one. */
+    boolean tooLong() {
+        return mTooLong;
+    }
+
+    /** Returns whether bytes of an unfinished event are left. */
+    boolean unfinished() {
+        return mEvent.size() > 0;
+    }
+
+    private void endLine(List<Event> events) {
+        String line = mLine.toString().strip();
+        mLine.setLength(0);
+        if (!line.isEmpty()) {
+            readId(line);
+            return;
+        }
+        events.add(new Event(mId, Bytes.copyOf(mEvent.toByteArray())));
+        mEvent.reset();
+        mId = NO_ID;
+    }
+
+    private void readId(String line) {
+        if (!line.toLowerCase(Locale.ROOT).startsWith(ID)) {
+            return;
+        }
+        byte[] digits = line.substring(ID.length()).strip().getBytes(StandardCharsets.US_ASCII);
+        long id = digits.length == 0 || digits.length > 18 ? NO_ID : 0;
+        for (byte digit : digits) {
+            boolean number = digit >= '0' && digit <= '9';
+            if (id == NO_ID || !number) {
+                id = NO_ID;
+                break;
+            }
+            id = id * 10 + (digit - '0');
+        }
+        mId = id;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -0,0 +1,601 @@
+package dev.kumquatweir.gateway.forward;
+
+import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.core.routing.Route;
+import dev.kumquatweir.policy.placement.PlacementAction;
+import dev.kumquatweir.policy.placement.PlacementGrant;
+import dev.kumquatweir.policy.placement.PlacementHelper;
+import dev.kumquatweir.policy.placement.PlacementKey;
+import dev.kumquatweir.policy.placement.PlacementOutcome;
+import dev.kumquatweir.policy.placement.PlacementRefusal;
+import dev.kumquatweir.policy.placement.PlacementRequest;
+import io.servicetalk.http.api.StreamingHttpClient;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One caller's request on its way: asks for an upstream, sends, relays the answer, and sends again
+ * where that is allowed. Used on the I/O thread.
+ */
+final class Exchange {
+    private static final EventLog LOG = EventLog.of(Exchange.class);
+    private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+    private static final int SERVER_ERROR = 500;
+    private static final long SHORT_RETRY_MILLIS = 300;
+
+    /** Expected share of the output that is left when a stream goes on elsewhere. */
+    private static final double RESUMED_OUTPUT = 0.5;
+
+    private final ForwardingPorts mPorts;
+    private final ForwardingMetrics mMetrics;
+    private final ForwardedRequest mRequest;
+    private final CallerAnswer mAnswer;
+    private final Consumer mOnDone;
+    private final Set<UpstreamId> mTried = new HashSet<>();
+    private @Nullable PlacementKey mKey;
+    private @Nullable PlacementGrant mGrant;
+    private @Nullable ReservedMemory mMemory;
+    private @Nullable Attempt mAttempt;
+    private int mSends;
+    private int mMayHaveRun;
+    private long mAskedNanos;
+    private long mLastEventId;
+    private long mLastEventNanos;
+    private boolean mDelayed;
+    private boolean mDone;
+
+    /** Takes an exchange that has ended. */
+    interface Consumer {
+        /** Called once. */
+        void done(Exchange exchange);
+    }
+
+    Exchange(
+            ForwardingPorts ports,
+            ForwardingMetrics metrics,
+            ForwardedRequest request,
+            CallerAnswer answer,
+            Consumer onDone) {
+        mPorts = ports;
+        mMetrics = metrics;
+        mRequest = request;
+        mAnswer = answer;
+        mOnDone = onDone;
+        mLastEventId = request.head().lastEventId();
+    }
+
+    // Life-cycle.
+
+    void start() {
+        ask();
+    }
+
+    /** Ends the request: its caller has left. */
+    void callerGone() {
+        if (!mDone) {
+            end("caller_gone", PlacementOutcome.CANCELLED);
+        }
+    }
+
+    /** Checks the times; due every few tens of milliseconds. */
+    void tick(long nowNanos) {
+        if (mDone) {
+            return;
+        }
+        ReservedMemory memory = mMemory;
+        if (memory != null) {
+            memory.tick(nowNanos);
+        }
+        if (nowNanos - mRequest.deadlineNanos() >= 0) {
+            timedOut();
+            return;
+        }
+        Attempt attempt = mAttempt;
+        if (attempt != null && attempt.silent(nowNanos)) {
+            attempt.call().close();
+            attemptFailed(PlacementOutcome.SILENT, "", true);
+        }
+    }
+
+    // Placement.
+
+    private void ask() {
+        long nowNanos = now();
+        PlacementKey key = mPorts.placement().newKey();
+        mKey = key;
+        mGrant = null;
+        mAskedNanos = nowNanos;
+        mPorts.placement().ask(placementRequest(key, nowNanos), action -> placed(key, action));
+    }
+
+    private PlacementRequest placementRequest(PlacementKey key, long nowNanos) {
+        Route route = mRequest.route();
+        CallerHead head = mRequest.head();
+        boolean resumed = mAnswer.begun();
+        long patience = millis(mPorts.dialect().patienceMillis(route));
+        long target =
+                resumed
+                        ? nowNanos + millis(route.targetGapMillis())
+                        : mRequest.arrivedNanos() + millis(route.targetMillis());
+        long latest = (resumed ? mLastEventNanos : mRequest.arrivedNanos()) + patience;
+        double output = head.outputTokens() * (resumed ? RESUMED_OUTPUT : 1);
+        return PlacementRequest.builder(key, head.requestId(), mRequest.service())
+                .contentHash(mRequest.contentHash())
+                .times(target, latest, mRequest.deadlineNanos())
+                .work(head.promptTokens(), (long) output, route.targetGapMillis())
+                .priority(mRequest.priority())
+                .earlier(mTried, mSends > 0)
+                .build();
+    }
+
+    private void placed(PlacementKey key, PlacementAction action) {
+        if (mDone || !key.equals(mKey)) {
+            return;
+        }
+        switch (action) {
+            case PlacementAction.Grant grant -> granted(grant.grant());
+            case PlacementAction.Reject reject -> rejected(reject);
+        }
+    }
+
+    private void granted(PlacementGrant grant) {
+        long nowNanos = now();
+        mGrant = grant;
+        long waited = TimeUnit.NANOSECONDS.toMillis(nowNanos - mAskedNanos);
+        mMetrics.waited(waited);
+        LOG.info(
+                "request_placed",
+                "request",
+                mRequest.head().requestId(),
+                "route",
+                mRequest.route().name(),
+                "upstream",
+                grant.upstream(),
+                "helpers",
+                grant.helpers().size(),
+                "send",
+                mSends + 1,
+                "waited_ms",
+                waited,
+                "expected_ms",
+                grant.expectedMillis());
+        if (!mPorts.view().takesWork(grant.upstream())) {
+            // It has left since; the scheduler had not heard yet.
+            endPlacement(PlacementOutcome.CANCELLED, "");
+            mTried.add(grant.upstream());
+            ask();
+            return;
+        }
+        ReservedMemory memory =
+                new ReservedMemory(
+                        mPorts.reservations(),
+                        mRequest.head().requestId() + "-" + mSends,
+                        grant.helpers());
+        mSends++;
+        mMemory = memory;
+        if (memory.needed()) {
+            memory.reserve(nowNanos, held -> reserved(memory, grant, held));
+        } else {
+            send(memory, grant);
+        }
+    }
+
+    private void reserved(ReservedMemory memory, PlacementGrant grant, boolean held) {
+        if (mDone || memory != mMemory) {
+            memory.release();
+        } else if (held) {
+            send(memory, grant);
+        } else {
+            memory.release();
+            attemptFailed(PlacementOutcome.FULL, "", false);
+        }
+    }
+
+    private void rejected(PlacementAction.Reject reject) {
+        mKey = null;
+        LOG.info(
+                "request_rejected",
+                "request",
+                mRequest.head().requestId(),
+                "route",
+                mRequest.route().name(),
+                "reason",
+                reject.reason(),
+                "sends",
+                mSends,
+                "age_ms",
+                ageMillis(),
+                "retry_after_ms",
+                reject.retryAfterMillis());
+        if (mAnswer.begun()) {
+            abort("no_upstream_to_resume");
+        } else if (mMayHaveRun > 0) {
+            fail(BAD_GATEWAY, OptionalLong.empty(), "upstream_failed");
+        } else if (reject.reason() == PlacementRefusal.QUARANTINED) {
+            fail(UNAVAILABLE, OptionalLong.empty(), "quarantined");
+        } else {
+            OptionalLong retryAfter = OptionalLong.of(reject.retryAfterMillis());
+            fail(
+                    UNAVAILABLE,
+                    retryAfter,
+                    reject.reason().name().toLowerCase(java.util.Locale.ROOT));
+        }
+    }
+
+    // Sending.
+
+    private void send(ReservedMemory memory, PlacementGrant grant) {
+        long nowNanos = now();
+        long remaining = TimeUnit.NANOSECONDS.toMillis(mRequest.deadlineNanos() - nowNanos);
+        if (remaining <= 0) {
+            timedOut();
+            return;
+        }
+        boolean once = !mRequest.route().repeatability().mayRunAgain();
+        // An idle connection that the upstream has just closed would leave the outcome unknown.
+        StreamingHttpClient client =
+                once
+                        ? mPorts.clients().newClient(grant.address())
+                        : mPorts.clients().of(grant.address());
+        List<HelperAddress> helpers =
+                grant.helpers().stream().map(helper -> address(memory, helper)).toList();
+        UpstreamOrder order =
+                new UpstreamOrder(
+                        grant.upstream(),
+                        remaining,
+                        mRequest.team().map(team -> team.name()),
+                        mAnswer.begun() ? mLastEventId : -1,
+                        helpers);
+        StreamingHttpRequest request = UpstreamRequests.make(client, mRequest, order, mPorts);
+        Attempt attempt = new Attempt(nowNanos, grant.expectedMillis());
+        mAttempt = attempt;
+        attempt.send(client, once, request);
+    }
+
+    private static HelperAddress address(ReservedMemory memory, PlacementHelper helper) {
+        return new HelperAddress(helper.address(), memory.nameFor(helper));
+    }
+
+    private void attemptFailed(PlacementOutcome outcome, String culprit, boolean mayHaveRun) {
+        PlacementGrant grant = mGrant;
+        if (mDone || grant == null) {
+            return;
+        }
+        mAttempt = null;
+        mMayHaveRun += mayHaveRun ? 1 : 0;
+        endPlacement(outcome, culprit);
+        boolean again =
+                ResendPolicy.sendAgain(
+                        mRequest.route().repeatability(),
+                        mMayHaveRun,
+                        mSends,
+                        mRequest.route().maximumUpstreams(),
+                        mayHaveRun);
+        LOG.info(
+                "send_failed",
+                "request",
+                mRequest.head().requestId(),
+                "upstream",
+                grant.upstream(),
+                "outcome",
+                outcome,
+                "culprit",
+                culprit,
+                "send",
+                mSends,
+                "may_have_run",
+                mMayHaveRun,
+                "age_ms",
+                ageMillis(),
+                "again",
+                again);
+        if (again) {
+            mMetrics.resent(outcome.name().toLowerCase(java.util.Locale.ROOT));
+            mTried.add(grant.upstream());
+            ask();
+        } else if (mAnswer.begun()) {
+            abort("upstream_failed");
+        } else if (mMayHaveRun > 0) {
+            fail(BAD_GATEWAY, OptionalLong.empty(), "upstream_failed");
+        } else {
+            fail(UNAVAILABLE, OptionalLong.of(SHORT_RETRY_MILLIS), "no_upstream");
+        }
+    }
+
+    // Ends.
+
+    private void timedOut() {
+        boolean sent = mAttempt != null || mMayHaveRun > 0;
+        if (mAnswer.begun()) {
+            abort("timeout");
+        } else if (sent) {
+            fail(GATEWAY_TIMEOUT, OptionalLong.empty(), "timeout");
+        } else {
+            fail(UNAVAILABLE, OptionalLong.of(SHORT_RETRY_MILLIS), "timeout");
+        }
+    }
+
+    private void fail(int status, OptionalLong retryAfterMillis, String reason) {
+        mAnswer.failed(status, retryAfterMillis, reason);
+        end(reason, PlacementOutcome.CANCELLED);
+    }
+
+    private void abort(String reason) {
+        mAnswer.abort(reason);
+        end("aborted_" + reason, PlacementOutcome.CANCELLED);
+    }
+
+    private void end(String reason, PlacementOutcome outcome) {
+        mDone = true;
+        Attempt attempt = mAttempt;
+        mAttempt = null;
+        if (attempt != null) {
+            attempt.call().close();
+        }
+        endPlacement(outcome, "");
+        mMetrics.ended(reason);
+        LOG.info(
+                "request_ended",
+                "request",
+                mRequest.head().requestId(),
+                "route",
+                mRequest.route().name(),
+                "reason",
+                reason,
+                "sends",
+                mSends,
+                "last_event",
+                mLastEventId,
+                "age_ms",
+                ageMillis());
+        mOnDone.done(this);
+    }
+
+    private void endPlacement(PlacementOutcome outcome, String culprit) {
+        PlacementKey key = mKey;
+        mKey = null;
+        ReservedMemory memory = mMemory;
+        mMemory = null;
+        if (memory != null) {
+            memory.release();
+        }
+        if (key == null) {
+            return;
+        }
+        if (mGrant == null) {
+            mPorts.placement().withdraw(key);
+        } else {
+            mPorts.placement().ended(key, outcome, culprit);
+        }
+    }
+
+    // Helpers.
+
+    private long now() {
+        return mPorts.clocks().nowNanos();
+    }
+
+    private long ageMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(now() - mRequest.arrivedNanos());
+    }
+
+    private static long millis(long value) {
+        return TimeUnit.MILLISECONDS.toNanos(value);
+    }
+
+    /** One send to one upstream, and the answer as it comes in. */
+    private final class Attempt implements UpstreamCall.Listener {
+        private final long mSentNanos;
+        private final long mFirstLimitNanos;
+        private final EventCutter mCutter = new EventCutter();
+        private final java.io.ByteArrayOutputStream mBody = new java.io.ByteArrayOutputStream();
+        private @Nullable UpstreamCall mCall;
+        private @Nullable StreamingHttpResponse mResponse;
+        private @Nullable UpstreamHead mHead;
+        private boolean mStream;
+        private boolean mFirstSeen;
+        private long mLastNanos;
+
+        Attempt(long nowNanos, long expectedMillis) {
+            mSentNanos = nowNanos;
+            mLastNanos = nowNanos;
+            long limit = SilenceLimits.firstMillis(mRequest.route(), expectedMillis);
+            mFirstLimitNanos = limit == Long.MAX_VALUE ? limit : millis(limit);
+        }
+
+        void send(StreamingHttpClient client, boolean once, StreamingHttpRequest request) {
+            mCall = new UpstreamCall(client, once, request, this);
+            mCall.send();
+        }
+
+        UpstreamCall call() {
+            return java.util.Objects.requireNonNull(mCall);
+        }
+
+        boolean silent(long nowNanos) {
+            if (!mFirstSeen) {
+                return nowNanos - mSentNanos > mFirstLimitNanos;
+            }
+            long gapLimit = SilenceLimits.gapMillis(mRequest.route());
+            return gapLimit != Long.MAX_VALUE && nowNanos - mLastNanos > millis(gapLimit);
+        }
+
+        @Override
+        public void head(StreamingHttpResponse response) {
+            if (mAttempt != this) {
+                call().close();
+                return;
+            }
+            UpstreamHead head = mPorts.dialect().readUpstream(response);
+            mResponse = response;
+            mHead = head;
+            boolean foreign =
+                    head.requestId().map(id -> !id.equals(requestId())).orElse(head.success());
+            if (foreign) {
+                call().close();
+                attemptFailed(PlacementOutcome.BROKEN, "", true);
+            } else if (head.notRun()) {
+                call().discard();
+                PlacementOutcome outcome =
+                        head.misdirected() ? PlacementOutcome.MISDIRECTED : PlacementOutcome.FULL;
+                attemptFailed(outcome, head.culprit(), false);
+            } else {
+                mStream = mRequest.route().streaming() && head.success();
+            }
+        }
+
+        @Override
+        public void part(byte[] part) {
+            if (mAttempt != this) {
+                return;
+            }
+            mLastNanos = now();
+            if (!mStream) {
+                mFirstSeen = true;
+                mBody.write(part, 0, part.length);
+                return;
+            }
+            for (EventCutter.Event event : mCutter.feed(part)) {
+                if (mAttempt == this) {
+                    event(event);
+                }
+            }
+            if (mCutter.tooLong() && mAttempt == this) {
+                call().close();
+                attemptFailed(PlacementOutcome.BROKEN, "", true);
+            }
+        }
+
+        private void event(EventCutter.Event event) {
+            boolean known = event.id() != EventCutter.NO_ID && event.id() <= mLastEventId;
+            if (known) {
+                return;
+            }
+            long nowNanos = now();
+            PlacementKey key = mKey;
+            if (!mFirstSeen) {
+                mFirstSeen = true;
+                if (key != null) {
+                    mPorts.placement().started(key);
+                }
+            }
+            if (!mAnswer.begun()) {
+                mMetrics.first(ageMillis());
+                mAnswer.beginStream(
+                        java.util.Objects.requireNonNull(mResponse), Exchange.this::callerGone);
+            } else {
+                noteGap(nowNanos, key);
+            }
+            mLastEventNanos = nowNanos;
+            if (event.id() != EventCutter.NO_ID) {
+                mLastEventId = event.id();
+            }
+            mAnswer.event(event.content());
+        }
+
+        private void noteGap(long nowNanos, @Nullable PlacementKey key) {
+            long gap = TimeUnit.NANOSECONDS.toMillis(nowNanos - mLastEventNanos);
+            mMetrics.gap(gap);
+            long target = mRequest.route().targetGapMillis();
+            if (target > 0 && gap > target && !mDelayed && key != null) {
+                mDelayed = true;
+                mPorts.placement().delayed(key, gap);
+                LOG.info(
+                        "stream_delayed",
+                        "request",
+                        requestId(),
+                        "upstream",
+                        Optional.ofNullable(mGrant).map(PlacementGrant::upstream),
+                        "gap_ms",
+                        gap,
+                        "target_ms",
+                        target);
+            }
+        }
+
+        @Override
+        public void ended() {
+            if (mAttempt != this) {
+                return;
+            }
+            UpstreamHead head = java.util.Objects.requireNonNull(mHead);
+            if (mStream) {
+                endStream();
+            } else if (head.status() >= SERVER_ERROR && mayRunAgain()) {
+                attemptFailed(PlacementOutcome.UPSTREAM_ERROR, head.culprit(), true);
+            } else {
+                mAttempt = null;
+                deliver(head);
+            }
+        }
+
+        private boolean mayRunAgain() {
+            return ResendPolicy.sendAgain(
+                    mRequest.route().repeatability(),
+                    mMayHaveRun + 1,
+                    mSends,
+                    mRequest.route().maximumUpstreams(),
+                    true);
+        }
+
+        private void deliver(UpstreamHead head) {
+            boolean error = head.status() >= SERVER_ERROR;
+            if (mAnswer.begun()) {
+                endPlacement(PlacementOutcome.UPSTREAM_ERROR, head.culprit());
+                abort("upstream_error");
+                return;
+            }
+            mMetrics.first(ageMillis());
+            mAnswer.whole(
+                    java.util.Objects.requireNonNull(mResponse), Bytes.copyOf(mBody.toByteArray()));
+            end(
+                    error ? "upstream_error" : "answered",
+                    error ? PlacementOutcome.UPSTREAM_ERROR : PlacementOutcome.ANSWERED);
+        }
+
+        private void endStream() {
+            if (!mFirstSeen || mCutter.unfinished()) {
+                attemptFailed(PlacementOutcome.BROKEN, "", true);
+                return;
+            }
+            mAttempt = null;
+            mAnswer.complete();
+            end("answered", PlacementOutcome.ANSWERED);
+        }
+
+        @Override
+        public void failed(boolean sent, Throwable problem) {
+            if (mAttempt != this) {
+                return;
+            }
+            LOG.info(
+                    "connection_failed",
+                    "request",
+                    requestId(),
+                    "upstream",
+                    Optional.ofNullable(mGrant).map(PlacementGrant::upstream),
+                    "sent",
+                    sent,
+                    "problem",
+                    problem.getClass().getSimpleName());
+            PlacementOutcome outcome =
+                    sent ? PlacementOutcome.BROKEN : PlacementOutcome.NOT_CONNECTED;
+            attemptFailed(outcome, "", sent);
+        }
+
+        private String requestId() {
+            return mRequest.head().requestId();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingDuty.java
@@ -0,0 +1,77 @@
+package dev.kumquatweir.gateway.forward;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.servicetalk.concurrent.Cancellable;
+import io.servicetalk.concurrent.api.Executor;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** Owns the requests on their way and checks their times. Used on the I/O thread. */
+public final class ForwardingDuty {
+    /** Silence and time limits are kept to this precision. */
+    private static final long TICK_MILLIS = 25;
+
+    private final ForwardingPorts mPorts;
+    private final ForwardingMetrics mMetrics;
+    private final Executor mExecutor;
+    private final Set<Exchange> mExchanges = new LinkedHashSet<>();
+    private Cancellable mTimer = () -> {};
+    private volatile int mRunning;
+
+    /**
+     * Makes a duty without requests.
+     *
+     * @param executor the I/O thread
+     */
+    public ForwardingDuty(ForwardingPorts ports, MetricRegistry metrics, Executor executor) {
+        mPorts = ports;
+        mMetrics = new ForwardingMetrics(metrics);
+        mExecutor = executor;
+        Gauge<Integer> running = () -> mRunning;
+        metrics.register("kumquatweir_forward_requests_running", running);
+    }
+
+    /** Starts checking times. */
+    public void start() {
+        mTimer = mExecutor.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Stops checking times. */
+    public void stop() {
+        mTimer.cancel();
+    }
+
+    /** Returns how many requests are on their way; from any thread. */
+    public int running() {
+        return mRunning;
+    }
+
+    ForwardingPorts ports() {
+        return mPorts;
+    }
+
+    ForwardingMetrics metrics() {
+        return mMetrics;
+    }
+
+    Exchange begin(ForwardedRequest request, CallerAnswer answer) {
+        Exchange exchange = new Exchange(mPorts, mMetrics, request, answer, this::ended);
+        mExchanges.add(exchange);
+        mRunning = mExchanges.size();
+        return exchange;
+    }
+
+    private void ended(Exchange exchange) {
+        mExchanges.remove(exchange);
+        mRunning = mExchanges.size();
+    }
+
+    private void tick() {
+        long nowNanos = mPorts.clocks().nowNanos();
+        List.copyOf(mExchanges).forEach(exchange -> exchange.tick(nowNanos));
+        start();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
@@ -0,0 +1,146 @@
+package dev.kumquatweir.gateway.forward;
+
+import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.core.failure.FailureException;
+import dev.kumquatweir.core.identity.ServiceName;
+import dev.kumquatweir.core.routing.Route;
+import dev.kumquatweir.core.routing.RoutedTeam;
+import dev.kumquatweir.core.routing.RoutingTable;
+import dev.kumquatweir.gateway.http.BodyCollector;
+import io.netty.channel.ChannelOption;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import io.servicetalk.http.api.StreamingHttpService;
+import io.servicetalk.transport.netty.internal.NettyConnectionContext;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/** Serves callers of routes. Used on the I/O thread. */
+public final class ForwardingServer implements StreamingHttpService {
+    private static final EventLog LOG = EventLog.of(ForwardingServer.class);
+    private static final int UNAUTHORIZED = 401;
+    private static final int NOT_FOUND = 404;
+    private static final int TOO_LARGE = 413;
+    private static final int UNAVAILABLE = 503;
+    private static final long UNKNOWN_RETRY_MILLIS = 500;
+
+    private final ForwardingDuty mDuty;
+    private volatile boolean mDraining;
+
+    /** Makes a server of a duty's requests. */
+    public ForwardingServer(ForwardingDuty duty) {
+        mDuty = duty;
+    }
+
+    /** Closes each connection after its next answer, from now on. */
+    public void drain() {
+        mDraining = true;
+    }
+
+    @Override
+    public Single<StreamingHttpResponse> handle(
+            HttpServiceContext context,
+            StreamingHttpRequest request,
+            StreamingHttpResponseFactory responses) {
+        closeOnCallerEnd(context);
+        CallerHead head = mDuty.ports().dialect().readCaller(request);
+        CallerAnswer answer =
+                new CallerAnswer(
+                        responses, context.executionContext().bufferAllocator(), mDraining);
+        Optional<RoutingTable> routing = mDuty.ports().view().routing();
+        if (routing.isEmpty()) {
+            return refuse(
+                    request, head, answer, UNAVAILABLE, "no_configuration", UNKNOWN_RETRY_MILLIS);
+        }
+        Optional<Route> route = routing.get().match(head.host(), head.path());
+        if (route.isEmpty()) {
+            return refuse(request, head, answer, NOT_FOUND, "no_route", 0);
+        }
+        Optional<RoutedTeam> team = head.apiKey().flatMap(routing.get()::teamOfKey);
+        if (routing.get().needsKey(route.get()) && team.isEmpty()) {
+            return refuse(request, head, answer, UNAUTHORIZED, "unknown_key", 0);
+        }
+        ServiceName service = route.get().serviceOf(head.requestId().hashCode());
+        if (service == null) {
+            return refuse(request, head, answer, NOT_FOUND, "no_service", 0);
+        }
+        Optional<RoutedTeam> named = routing.get().needsKey(route.get()) ? team : Optional.empty();
+        return BodyCollector.collect(request.payloadBody(), routing.get().limits().bodyBytes())
+                .flatMap(body -> forward(request, head, answer, route.get(), service, named, body))
+                .onErrorResume(
+                        FailureException.class,
+                        failure -> refuse(null, head, answer, TOO_LARGE, "body_too_large", 0));
+    }
+
+    private Single<StreamingHttpResponse> forward(
+            StreamingHttpRequest request,
+            CallerHead head,
+            CallerAnswer answer,
+            Route route,
+            ServiceName service,
+            Optional<RoutedTeam> team,
+            Bytes body) {
+        long nowNanos = mDuty.ports().clocks().nowNanos();
+        long limit = Math.min(head.remainingMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
+        ForwardedRequest forwarded =
+                new ForwardedRequest(
+                        head,
+                        request.method(),
+                        request.requestTarget(),
+                        request.headers(),
+                        body,
+                        route,
+                        service,
+                        team,
+                        nowNanos,
+                        nowNanos + TimeUnit.MILLISECONDS.toNanos(limit));
+        Exchange exchange = mDuty.begin(forwarded, answer);
+        Single<StreamingHttpResponse> response = answer.single(exchange::callerGone);
+        exchange.start();
+        return response;
+    }
+
+    private Single<StreamingHttpResponse> refuse(
+            @Nullable StreamingHttpRequest request,
+            CallerHead head,
+            CallerAnswer answer,
+            int status,
+            String reason,
+            long retryAfterMillis) {
+        LOG.info(
+                "request_refused",
+                "request",
+                head.requestId(),
+                "status",
+                status,
+                "reason",
+                reason,
+                "routing_version",
+                mDuty.ports().view().routing().map(RoutingTable::version).orElse(0L));
+        mDuty.metrics().ended(reason);
+        OptionalLong retryAfter =
+                retryAfterMillis > 0 ? OptionalLong.of(retryAfterMillis) : OptionalLong.empty();
+        answer.failed(status, retryAfter, reason);
+        Single<StreamingHttpResponse> response = answer.single(() -> {});
+        // The rest of the request is read first, so that the connection can go on.
+        return request == null
+                ? response
+                : request.payloadBody().ignoreElements().onErrorComplete().concat(response);
+    }
+
+    /**
+     * Makes the end of a caller's sending end the connection. Otherwise a caller that has left is
+     * only noticed when something is written to it, and upstreams go on working for nobody.
+     */
+    private static void closeOnCallerEnd(HttpServiceContext context) {
+        if (context instanceof NettyConnectionContext connection) {
+            connection.nettyChannel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, false);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingView.java
@@ -0,0 +1,14 @@
+package dev.kumquatweir.gateway.forward;
+
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.core.routing.RoutingTable;
+import java.util.Optional;
+
+/** What an entry instance believes now. Read on its I/O thread. */
+public interface ForwardingView {
+    /** Returns the routing table in force, if one is known. */
+    Optional<RoutingTable> routing();
+
+    /** Returns whether an upstream may still get new work as far as this instance has heard. */
+    boolean takesWork(UpstreamId upstream);
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/SilenceLimits.java
@@ -0,0 +1,44 @@
+package dev.kumquatweir.gateway.forward;
+
+import dev.kumquatweir.core.routing.Repeatability;
+import dev.kumquatweir.core.routing.Route;
+
+/**
+ * Decides how long an upstream may stay silent before its work is given to another one. Pure.
+ * Answers the load in which upstreams hang or connections go silent without a reset. A request that
+ * may run only once is never given up for silence: its answer may still come.
+ */
+final class SilenceLimits {
+    /** An estimate of the first event is exceeded this far now and then without a fault. */
+    private static final double ESTIMATE_FACTOR = 2.5;
+
+    private static final long ESTIMATE_SLACK_MILLIS = 700;
+
+    /** Pauses of several passes come from prompts read beside the stream, not from a fault. */
+    private static final long GAP_FACTOR = 4;
+
+    private static final long SHORTEST_GAP_MILLIS = 800;
+
+    /** A call of a plain service takes its target now and then several times over. */
+    private static final long CALL_FACTOR = 2;
+
+    private SilenceLimits() {}
+
+    /** Returns the limit for the first event or the answer, in milliseconds after the send. */
+    static long firstMillis(Route route, long expectedMillis) {
+        if (!route.repeatability().mayRunAgain()) {
+            return Long.MAX_VALUE;
+        }
+        if (!route.streaming()) {
+            return CALL_FACTOR * route.targetMillis();
+        }
+        return ESTIMATE_SLACK_MILLIS + (long) (ESTIMATE_FACTOR * expectedMillis);
+    }
+
+    /** Returns the limit for the pause between two events, in milliseconds. */
+    static long gapMillis(Route route) {
+        return route.repeatability() == Repeatability.RESUMABLE
+                ? Math.max(SHORTEST_GAP_MILLIS, GAP_FACTOR * route.targetGapMillis())
+                : Long.MAX_VALUE;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/UpstreamCall.java
@@ -0,0 +1,176 @@
+package dev.kumquatweir.gateway.forward;
+
+import static io.servicetalk.concurrent.api.SourceAdapters.toSource;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.concurrent.Cancellable;
+import io.servicetalk.concurrent.PublisherSource;
+import io.servicetalk.http.api.ReservedStreamingHttpConnection;
+import io.servicetalk.http.api.StreamingHttpClient;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request on one connection to an upstream. The connection is used again only after a whole
+ * answer to this request. Used on the I/O thread.
+ */
+final class UpstreamCall {
+    /** Takes what comes back. After {@code ended} or {@code failed} nothing follows. */
+    interface Listener {
+        /** Takes the head of the answer; the body follows unless the call is closed in here. */
+        void head(StreamingHttpResponse response);
+
+        /** Takes a part of the body. */
+        void part(byte[] part);
+
+        /** Takes the end of a whole body. */
+        void ended();
+
+        /**
+         * Takes a failure.
+         *
+         * @param sent whether bytes of the request may have reached the upstream
+         * @param problem what went wrong
+         */
+        void failed(boolean sent, Throwable problem);
+    }
+
+    private final StreamingHttpClient mClient;
+    private final boolean mOwnsClient;
+    private final StreamingHttpRequest mRequest;
+    private final Listener mListener;
+    private @Nullable Cancellable mRunning;
+    private @Nullable ReservedStreamingHttpConnection mConnection;
+    private boolean mSent;
+    private boolean mClosed;
+    private boolean mDiscarding;
+
+    /**
+     * Makes a call that is not yet sent.
+     *
+     * @param client client of the upstream
+     * @param ownsClient whether the client is closed with the call
+     * @param request the request
+     * @param listener takes what comes back
+     */
+    UpstreamCall(
+            StreamingHttpClient client,
+            boolean ownsClient,
+            StreamingHttpRequest request,
+            Listener listener) {
+        mClient = client;
+        mOwnsClient = ownsClient;
+        mRequest = request;
+        mListener = listener;
+    }
+
+    void send() {
+        mRunning = mClient.reserveConnection(mRequest).subscribe(this::connected, this::fail);
+    }
+
+    /** Closes the connection: the upstream drops the request, and nothing more is reported. */
+    void close() {
+        if (mClosed) {
+            return;
+        }
+        mClosed = true;
+        Cancellable running = mRunning;
+        if (running != null) {
+            running.cancel();
+        }
+        closeConnection();
+    }
+
+    /** Reports nothing more, but reads the rest of the body, so that the connection can go on. */
+    void discard() {
+        mDiscarding = true;
+    }
+
+    private void connected(ReservedStreamingHttpConnection connection) {
+        mConnection = connection;
+        if (mClosed) {
+            closeConnection();
+            return;
+        }
+        mSent = true;
+        mRunning = connection.request(mRequest).subscribe(this::answered, this::fail);
+    }
+
+    private void answered(StreamingHttpResponse response) {
+        if (mClosed) {
+            closeConnection();
+            return;
+        }
+        mListener.head(response);
+        if (!mClosed) {
+            toSource(response.payloadBody()).subscribe(new Body());
+        }
+    }
+
+    private void fail(Throwable problem) {
+        if (mClosed) {
+            return;
+        }
+        mClosed = true;
+        closeConnection();
+        if (!mDiscarding) {
+            mListener.failed(mSent, problem);
+        }
+    }
+
+    private void end() {
+        if (mClosed) {
+            return;
+        }
+        mClosed = true;
+        ReservedStreamingHttpConnection connection = mConnection;
+        if (mOwnsClient) {
+            closeConnection();
+        } else if (connection != null) {
+            connection.releaseAsync().subscribe();
+        }
+        if (!mDiscarding) {
+            mListener.ended();
+        }
+    }
+
+    private void closeConnection() {
+        ReservedStreamingHttpConnection connection = mConnection;
+        if (connection != null) {
+            connection.closeAsync().subscribe();
+        }
+        if (mOwnsClient) {
+            mClient.closeAsync().subscribe();
+        }
+    }
+
+    /** Passes the parts of the body on. */
+    private final class Body implements PublisherSource.Subscriber<Buffer> {
+        @Override
+        public void onSubscribe(PublisherSource.Subscription subscription) {
+            mRunning = subscription;
+            subscription.request(Long.MAX_VALUE);
+        }
+
+        @Override
+        public void onNext(@Nullable Buffer part) {
+            if (part == null || mClosed || mDiscarding) {
+                return;
+            }
+            byte[] bytes = new byte[part.readableBytes()];
+            part.readBytes(bytes);
+            mListener.part(bytes);
+        }
+
+        @Override
+        public void onError(Throwable problem) {
+            fail(problem);
+        }
+
+        @Override
+        public void onComplete() {
+            end();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/UpstreamRequests.java
@@ -0,0 +1,34 @@
+package dev.kumquatweir.gateway.forward;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.http.api.HttpHeaderNames;
+import io.servicetalk.http.api.StreamingHttpClient;
+import io.servicetalk.http.api.StreamingHttpRequest;
+
+/** Makes the requests that upstreams get. */
+final class UpstreamRequests {
+    private UpstreamRequests() {}
+
+    static StreamingHttpRequest make(
+            StreamingHttpClient client,
+            ForwardedRequest request,
+            UpstreamOrder order,
+            ForwardingPorts ports) {
+        StreamingHttpRequest made = client.newRequest(request.method(), request.target());
+        ports.dialect().writeUpstream(request.headers(), order, made.headers());
+        int size = request.body().size();
+        boolean bodyAnnounced =
+                request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                        || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+        if (size > 0) {
+            Buffer content =
+                    client.executionContext().bufferAllocator().wrap(request.body().toArray());
+            made.payloadBody(Publisher.from(content));
+        }
+        if (size > 0 || bodyAnnounced) {
+            made.setHeader(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(size));
+        }
+        return made;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/EngineChooser.java
@@ -0,0 +1,232 @@
+package dev.kumquatweir.policy.placement;
+
+import dev.kumquatweir.core.routing.EngineCost;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+/**
+ * Chooses the engines of one generation by the value it gains and the value that others lose. Pure.
+ *
+ * <p>Answers the load in which long and short prompts come in turns: reading a long prompt stops
+ * the events of all requests on the engine for a pass. Short requests are therefore packed on few
+ * engines, which leaves others without writers for long prompts, and a long prompt is split into
+ * parts that are short enough for the requests beside them.
+ */
+final class EngineChooser {
+    /** Decoding steps between the chunks make reading slower than its own cost. */
+    private static final double READ_OVERHEAD = 1.1;
+
+    /** A pause near its bound is late as often as not, since estimates are not exact. */
+    private static final double GAP_MARGIN = 0.85;
+
+    /** Part of its value that an answer loses when it is late. */
+    static final double LATE_LOSS = 0.75;
+
+    /** Prompts that are read faster than this are not worth the calls to other engines. */
+    private static final double SPLIT_FROM_MILLIS = 60;
+
+    /** Largest share of an engine's memory that is planned for: outputs may be longer than said. */
+    private static final double MEMORY_SHARE = 0.95;
+
+    /** Upper bound of the protocol for engines that help with one prompt. */
+    private static final int MOST_ENGINES = 16;
+
+    private static final double SPEED_WEIGHT = 0.05;
+    private static final double PACKING_WEIGHT = 0.04;
+    private static final double ENGINE_WEIGHT = 0.002;
+    private static final double NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private EngineChooser() {}
+
+    /**
+     * Returns the best way to place a request now, if any engine has room.
+     *
+     * @param request the request
+     * @param cost what the engines' work costs
+     * @param open engines that may get work
+     * @param nowNanos present time
+     */
+    static Optional<EngineOption> choose(
+            PlacementRequest request,
+            EngineCost cost,
+            List<PlacementUpstream> open,
+            long nowNanos) {
+        double readMillis = cost.readMillis(request.promptTokens());
+        List<EngineOption> options = new ArrayList<>();
+        for (PlacementUpstream upstream : open) {
+            if (mayAnswer(upstream, cost, nowNanos)) {
+                EnginePart part = part(upstream, request, cost, 1, nowNanos);
+                option(request, cost, List.of(part), nowNanos).ifPresent(options::add);
+            }
+        }
+        boolean tooLarge = request.memoryTokens() > MEMORY_SHARE * cost.memoryTokens();
+        if (readMillis >= SPLIT_FROM_MILLIS || tooLarge) {
+            options.addAll(split(request, cost, open, nowNanos));
+        }
+        return options.stream().max(Comparator.comparingDouble(EngineOption::score));
+    }
+
+    /** Returns the shortest time in which the engines of a service could begin an answer. */
+    static double shortestMillis(PlacementRequest request, EngineCost cost) {
+        return cost.readMillis(request.promptTokens()) / MOST_ENGINES + cost.passMillis(1, 0);
+    }
+
+    private static boolean mayAnswer(PlacementUpstream upstream, EngineCost cost, long nowNanos) {
+        int places = upstream.trust().openPlaces(cost.concurrentRequests(), nowNanos);
+        return upstream.answering() < places;
+    }
+
+    private static List<EngineOption> split(
+            PlacementRequest request,
+            EngineCost cost,
+            List<PlacementUpstream> open,
+            long nowNanos) {
+        List<PlacementUpstream> ranked = ranked(request, cost, open, nowNanos);
+        return IntStream.rangeClosed(2, Math.min(MOST_ENGINES, ranked.size()))
+                .mapToObj(
+                        count ->
+                                ranked.stream()
+                                        .limit(count)
+                                        .map(each -> part(each, request, cost, count, nowNanos))
+                                        .toList())
+                .map(parts -> option(request, cost, primaryFirst(parts, cost, nowNanos), nowNanos))
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
+    /** Orders engines by what a part of typical size would harm there, then by their backlog. */
+    private static List<PlacementUpstream> ranked(
+            PlacementRequest request,
+            EngineCost cost,
+            List<PlacementUpstream> open,
+            long nowNanos) {
+        int typicalParts = 4;
+        return open.stream()
+                .filter(upstream -> upstream.helping() < cost.concurrentRequests())
+                .filter(upstream -> upstream.trust().openPlaces(2, nowNanos) > 1)
+                .map(upstream -> part(upstream, request, cost, typicalParts, nowNanos))
+                .sorted(
+                        Comparator.comparingDouble(EnginePart::harm)
+                                .thenComparingDouble(EnginePart::readyMillis))
+                .map(EnginePart::upstream)
+                .toList();
+    }
+
+    private static List<EnginePart> primaryFirst(
+            List<EnginePart> parts, EngineCost cost, long nowNanos) {
+        Optional<EnginePart> primary =
+                parts.stream()
+                        .filter(part -> mayAnswer(part.upstream(), cost, nowNanos))
+                        .min(Comparator.comparingLong(part -> part.upstream().memoryTokens()));
+        if (primary.isEmpty()) {
+            return List.of();
+        }
+        List<EnginePart> ordered = new ArrayList<>(parts);
+        ordered.remove(primary.get());
+        ordered.add(0, primary.get());
+        return ordered;
+    }
+
+    /** Estimates one of {@code count} even parts on an engine. */
+    private static EnginePart part(
+            PlacementUpstream upstream,
+            PlacementRequest request,
+            EngineCost cost,
+            int count,
+            long nowNanos) {
+        double pace = upstream.trust().pace(nowNanos);
+        double read = cost.readMillis(request.promptTokens()) / count * pace * READ_OVERHEAD;
+        double pass = cost.passMillis(upstream.writing() + 1, upstream.contextTokens()) * pace;
+        double unread = upstream.unreadMillis(nowNanos);
+        boolean working = upstream.writing() > 0 || unread > 0;
+        double ready = (working ? pass / 2 : 0) + unread + read;
+        long partTokens = request.promptTokens() / count;
+        double readInPass =
+                partTokens > cost.tokensPerPass() ? read * cost.tokensPerPass() / partTokens : read;
+        double pause = pass + unread + readInPass;
+        double harm =
+                upstream.works().stream()
+                        .mapToDouble(work -> harm(work, pause, read, nowNanos))
+                        .sum();
+        return new EnginePart(upstream, read, ready, pass, harm);
+    }
+
+    private static double harm(PlacedWork work, double pause, double read, long nowNanos) {
+        PlacementRequest request = work.request();
+        if (work.late()) {
+            return 0;
+        }
+        if (work.started()) {
+            double bound = GAP_MARGIN * request.targetGapMillis();
+            boolean stopped = work.answers() && bound > 0 && pause > bound;
+            return stopped ? LATE_LOSS * request.value() : 0;
+        }
+        long delayed = work.expectedNanos() + (long) (read * NANOS_PER_MILLI);
+        boolean onTime = work.expectedNanos() - request.targetNanos() <= 0;
+        boolean missed = onTime && delayed - request.targetNanos() > 0;
+        return missed && delayed - nowNanos > 0 ? LATE_LOSS * request.value() : 0;
+    }
+
+    private static Optional<EngineOption> option(
+            PlacementRequest request, EngineCost cost, List<EnginePart> parts, long nowNanos) {
+        if (parts.isEmpty()) {
+            return Optional.empty();
+        }
+        List<Long> reserved = reservations(request, cost, parts);
+        if (reserved.isEmpty()) {
+            return Optional.empty();
+        }
+        EnginePart primary = parts.get(0);
+        double ready = parts.stream().mapToDouble(EnginePart::readyMillis).max().orElse(0);
+        double first = ready + primary.passMillis();
+        double harm = parts.stream().mapToDouble(EnginePart::harm).sum();
+        long firstNanos = nowNanos + (long) (first * NANOS_PER_MILLI);
+        double value = request.value();
+        boolean onTime = firstNanos - request.targetNanos() <= 0;
+        double gain = value * (onTime ? 1 : 1 - LATE_LOSS);
+        double errors =
+                parts.stream()
+                        .mapToDouble(part -> part.upstream().trust().errors(nowNanos))
+                        .max()
+                        .orElse(0);
+        double windowMillis = Math.max(1, (request.targetNanos() - nowNanos) / NANOS_PER_MILLI);
+        double slowness = SPEED_WEIGHT * Math.min(2, first / windowMillis);
+        double packing = packing(cost, request, primary, parts.size());
+        double score = gain * (1 - errors) - harm + value * (packing - slowness);
+        return Optional.of(
+                new EngineOption(primary.upstream(), parts, reserved, firstNanos, harm, score));
+    }
+
+    /** Draws short prompts to engines that already write, and long ones away from them. */
+    private static double packing(
+            EngineCost cost, PlacementRequest request, EnginePart primary, int engines) {
+        double occupied = (double) primary.upstream().answering() / cost.concurrentRequests();
+        boolean brief = cost.readMillis(request.promptTokens()) < SPLIT_FROM_MILLIS;
+        return PACKING_WEIGHT * (brief ? occupied : -occupied) - ENGINE_WEIGHT * (engines - 1);
+    }
+
+    /**
+     * Returns the tokens that each engine holds for the primary, all 0 if the primary has room for
+     * the whole request; empty if the memory of all is too small.
+     */
+    private static List<Long> reservations(
+            PlacementRequest request, EngineCost cost, List<EnginePart> parts) {
+        long missing = request.memoryTokens() - room(parts.get(0), cost);
+        List<Long> reserved = new ArrayList<>();
+        reserved.add(0L);
+        for (EnginePart helper : parts.subList(1, parts.size())) {
+            long held = Math.max(0, Math.min(missing, room(helper, cost)));
+            reserved.add(held);
+            missing -= held;
+        }
+        return missing <= 0 ? reserved : List.of();
+    }
+
+    private static long room(EnginePart part, EngineCost cost) {
+        return (long) (MEMORY_SHARE * cost.memoryTokens()) - part.upstream().memoryTokens();
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
@@ -0,0 +1,167 @@
+package dev.kumquatweir.policy.placement;
+
+import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.routing.UpstreamNotice;
+import dev.kumquatweir.core.routing.UpstreamPhase;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** One upstream as the scheduler sees it: its own word, its outcomes and the work placed there. */
+final class PlacementUpstream {
+    private static final double NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private final UpstreamTrust mTrust = new UpstreamTrust();
+    private final StartRate mStarts = new StartRate();
+    private final Map<PlacementKey, PlacedWork> mWorks = new LinkedHashMap<>();
+    private UpstreamNotice mNotice;
+    private long mHeardNanos;
+    private long mColdUntilNanos;
+    private long mReadUntilNanos;
+    private boolean mMisdirected;
+
+    PlacementUpstream(UpstreamNotice notice, long heardNanos) {
+        mNotice = notice;
+        mReadUntilNanos = heardNanos;
+        accept(notice, heardNanos);
+    }
+
+    UpstreamNotice notice() {
+        return mNotice;
+    }
+
+    UpstreamTrust trust() {
+        return mTrust;
+    }
+
+    StartRate starts() {
+        return mStarts;
+    }
+
+    Collection<PlacedWork> works() {
+        return mWorks.values();
+    }
+
+    /** Takes a notice; one that is not newer only counts as a sign of life. */
+    void heard(UpstreamNotice notice, long heardNanos) {
+        boolean newLife = notice.bornMillis() > mNotice.bornMillis();
+        if (newLife) {
+            mWorks.clear();
+            mReadUntilNanos = heardNanos;
+        }
+        if (notice.isNewerThan(mNotice)) {
+            accept(notice, heardNanos);
+        } else if (notice.bornMillis() == mNotice.bornMillis()) {
+            mHeardNanos = Math.max(mHeardNanos, heardNanos);
+        }
+    }
+
+    private void accept(UpstreamNotice notice, long heardNanos) {
+        mNotice = notice;
+        mHeardNanos = heardNanos;
+        mMisdirected = false;
+        mColdUntilNanos = heardNanos + TimeUnit.MILLISECONDS.toNanos(notice.coldMillis());
+    }
+
+    /** Takes note that another upstream has its address. */
+    void misdirected() {
+        mMisdirected = true;
+    }
+
+    /** Takes note of an answer, which is as good a sign of life as a heartbeat. */
+    void answered(long nowNanos) {
+        mHeardNanos = Math.max(mHeardNanos, nowNanos);
+    }
+
+    boolean cold(long nowNanos) {
+        return nowNanos - mColdUntilNanos < 0;
+    }
+
+    long silentNanos(long nowNanos) {
+        return nowNanos - mHeardNanos;
+    }
+
+    /** Returns whether it may get new work as far as its own word and the operators' go. */
+    boolean takesWork(Set<FailureDomain> domainsOut, long longestSilenceNanos, long nowNanos) {
+        return mNotice.phase() == UpstreamPhase.READY
+                && !mMisdirected
+                && !domainsOut.contains(mNotice.domain())
+                && silentNanos(nowNanos) <= longestSilenceNanos;
+    }
+
+    void add(PlacedWork work, long nowNanos) {
+        mWorks.put(work.request().key(), work);
+        if (!work.started()) {
+            long readNanos = (long) (work.readMillis() * NANOS_PER_MILLI);
+            mReadUntilNanos = Math.max(mReadUntilNanos, nowNanos) + readNanos;
+        }
+    }
+
+    Optional<PlacedWork> find(PlacementKey key) {
+        return Optional.ofNullable(mWorks.get(key));
+    }
+
+    /** Takes note of the first event of a placement: its prompt has been read. */
+    void started(PlacementKey key, long nowNanos) {
+        PlacedWork work = mWorks.get(key);
+        if (work != null) {
+            work.start();
+            correctReading(nowNanos);
+        }
+    }
+
+    void ended(PlacementKey key, long nowNanos) {
+        if (mWorks.remove(key) != null) {
+            correctReading(nowNanos);
+        }
+    }
+
+    /** Returns how long the prompts placed here will still be read, as far as is known. */
+    double unreadMillis(long nowNanos) {
+        return Math.max(0, (mReadUntilNanos - nowNanos) / NANOS_PER_MILLI);
+    }
+
+    /** Returns how many placements it answers. */
+    int answering() {
+        return (int) mWorks.values().stream().filter(PlacedWork::answers).count();
+    }
+
+    /** Returns how many placements emit events now. */
+    int writing() {
+        return (int)
+                mWorks.values().stream().filter(work -> work.answers() && work.started()).count();
+    }
+
+    /** Returns how many placements it only helps with. */
+    int helping() {
+        return mWorks.size() - answering();
+    }
+
+    long contextTokens() {
+        return mWorks.values().stream()
+                .filter(PlacedWork::started)
+                .mapToLong(PlacedWork::memoryTokens)
+                .sum();
+    }
+
+    long memoryTokens() {
+        return mWorks.values().stream().mapToLong(PlacedWork::memoryTokens).sum();
+    }
+
+    boolean idle() {
+        return mWorks.isEmpty();
+    }
+
+    private void correctReading(long nowNanos) {
+        double unread =
+                mWorks.values().stream()
+                        .filter(work -> !work.started())
+                        .mapToDouble(PlacedWork::readMillis)
+                        .sum();
+        long latest = nowNanos + (long) (unread * NANOS_PER_MILLI);
+        mReadUntilNanos = Math.min(mReadUntilNanos, latest);
+    }
+}
--- a/program/src/main/java/dev/kumquatweir/program/Main.java
+++ b/program/src/main/java/dev/kumquatweir/program/Main.java
@@ -13,6 +13,7 @@
 import dev.kumquatweir.program.command.DomainListCommand;
 import dev.kumquatweir.program.command.DomainOutCommand;
 import dev.kumquatweir.program.command.ExitStatus;
+import dev.kumquatweir.program.command.FleetCommand;
 import dev.kumquatweir.program.command.LoadCommand;
 import dev.kumquatweir.program.command.MemberAddCommand;
 import dev.kumquatweir.program.command.MemberListCommand;
@@ -29,6 +30,7 @@
 import dev.kumquatweir.program.command.StatusCommand;
 import dev.kumquatweir.program.command.UpstreamListCommand;
 import dev.kumquatweir.program.command.UpstreamRetireCommand;
+import dev.kumquatweir.program.command.WarmCommand;
 import java.util.concurrent.Callable;
 
 /** Entry point of the one binary: parses the command line and runs a subcommand. */
@@ -39,7 +41,9 @@
         commands = {
             Help.class,
             ServeCommand.class,
+            FleetCommand.class,
             CheckCommand.class,
+            WarmCommand.class,
             StatusCommand.class,
             LoadCommand.class,
             BenchCommand.class
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/command/FleetCommand.java
@@ -0,0 +1,81 @@
+package dev.kumquatweir.program.command;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.help.Examples;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.core.failure.FailureException;
+import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.program.fleet.FleetDaemon;
+import dev.kumquatweir.settings.FleetSettings;
+import dev.kumquatweir.settings.FleetSettingsReader;
+import dev.kumquatweir.settings.SettingsFailure;
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/** Runs an instance that finds its peers by itself, until it gets SIGTERM. */
+@Command(name = "fleet", description = "Run an instance that finds the others from its seeds")
+@Examples(
+        examples = "kumquatweir fleet /etc/kumquatweir/node.toml",
+        descriptions = "Runs the entry or control instance that the settings describe")
+public final class FleetCommand implements Callable<Integer> {
+    private static final EventLog LOG = EventLog.of(FleetCommand.class);
+
+    /** Settings may change without any signal. */
+    private static final long RELOAD_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    @Arguments(title = "FILE", description = "Settings of the instance, in TOML")
+    @Required
+    private String mFile = "";
+
+    @Override
+    public Integer call() {
+        ProcessSupport.ignoreHangUp();
+        Path file = Path.of(mFile);
+        Either<SettingsFailure, FleetSettings> settings = FleetSettingsReader.readFile(file);
+        if (settings.isLeft()) {
+            LOG.failure("settings_refused", settings.getLeft());
+            System.err.println(settings.getLeft().message());
+            return ExitStatus.BAD_INPUT.code();
+        }
+        try {
+            FleetDaemon daemon =
+                    new FleetDaemon(
+                            settings.get(),
+                            Clocks.system(),
+                            () -> ProcessSupport.store(settings.get().dataFolder().orElseThrow()),
+                            ProcessSupport::endProcess);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
+            daemon.start();
+            watch(file, settings.get(), daemon);
+            return ExitStatus.SUCCESS.code();
+        } catch (FailureException exception) {
+            LOG.failure("instance_not_started", exception.failure());
+            return ExitStatus.FAILED.code();
+        }
+    }
+
+    private static void stop(FleetDaemon daemon) {
+        daemon.stop();
+        // After SIGTERM the JVM would end with status 143.
+        Runtime.getRuntime().halt(ExitStatus.SUCCESS.code());
+    }
+
+    private static void watch(Path file, FleetSettings first, FleetDaemon daemon) {
+        FleetSettings known = first;
+        while (!Thread.currentThread().isInterrupted()) {
+            LockSupport.parkNanos(RELOAD_NANOS);
+            Either<SettingsFailure, FleetSettings> read = FleetSettingsReader.readFile(file);
+            if (read.isLeft()) {
+                LOG.failure("settings_not_reloaded", read.getLeft());
+            } else if (!read.get().equals(known)) {
+                known = read.get();
+                daemon.reload(known);
+            }
+        }
+    }
+}
--- a/program/src/main/java/dev/kumquatweir/program/command/ServeCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/ServeCommand.java
@@ -4,7 +4,6 @@
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.help.Examples;
 import com.github.rvesse.airline.annotations.restrictions.Required;
-import dev.kumquatweir.agreement.port.LogStore;
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.failure.Failure;
@@ -13,19 +12,15 @@
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.program.control.ReplicatedControl;
 import dev.kumquatweir.program.instance.InstanceDaemon;
-import dev.kumquatweir.program.instance.StartFailure;
 import dev.kumquatweir.settings.ConfigurationReader;
 import dev.kumquatweir.settings.ConfigurationWriter;
 import dev.kumquatweir.settings.InstanceSettings;
 import dev.kumquatweir.settings.InstanceSettingsReader;
 import dev.kumquatweir.settings.PeerSettings;
 import dev.kumquatweir.settings.SettingsFailure;
-import dev.kumquatweir.storage.DiskFolder;
-import dev.kumquatweir.storage.FileLogStore;
 import dev.kumquatweir.transport.ClusterKey;
 import dev.kumquatweir.transport.PeerNetwork;
 import io.vavr.control.Either;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -77,9 +72,9 @@
                         settings,
                         network,
                         clocks,
-                        settings.dataFolder().map(folder -> () -> store(folder)),
+                        settings.dataFolder().map(folder -> () -> ProcessSupport.store(folder)),
                         firstConfiguration,
-                        ServeCommand::endProcess);
+                        ProcessSupport::endProcess);
         InstanceDaemon daemon =
                 new InstanceDaemon(settings, control, network, clocks, clocks.nowMillis());
         daemon.start();
@@ -96,22 +91,6 @@
         new CountDownLatch(1).await();
     }
 
-    private static LogStore store(Path folder) {
-        try {
-            return new FileLogStore(DiskFolder.open(folder));
-        } catch (IOException exception) {
-            throw new FailureException(
-                    new StartFailure.NoDataFolder(
-                            folder.toString(), String.valueOf(exception.getMessage())));
-        }
-    }
-
-    /** Ends at once: what the replica would do next could contradict what it promised. */
-    private static void endProcess() {
-        LOG.warn("process_ended", "reason", "the replica can't go on safely");
-        Runtime.getRuntime().halt(ExitStatus.FAILED.code());
-    }
-
     private static Either<? extends Failure, PeerNetwork> network(
             InstanceSettings settings, Clocks clocks) {
         Map<InstanceId, InetSocketAddress> peers =
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/command/WarmCommand.java
@@ -0,0 +1,76 @@
+package dev.kumquatweir.program.command;
+
+import com.github.rvesse.airline.annotations.Command;
+import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.program.fleet.FleetDaemon;
+import dev.kumquatweir.settings.FleetSettings;
+import io.servicetalk.http.api.BlockingHttpClient;
+import io.servicetalk.http.netty.HttpClients;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+
+/** Starts an instance on this machine and ends, so that a class archive holds what it loads. */
+@Command(name = "warm", hidden = true, description = "Load the classes of an instance and end")
+public final class WarmCommand implements Callable<Integer> {
+    private static final EventLog LOG = EventLog.of(WarmCommand.class);
+    private static final String ADDRESS = "127.0.0.1";
+
+    @Override
+    public Integer call() throws Exception {
+        ProcessSupport.ignoreHangUp();
+        Path folder = Files.createTempDirectory("kumquatweir-warm");
+        FleetSettings settings = settings(folder);
+        FleetDaemon daemon =
+                new FleetDaemon(
+                        settings,
+                        Clocks.system(),
+                        () -> ProcessSupport.store(folder),
+                        ProcessSupport::endProcess);
+        daemon.start();
+        InetSocketAddress callers = settings.callers().orElseThrow();
+        try (BlockingHttpClient client = HttpClients.forResolvedAddress(callers).buildBlocking()) {
+            LOG.info("answered", "status", client.request(client.get("/")).status());
+        }
+        daemon.stop();
+        return ExitStatus.SUCCESS.code();
+    }
+
+    private static FleetSettings settings(Path folder) throws IOException {
+        InstanceId self = new InstanceId(ADDRESS);
+        return new FleetSettings(
+                "warm",
+                self,
+                new FailureDomain("warm"),
+                "warm",
+                "key-of-the-warm-instance",
+                List.of(self),
+                free().getPort(),
+                Optional.of(free()),
+                Optional.of(free()),
+                Optional.of(free()),
+                free(),
+                Optional.of(folder),
+                true,
+                0,
+                0,
+                0,
+                0,
+                1);
+    }
+
+    private static InetSocketAddress free() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ADDRESS))) {
+            return new InetSocketAddress(ADDRESS, socket.getLocalPort());
+        }
+    }
+}
--- a/program/src/main/java/dev/kumquatweir/program/control/ControlCodec.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ControlCodec.java
@@ -1,6 +1,7 @@
 package dev.kumquatweir.program.control;
 
 import dev.kumquatweir.agreement.codec.CommandCodec;
+import dev.kumquatweir.agreement.codec.StateCodec;
 import dev.kumquatweir.agreement.port.Member;
 import dev.kumquatweir.agreement.port.MemberId;
 import dev.kumquatweir.agreement.port.MemberRole;
@@ -30,6 +31,7 @@
             case ControlRequest.ReadConfiguration read ->
                     writer.text("configuration").number(read.version());
             case ControlRequest.ReadForce read -> writer.text("force").number(read.version());
+            case ControlRequest.ReadRouting _ -> writer.text("routing");
             case ControlRequest.ReadMembers _ -> writer.text("members");
             case ControlRequest.ChangeMembers change -> writeChange(writer, change.change());
             case ControlRequest.ReleaseLease release ->
@@ -61,6 +63,10 @@
                             .flag(force.inForce())
                             .list(force.behind(), PackWriter::text)
                             .number(force.remainingMillis());
+            case ControlReply.Routing routing -> {
+                writer.text("routing");
+                StateCodec.writeRouting(writer, routing.image());
+            }
             case ControlReply.Members members ->
                     writer.text("members")
                             .list(members.members(), ControlCodec::writeMember)
@@ -84,6 +90,7 @@
             case "propose" -> new ControlRequest.Propose(command(reader.bytes()));
             case "configuration" -> new ControlRequest.ReadConfiguration(reader.number());
             case "force" -> new ControlRequest.ReadForce(reader.number());
+            case "routing" -> new ControlRequest.ReadRouting();
             case "members" -> new ControlRequest.ReadMembers();
             case "add", "promote", "remove", "replace" ->
                     new ControlRequest.ChangeMembers(readChange(kind, reader));
@@ -114,6 +121,7 @@
             case "force" ->
                     new ControlReply.Force(
                             reader.flag(), reader.list(PackReader::text), reader.number());
+            case "routing" -> new ControlReply.Routing(StateCodec.readRouting(reader));
             case "members" ->
                     new ControlReply.Members(
                             reader.list(ControlCodec::readMember),
--- a/program/src/main/java/dev/kumquatweir/program/control/ControlReply.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ControlReply.java
@@ -2,6 +2,7 @@
 
 import dev.kumquatweir.agreement.port.Member;
 import dev.kumquatweir.agreement.state.ConfigurationChange;
+import dev.kumquatweir.agreement.state.RoutingImage;
 import dev.kumquatweir.agreement.state.StateResult;
 import dev.kumquatweir.core.bytes.Bytes;
 import java.util.List;
@@ -45,6 +46,13 @@
         }
     }
 
+    /**
+     * The routing document in force and the failure domains out of service.
+     *
+     * @param image what was in force when it was read
+     */
+    record Routing(RoutingImage image) implements ControlReply {}
+
     /**
      * The members of the group.
      *
--- a/program/src/main/java/dev/kumquatweir/program/control/ControlRequest.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ControlRequest.java
@@ -27,6 +27,9 @@
      */
     record ReadForce(long version) implements ControlRequest {}
 
+    /** Reads the routing document in force and the failure domains out of service, linearizably. */
+    record ReadRouting() implements ControlRequest {}
+
     /** Reads the members of the group. */
     record ReadMembers() implements ControlRequest {}
 
--- a/program/src/main/java/dev/kumquatweir/program/control/FoundingDuty.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/FoundingDuty.java
@@ -43,18 +43,22 @@
     private final List<PeerSettings> mVoters;
     private final PeerNetwork mNetwork;
     private final Supplier<LogStore> mStores;
+    private final boolean mMayFound;
 
     /**
      * Answers questions of other instances from now on.
      *
      * @param voters voters of the settings, this instance included, in the order of their names
      * @param stores opens the store of the data folder
+     * @param mayFound whether a group may begin here; if not, an empty store joins one
      */
     FoundingDuty(
             InstanceId self,
             List<PeerSettings> voters,
             PeerNetwork network,
-            Supplier<LogStore> stores) {
+            Supplier<LogStore> stores,
+            boolean mayFound) {
+        mMayFound = mayFound;
         mSelf = self;
         mVoters = List.copyOf(voters);
         mNetwork = network;
@@ -87,7 +91,7 @@
         }
         Founding founding = new Founding(member, mVoters);
         Map<InstanceId, Founding.Answer> answers = new ConcurrentHashMap<>();
-        while (!stopped.getAsBoolean()) {
+        while (mMayFound && !stopped.getAsBoolean()) {
             switch (founding.decide(answers)) {
                 case Founding.Decision.Found found -> {
                     LOG.info("group_founded", "members", found.snapshot().membership().members());
@@ -100,6 +104,10 @@
                 case Founding.Decision.Wait _ -> askOthers(answers);
             }
         }
+        if (!mMayFound) {
+            LOG.info("joining_group", "member", member);
+            return Optional.of(new Ready(store, state));
+        }
         store.close();
         return Optional.empty();
     }
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/control/MembershipPlanner.java
@@ -0,0 +1,56 @@
+package dev.kumquatweir.program.control;
+
+import dev.kumquatweir.agreement.port.Member;
+import dev.kumquatweir.agreement.port.MemberId;
+import dev.kumquatweir.agreement.port.Membership;
+import dev.kumquatweir.agreement.raft.MembershipChange;
+import dev.kumquatweir.agreement.raft.RaftNode;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides the next change that brings the group to its number of voters. Pure. Answers the load in
+ * which machines of the group are replaced by empty ones at other addresses: a silent voter leaves
+ * only when a learner that has synced everything takes its place, so silence alone never makes the
+ * group smaller.
+ */
+final class MembershipPlanner {
+    /** Shorter than the time after which a replaced machine no longer counts as lost. */
+    private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private static final long HEARD_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long FORGET_LEARNER_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+    private MembershipPlanner() {}
+
+    /** Returns the next change, if one is due; called on the leader only. */
+    static Optional<MembershipChange> next(RaftNode node, int voterTarget, long nowNanos) {
+        Membership membership = node.membership();
+        Optional<MemberId> candidate =
+                membership.members().stream()
+                        .filter(member -> !member.isVoter())
+                        .map(Member::id)
+                        .filter(member -> silent(node, member, nowNanos) < HEARD_NANOS)
+                        .filter(node::caughtUp)
+                        .findFirst();
+        if (candidate.isPresent() && membership.voters().size() < voterTarget) {
+            return Optional.of(new MembershipChange.Promote(candidate.get()));
+        }
+        if (candidate.isPresent()) {
+            return membership.voters().stream()
+                    .filter(voter -> !voter.equals(node.self()))
+                    .filter(voter -> silent(node, voter, nowNanos) > SILENT_NANOS)
+                    .findFirst()
+                    .map(voter -> new MembershipChange.Remove(voter.name()));
+        }
+        return membership.members().stream()
+                .filter(member -> !member.isVoter())
+                .filter(member -> silent(node, member.id(), nowNanos) > FORGET_LEARNER_NANOS)
+                .findFirst()
+                .map(member -> new MembershipChange.Remove(member.id().name()));
+    }
+
+    private static long silent(RaftNode node, MemberId member, long nowNanos) {
+        return node.silentNanos(member, nowNanos).orElse(0);
+    }
+}
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
@@ -20,6 +20,7 @@
 import dev.kumquatweir.agreement.raft.RaftOutput;
 import dev.kumquatweir.agreement.raft.RaftRole;
 import dev.kumquatweir.agreement.raft.RaftSettings;
+import dev.kumquatweir.agreement.state.RoutingImage;
 import dev.kumquatweir.agreement.state.StateCommand;
 import dev.kumquatweir.agreement.state.StateImage;
 import dev.kumquatweir.agreement.state.StateLimits;
@@ -65,6 +66,8 @@
     private final Clocks mClocks;
     private final Consumer<RaftMessage> mSender;
     private final Consumer<Membership> mOnMembership;
+    private final Consumer<RoutingImage> mOnRouting;
+    private final int mVoterTarget;
     private final RaftNode mNode;
     private final StorageDuty mStorage;
     private final Duty mDuty;
@@ -77,7 +80,9 @@
     private StateMachine mState = new StateMachine(StateLimits.STANDARD);
     private Optional<Bytes> mFirstConfiguration;
     private Membership mKnownMembership = Membership.EMPTY;
+    private RoutingImage mKnownRouting = RoutingImage.EMPTY;
     private long mExpiredNanos;
+    private boolean mStorageFull;
     private volatile Optional<InstanceId> mLeader = Optional.empty();
     private volatile ReplicaStatus mStatus = ReplicaStatus.NONE;
     private volatile @Nullable StorageCompletion mSynced;
@@ -102,6 +107,8 @@
         mClocks = ports.clocks();
         mSender = ports.sender();
         mOnMembership = ports.onMembership();
+        mOnRouting = ports.onRouting();
+        mVoterTarget = ports.voterTarget();
         mPermits = new PermitIssuer(ports.observations());
         mFirstConfiguration = firstConfiguration;
         mNode =
@@ -230,6 +237,8 @@
             case ControlRequest.Propose propose -> propose(propose.command(), reply);
             case ControlRequest.ReadConfiguration read ->
                     read(reply, state -> ReplicaAnswers.configuration(state, read.version()));
+            case ControlRequest.ReadRouting _ ->
+                    read(reply, state -> new ControlReply.Routing(state.routing()));
             case ControlRequest.ReadMembers _ ->
                     read(reply, state -> ReplicaAnswers.members(mNode));
             case ControlRequest.ReadForce read ->
@@ -287,12 +296,28 @@
                 propose(FirstConfiguration.command(document), new CompletableFuture<>());
             }
         }
+        if (mStorageFull) {
+            // A leader that can't write refuses each change although a quorum could take it.
+            transfer(new CompletableFuture<>());
+        } else if (mVoterTarget > 0) {
+            keepVoters(nowNanos);
+        }
         if (mState.claimCount() > 0 && nowNanos - mExpiredNanos >= EXPIRE_NANOS) {
             mExpiredNanos = nowNanos;
             expire();
         }
     }
 
+    private void keepVoters(long nowNanos) {
+        MembershipPlanner.next(mNode, mVoterTarget, nowNanos)
+                .ifPresent(
+                        change -> {
+                            LOG.info("members_adjusted", "change", change);
+                            long id = mPending.add(new CompletableFuture<>());
+                            stepNow(new RaftInput.ChangeMembership(id, change));
+                        });
+    }
+
     /**
      * Removes expired claims in bounded steps, one log entry after the other, to the table's end.
      */
@@ -341,6 +366,7 @@
     private void apply(LogEntry entry, long requestId) {
         StateResult result = mState.apply(entry);
         mPending.applied(requestId, result);
+        tellRouting();
     }
 
     /** Encodes on a thread of its own: a large state takes longer than a heartbeat may wait. */
@@ -359,6 +385,15 @@
                 StateMachine.restore(data)
                         .getOrElseThrow(
                                 fault -> new IllegalStateException("snapshot: " + fault.message()));
+        tellRouting();
+    }
+
+    private void tellRouting() {
+        RoutingImage routing = mState.routing();
+        if (routing.changes() != mKnownRouting.changes()) {
+            mKnownRouting = routing;
+            mOnRouting.accept(routing);
+        }
     }
 
     private void roleChanged(RaftOutput.RoleChanged changed) {
@@ -414,11 +449,13 @@
         @Override
         public void diskFull(StorageFailure.DiskFull failure) {
             step(new RaftInput.StorageFull(true));
+            offer(() -> mStorageFull = true);
         }
 
         @Override
         public void spaceReturned() {
             step(new RaftInput.StorageFull(false));
+            offer(() -> mStorageFull = false);
         }
 
         @Override
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaPorts.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaPorts.java
@@ -2,6 +2,7 @@
 
 import dev.kumquatweir.agreement.port.Membership;
 import dev.kumquatweir.agreement.raft.RaftMessage;
+import dev.kumquatweir.agreement.state.RoutingImage;
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.program.permit.UpstreamObservations;
 import java.util.function.Consumer;
@@ -14,10 +15,14 @@
  * @param onMembership told when the members of the group have changed
  * @param onFatal ends the process: the store or the replica can't go on safely
  * @param observations what this instance heard of upstreams, for the limits of permits
+ * @param onRouting told when the routing document or the failure domains out of service change
+ * @param voterTarget voters that the leader keeps the group at by itself; 0 if operators do
  */
 record ReplicaPorts(
         Clocks clocks,
         Consumer<RaftMessage> sender,
         Consumer<Membership> onMembership,
         Runnable onFatal,
-        UpstreamObservations observations) {}
+        UpstreamObservations observations,
+        Consumer<RoutingImage> onRouting,
+        int voterTarget) {}
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicatedControl.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicatedControl.java
@@ -1,12 +1,10 @@
 package dev.kumquatweir.program.control;
 
 import dev.kumquatweir.agreement.codec.LeaseCodec;
-import dev.kumquatweir.agreement.codec.MessageCodec;
 import dev.kumquatweir.agreement.lease.LeaseAsk;
 import dev.kumquatweir.agreement.port.LogStore;
 import dev.kumquatweir.agreement.port.Member;
 import dev.kumquatweir.agreement.port.Membership;
-import dev.kumquatweir.agreement.raft.RaftMessage;
 import dev.kumquatweir.agreement.raft.RaftSettings;
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.control.ClaimPort;
@@ -101,7 +99,8 @@
                                                         settings.id(),
                                                         voters(settings),
                                                         network,
-                                                        opener)
+                                                        opener,
+                                                        true)
                                                 .await(() -> false))
                         .orElse(null);
         return new ReplicatedControl(settings, network, clocks, ready, firstConfiguration, onFatal);
@@ -111,14 +110,10 @@
     public void start() {
         ReplicaDuty replica = mReplica;
         if (replica != null) {
-            mNetwork.handle(
-                    FrameType.AGREEMENT.number(),
-                    (peer, payload, responder) -> receive(replica, peer, payload));
+            ReplicaFrames.handleAgreement(mNetwork, replica);
             replica.start();
         }
-        mNetwork.handle(
-                FrameType.COMMAND.number(),
-                (peer, payload, responder) -> command(replica, payload, responder));
+        ReplicaFrames.handleCommands(mNetwork, replica);
         mNetwork.handle(
                 FrameType.LEASE.number(),
                 (peer, payload, responder) -> lease(replica, payload, responder));
@@ -183,17 +178,16 @@
                 store.state(),
                 store.store(),
                 new ReplicaPorts(
-                        mClocks, this::send, this::membershipChanged, onFatal, observations),
+                        mClocks,
+                        message -> ReplicaFrames.send(mNetwork, message),
+                        this::membershipChanged,
+                        onFatal,
+                        observations,
+                        routing -> {},
+                        0),
                 firstConfiguration);
     }
 
-    private void send(RaftMessage message) {
-        mNetwork.send(
-                new InstanceId(message.to().name()),
-                FrameType.AGREEMENT.number(),
-                MessageCodec.encode(message));
-    }
-
     private void membershipChanged(Membership membership) {
         LOG.info("members_changed", "members", membership.members());
         Map<InstanceId, InetSocketAddress> addresses = new HashMap<>();
@@ -213,35 +207,6 @@
                         .toList());
     }
 
-    private static void receive(ReplicaDuty replica, InstanceId peer, Bytes payload) {
-        MessageCodec.decode(payload)
-                .peekLeft(fault -> LOG.failure("frame_malformed", fault, "peer", peer))
-                .peek(
-                        message -> {
-                            if (message.from().name().equals(peer.value())) {
-                                replica.receive(message);
-                            }
-                        });
-    }
-
-    private static void command(@Nullable ReplicaDuty replica, Bytes payload, Responder responder) {
-        if (replica == null) {
-            respond(responder, new ControlReply.Failed(new ControlFailure.NotLeader("")));
-            return;
-        }
-        ControlCodec.request(payload)
-                .peek(
-                        request ->
-                                replica.handle(request)
-                                        .thenAccept(reply -> respond(responder, reply)))
-                .peekLeft(
-                        fault ->
-                                respond(
-                                        responder,
-                                        new ControlReply.Failed(
-                                                new ControlFailure.Garbled(fault.message()))));
-    }
-
     private static void lease(@Nullable ReplicaDuty replica, Bytes payload, Responder responder) {
         if (replica == null) {
             responder.respond(LeaseAnswer.refused("").encode());
@@ -261,10 +226,6 @@
                         });
     }
 
-    private static void respond(Responder responder, ControlReply reply) {
-        responder.respond(ControlCodec.encode(reply));
-    }
-
     private static void waitFor(CompletionStage<ControlReply> reply) {
         try {
             reply.toCompletableFuture().get(HAND_OVER_NANOS, TimeUnit.NANOSECONDS);
--- a/program/src/main/java/dev/kumquatweir/program/control/ResultCodec.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ResultCodec.java
@@ -44,6 +44,9 @@
             case StateResult.Expired expired ->
                     writer.text("expired").number(expired.removed()).flag(expired.wrapped());
             case StateResult.EpochTaken taken -> writer.text("epoch").number(taken.epoch());
+            case StateResult.RoutingHeld held ->
+                    writer.text("routing_held").number(held.heldVersion());
+            case StateResult.DomainSet _ -> writer.text("domain_set");
         }
     }
 
@@ -68,6 +71,8 @@
             case "outcome_refused" -> new StateResult.OutcomeRefused();
             case "expired" -> new StateResult.Expired(reader.smallNumber(), reader.flag());
             case "epoch" -> new StateResult.EpochTaken(reader.number());
+            case "routing_held" -> new StateResult.RoutingHeld(reader.number());
+            case "domain_set" -> new StateResult.DomainSet();
             default -> throw new MalformedException("no result " + kind);
         };
     }
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/HeardNotice.java
@@ -0,0 +1,11 @@
+package dev.kumquatweir.program.fleet;
+
+import dev.kumquatweir.core.routing.UpstreamNotice;
+
+/**
+ * A notice and how long ago it was heard.
+ *
+ * @param notice the notice
+ * @param ageMillis time since it was heard
+ */
+record HeardNotice(UpstreamNotice notice, long ageMillis) {}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -0,0 +1,191 @@
+package dev.kumquatweir.program.fleet;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.routing.RoutingTable;
+import dev.kumquatweir.core.routing.UpstreamNotice;
+import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.policy.placement.PlacementAction;
+import dev.kumquatweir.policy.placement.PlacementKey;
+import dev.kumquatweir.policy.placement.PlacementLimits;
+import dev.kumquatweir.policy.placement.PlacementRequest;
+import dev.kumquatweir.policy.placement.PlacementScheduler;
+import dev.kumquatweir.transport.Responder;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/** The scheduler while this instance leads, and the answers that wait for it. One thread. */
+final class LeaderScheduler {
+    private static final EventLog LOG = EventLog.of(LeaderScheduler.class);
+
+    private final PlacementLimits mLimits;
+    private final MetricRegistry mMetrics;
+    private final Clocks mClocks;
+    private final Map<PlacementKey, Responder> mAnswers = new HashMap<>();
+    private @Nullable PlacementScheduler mScheduler;
+    private @Nullable RoutingTable mRouting;
+    private Set<FailureDomain> mDomainsOut = Set.of();
+    private volatile int mWaiting;
+
+    LeaderScheduler(PlacementLimits limits, MetricRegistry metrics, Clocks clocks) {
+        mLimits = limits;
+        mMetrics = metrics;
+        mClocks = clocks;
+        Gauge<Integer> waiting = () -> mWaiting;
+        metrics.register("kumquatweir_scheduler_waiting", waiting);
+    }
+
+    void routing(RoutingTable routing, Set<FailureDomain> domainsOut) {
+        mRouting = routing;
+        mDomainsOut = domainsOut;
+        PlacementScheduler scheduler = mScheduler;
+        if (scheduler != null) {
+            scheduler.routing(routing, domainsOut);
+            carryOut(scheduler, mClocks.nowNanos());
+        }
+    }
+
+    void heard(UpstreamNotice notice, long heardNanos) {
+        PlacementScheduler scheduler = mScheduler;
+        if (scheduler != null) {
+            scheduler.heard(notice, heardNanos);
+        }
+    }
+
+    /** Begins or ends scheduling as leadership does. */
+    void leading(boolean leading, UpstreamDirectory upstreams, long nowNanos) {
+        if (leading == (mScheduler != null)) {
+            return;
+        }
+        LOG.info("scheduler_changed", "leading", leading, "upstreams", upstreams.size());
+        if (!leading) {
+            mScheduler = null;
+            mAnswers.values().forEach(each -> each.respond(notLeading()));
+            mAnswers.clear();
+            return;
+        }
+        PlacementScheduler scheduler = new PlacementScheduler(mLimits);
+        RoutingTable routing = mRouting;
+        if (routing != null) {
+            scheduler.routing(routing, mDomainsOut);
+        }
+        upstreams
+                .since(0, nowNanos)
+                .forEach(
+                        heard ->
+                                scheduler.heard(
+                                        heard.notice(),
+                                        nowNanos
+                                                - TimeUnit.MILLISECONDS.toNanos(
+                                                        heard.ageMillis())));
+        mScheduler = scheduler;
+    }
+
+    void place(InstanceId owner, Bytes payload, Responder responder) {
+        PlacementScheduler scheduler = mScheduler;
+        if (scheduler == null) {
+            responder.respond(notLeading());
+            return;
+        }
+        long nowNanos = mClocks.nowNanos();
+        PlacementCodec.request(owner, payload, nowNanos)
+                .peekLeft(fault -> LOG.failure("frame_malformed", fault, "peer", owner))
+                .peek(request -> ask(scheduler, request, responder, nowNanos));
+    }
+
+    private void ask(
+            PlacementScheduler scheduler,
+            PlacementRequest request,
+            Responder responder,
+            long nowNanos) {
+        mAnswers.put(request.key(), responder);
+        scheduler.ask(request, nowNanos);
+        carryOut(scheduler, nowNanos);
+    }
+
+    void event(InstanceId owner, Bytes payload) {
+        PlacementScheduler scheduler = mScheduler;
+        if (scheduler == null) {
+            return;
+        }
+        long nowNanos = mClocks.nowNanos();
+        PlacementEvent.decode(owner, payload, nowNanos)
+                .peekLeft(fault -> LOG.failure("frame_malformed", fault, "peer", owner))
+                .peek(event -> apply(scheduler, event, nowNanos));
+    }
+
+    private void apply(PlacementScheduler scheduler, PlacementEvent event, long nowNanos) {
+        switch (event) {
+            case PlacementEvent.Started started -> scheduler.started(started.key(), nowNanos);
+            case PlacementEvent.Delayed delayed ->
+                    scheduler.delayed(delayed.key(), delayed.gapMillis(), nowNanos);
+            case PlacementEvent.Ended ended ->
+                    scheduler.ended(ended.key(), ended.outcome(), ended.culprit(), nowNanos);
+            case PlacementEvent.Withdrawn withdrawn -> {
+                scheduler.withdraw(withdrawn.key());
+                mAnswers.remove(withdrawn.key());
+            }
+            case PlacementEvent.Held held ->
+                    scheduler.hold(held.request(), held.upstream(), held.started(), nowNanos);
+        }
+        carryOut(scheduler, nowNanos);
+    }
+
+    void lost(List<InstanceId> entries, long nowNanos) {
+        PlacementScheduler scheduler = mScheduler;
+        if (scheduler != null) {
+            scheduler.forgetSilent(nowNanos);
+            entries.forEach(
+                    entry -> {
+                        LOG.info("entry_lost", "entry", entry);
+                        scheduler.ownerGone(entry, nowNanos);
+                        mAnswers.keySet().removeIf(key -> key.owner().equals(entry));
+                    });
+        }
+    }
+
+    void tick(long nowNanos) {
+        PlacementScheduler scheduler = mScheduler;
+        if (scheduler != null && scheduler.waiting() > 0) {
+            carryOut(scheduler, nowNanos);
+        }
+    }
+
+    private void carryOut(PlacementScheduler scheduler, long nowNanos) {
+        for (PlacementAction action : scheduler.decide(nowNanos)) {
+            if (action instanceof PlacementAction.Reject reject) {
+                LOG.info(
+                        "placement_rejected",
+                        "owner",
+                        reject.key().owner(),
+                        "placement",
+                        reject.key().number(),
+                        "reason",
+                        reject.reason(),
+                        "waiting",
+                        scheduler.waiting(),
+                        "placed",
+                        scheduler.placed());
+                mMetrics.counter("kumquatweir_scheduler_rejected").inc();
+            }
+            Responder responder = mAnswers.remove(action.key());
+            if (responder != null) {
+                responder.respond(PlacementCodec.encode(Optional.of(action)));
+            }
+        }
+        mWaiting = scheduler.waiting();
+    }
+
+    private static Bytes notLeading() {
+        return PlacementCodec.encode(Optional.empty());
+    }
+}
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchRequest.java
@@ -0,0 +1,46 @@
+package dev.kumquatweir.program.fleet;
+
+import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.pack.MalformedContent;
+import dev.kumquatweir.core.pack.PackReader;
+import dev.kumquatweir.core.pack.PackWriter;
+import io.vavr.control.Either;
+
+/**
+ * Asks a control instance for what has changed since its last answer; answered at once if something
+ * has, else after a while.
+ *
+ * @param routingChanges change count of the routing image that is known
+ * @param directoryLife which life of the asked process the next number is from
+ * @param directoryRevision revision of its directory up to which notices are known
+ * @param entry whether the asking instance serves callers
+ * @param holdMillis answered after this time at the latest
+ */
+record WatchRequest(
+        long routingChanges,
+        long directoryLife,
+        long directoryRevision,
+        boolean entry,
+        long holdMillis) {
+    Bytes encode() {
+        return new PackWriter()
+                .number(routingChanges)
+                .number(directoryLife)
+                .number(directoryRevision)
+                .flag(entry)
+                .number(holdMillis)
+                .finish();
+    }
+
+    static Either<MalformedContent, WatchRequest> decode(Bytes content) {
+        return PackReader.decode(
+                content,
+                reader ->
+                        new WatchRequest(
+                                reader.number(),
+                                reader.number(),
+                                reader.number(),
+                                reader.flag(),
+                                reader.number()));
+    }
+}
--- a/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
@@ -28,6 +28,12 @@
     QUARANTINE(15),
     /** An instance's incarnation, and whether it has ended. */
     PRESENCE(17),
+    /** Asks a control instance for what has changed. */
+    WATCH(20),
+    /** Asks the scheduler of the leader for an upstream. */
+    PLACE(21),
+    /** Tells the scheduler what became of a placement. */
+    PLACEMENT_EVENT(22),
     /** Asks for sums of the burn counters. */
     BURN(40);
 
--- a/settings/src/main/java/dev/kumquatweir/settings/InstanceSettingsReader.java
+++ b/settings/src/main/java/dev/kumquatweir/settings/InstanceSettingsReader.java
@@ -146,7 +146,7 @@
         return table.has(key) ? Optional.of(folder.resolve(table.text(key))) : Optional.empty();
     }
 
-    private static InetSocketAddress address(TomlTable table, String key) {
+    static InetSocketAddress address(TomlTable table, String key) {
         String text = table.text(key);
         Matcher matcher = ADDRESS.matcher(text);
         int port = matcher.matches() ? Integer.parseInt(matcher.group(2)) : -1;
