Split the large classes of forwarding, scheduling and the replica's duty

Attempt and ExchangeLog are taken out of Exchange, PlacementUpstreams and PlacementRules out of PlacementScheduler, ClaimExpiry and RoutingWatch out of ReplicaDuty. Lines about failures are warnings now, which a full log leaves out last.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -1,7 +1,6 @@
 package dev.kumquatweir.gateway.forward;
 
 import dev.kumquatweir.core.bytes.Bytes;
-import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.routing.Route;
 import dev.kumquatweir.policy.placement.PlacementAction;
@@ -16,6 +15,7 @@
 import io.servicetalk.http.api.StreamingHttpResponse;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -26,8 +26,7 @@
  * One caller's request on its way: asks for an upstream, sends, relays the answer, and sends again
  * where that is allowed. Used on the I/O thread.
  */
-final class Exchange {
-    private static final EventLog LOG = EventLog.of(Exchange.class);
+final class Exchange implements Attempt.Owner {
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -42,6 +41,7 @@
     private final ForwardedRequest mRequest;
     private final CallerAnswer mAnswer;
     private final Consumer mOnDone;
+    private final ExchangeLog mLog;
     private final Set<UpstreamId> mTried = new HashSet<>();
     private @Nullable PlacementKey mKey;
     private @Nullable PlacementGrant mGrant;
@@ -50,6 +50,7 @@
     private int mSends;
     private int mMayHaveRun;
     private long mAskedNanos;
+    private long mSentNanos;
     private long mFirstMillis = -1;
     private long mLastEventId;
     private long mLastEventNanos;
@@ -73,6 +74,7 @@
         mRequest = request;
         mAnswer = answer;
         mOnDone = onDone;
+        mLog = new ExchangeLog(request);
         mLastEventId = request.head().lastEventId();
     }
 
@@ -104,7 +106,7 @@
         }
         Attempt attempt = mAttempt;
         if (attempt != null && attempt.silent(nowNanos)) {
-            attempt.call().close();
+            attempt.close();
             attemptFailed(PlacementOutcome.SILENT, "", true);
         }
     }
@@ -155,22 +157,7 @@
         mGrant = grant;
         long waited = TimeUnit.NANOSECONDS.toMillis(nowNanos - mAskedNanos);
         mMetrics.waited(waited);
-        LOG.info(
-                "request_placed",
-                "request",
-                mRequest.head().requestId(),
-                "route",
-                mRequest.route().name(),
-                "upstream",
-                grant.upstream(),
-                "helpers",
-                grant.helpers().size(),
-                "send",
-                mSends + 1,
-                "waited_ms",
-                waited,
-                "expected_ms",
-                grant.expectedMillis());
+        mLog.placed(grant, mSends + 1, waited);
         if (!mPorts.view().takesWork(grant.upstream())) {
             // It has left since; the scheduler had not heard yet.
             endPlacement(PlacementOutcome.CANCELLED, "");
@@ -205,20 +192,7 @@
 
     private void rejected(PlacementAction.Reject reject) {
         mKey = null;
-        LOG.info(
-                "request_rejected",
-                "request",
-                mRequest.head().requestId(),
-                "route",
-                mRequest.route().name(),
-                "reason",
-                reject.reason(),
-                "sends",
-                mSends,
-                "age_ms",
-                ageMillis(),
-                "retry_after_ms",
-                reject.retryAfterMillis());
+        mLog.rejected(reject, mSends, ageMillis());
         if (mAnswer.begun()) {
             abort("no_upstream_to_resume");
         } else if (mMayHaveRun > 0) {
@@ -227,10 +201,7 @@
             fail(UNAVAILABLE, OptionalLong.empty(), "quarantined");
         } else {
             OptionalLong retryAfter = OptionalLong.of(reject.retryAfterMillis());
-            fail(
-                    UNAVAILABLE,
-                    retryAfter,
-                    reject.reason().name().toLowerCase(java.util.Locale.ROOT));
+            fail(UNAVAILABLE, retryAfter, reject.reason().name().toLowerCase(Locale.ROOT));
         }
     }
 
@@ -259,8 +230,10 @@
                         mAnswer.begun() ? mLastEventId : -1,
                         helpers);
         StreamingHttpRequest request = UpstreamRequests.make(client, mRequest, order, mPorts);
-        Attempt attempt = new Attempt(nowNanos, grant.expectedMillis());
+        Attempt attempt =
+                new Attempt(mRequest, mPorts.dialect(), this, grant.expectedMillis(), nowNanos);
         mAttempt = attempt;
+        mSentNanos = nowNanos;
         attempt.send(client, once, request);
     }
 
@@ -268,7 +241,106 @@
         return new HelperAddress(helper.address(), memory.nameFor(helper));
     }
 
-    private void attemptFailed(PlacementOutcome outcome, String culprit, boolean mayHaveRun) {
+    @Override
+    public boolean isCurrent(Attempt attempt) {
+        return mAttempt == attempt;
+    }
+
+    @Override
+    public long nowNanos() {
+        return now();
+    }
+
+    @Override
+    public void event(StreamingHttpResponse head, EventCutter.Event event, boolean first) {
+        boolean known = event.id() != EventCutter.NO_ID && event.id() <= mLastEventId;
+        if (known) {
+            return;
+        }
+        long nowNanos = now();
+        if (first) {
+            started();
+        }
+        if (mAnswer.begun()) {
+            noteGap(nowNanos);
+        } else {
+            mFirstMillis = ageMillis();
+            mMetrics.first(mFirstMillis);
+            mAnswer.beginStream(head, this::callerGone);
+        }
+        mLastEventNanos = nowNanos;
+        if (event.id() != EventCutter.NO_ID) {
+            mLastEventId = event.id();
+        }
+        mAnswer.event(event.content());
+    }
+
+    private void started() {
+        PlacementKey key = mKey;
+        PlacementGrant grant = mGrant;
+        if (key != null && grant != null) {
+            mPorts.placement().started(key);
+            mLog.started(grant, TimeUnit.NANOSECONDS.toMillis(now() - mSentNanos), ageMillis());
+        }
+    }
+
+    private void noteGap(long nowNanos) {
+        long gap = TimeUnit.NANOSECONDS.toMillis(nowNanos - mLastEventNanos);
+        mMetrics.gap(gap);
+        long target = mRequest.route().targetGapMillis();
+        PlacementKey key = mKey;
+        if (target > 0 && gap > target && !mDelayed && key != null) {
+            mDelayed = true;
+            mPorts.placement().delayed(key, gap);
+            mLog.delayed(Optional.ofNullable(mGrant), gap);
+        }
+    }
+
+    @Override
+    public void streamComplete() {
+        mAttempt = null;
+        mAnswer.complete();
+        end("answered", PlacementOutcome.ANSWERED);
+    }
+
+    @Override
+    public void whole(StreamingHttpResponse response, UpstreamHead head, Bytes body) {
+        boolean error = head.status() >= SERVER_ERROR;
+        if (error && mayRunAgain()) {
+            attemptFailed(PlacementOutcome.UPSTREAM_ERROR, head.culprit(), true);
+            return;
+        }
+        mAttempt = null;
+        if (mAnswer.begun()) {
+            endPlacement(PlacementOutcome.UPSTREAM_ERROR, head.culprit());
+            abort("upstream_error");
+            return;
+        }
+        mMetrics.first(ageMillis());
+        mAnswer.whole(response, body);
+        end(
+                error ? "upstream_error" : "answered",
+                error ? PlacementOutcome.UPSTREAM_ERROR : PlacementOutcome.ANSWERED);
+    }
+
+    private boolean mayRunAgain() {
+        return ResendPolicy.sendAgain(
+                mRequest.route().repeatability(),
+                mMayHaveRun + 1,
+                mSends,
+                mRequest.route().maximumUpstreams(),
+                true);
+    }
+
+    @Override
+    public void connectionFailed(boolean sent, Throwable problem) {
+        mLog.connectionFailed(Optional.ofNullable(mGrant), sent, problem);
+        PlacementOutcome outcome = sent ? PlacementOutcome.BROKEN : PlacementOutcome.NOT_CONNECTED;
+        attemptFailed(outcome, "", sent);
+    }
+
+    @Override
+    public void attemptFailed(PlacementOutcome outcome, String culprit, boolean mayHaveRun) {
         PlacementGrant grant = mGrant;
         if (mDone || grant == null) {
             return;
@@ -283,26 +355,9 @@
                         mSends,
                         mRequest.route().maximumUpstreams(),
                         mayHaveRun);
-        LOG.info(
-                "send_failed",
-                "request",
-                mRequest.head().requestId(),
-                "upstream",
-                grant.upstream(),
-                "outcome",
-                outcome,
-                "culprit",
-                culprit,
-                "send",
-                mSends,
-                "may_have_run",
-                mMayHaveRun,
-                "age_ms",
-                ageMillis(),
-                "again",
-                again);
+        mLog.sendFailed(grant, outcome, culprit, mSends, mMayHaveRun, again, ageMillis());
         if (again) {
-            mMetrics.resent(outcome.name().toLowerCase(java.util.Locale.ROOT));
+            mMetrics.resent(outcome.name().toLowerCase(Locale.ROOT));
             mTried.add(grant.upstream());
             ask();
         } else if (mAnswer.begun()) {
@@ -342,26 +397,11 @@
         Attempt attempt = mAttempt;
         mAttempt = null;
         if (attempt != null) {
-            attempt.call().close();
+            attempt.close();
         }
         endPlacement(outcome, "");
         mMetrics.ended(reason);
-        LOG.info(
-                "request_ended",
-                "request",
-                mRequest.head().requestId(),
-                "route",
-                mRequest.route().name(),
-                "reason",
-                reason,
-                "sends",
-                mSends,
-                "last_event",
-                mLastEventId,
-                "first_ms",
-                mFirstMillis,
-                "age_ms",
-                ageMillis());
+        mLog.ended(reason, mSends, mLastEventId, mFirstMillis, ageMillis());
         mOnDone.done(this);
     }
 
@@ -396,229 +436,4 @@
     private static long millis(long value) {
         return TimeUnit.MILLISECONDS.toNanos(value);
     }
-
-    /** One send to one upstream, and the answer as it comes in. */
-    private final class Attempt implements UpstreamCall.Listener {
-        private final long mSentNanos;
-        private final long mFirstLimitNanos;
-        private final EventCutter mCutter = new EventCutter();
-        private final java.io.ByteArrayOutputStream mBody = new java.io.ByteArrayOutputStream();
-        private @Nullable UpstreamCall mCall;
-        private @Nullable StreamingHttpResponse mResponse;
-        private @Nullable UpstreamHead mHead;
-        private boolean mStream;
-        private boolean mFirstSeen;
-        private long mLastNanos;
-
-        Attempt(long nowNanos, long expectedMillis) {
-            mSentNanos = nowNanos;
-            mLastNanos = nowNanos;
-            long limit = SilenceLimits.firstMillis(mRequest.route(), expectedMillis);
-            mFirstLimitNanos = limit == Long.MAX_VALUE ? limit : millis(limit);
-        }
-
-        void send(StreamingHttpClient client, boolean once, StreamingHttpRequest request) {
-            mCall = new UpstreamCall(client, once, request, this);
-            mCall.send();
-        }
-
-        UpstreamCall call() {
-            return java.util.Objects.requireNonNull(mCall);
-        }
-
-        boolean silent(long nowNanos) {
-            if (!mFirstSeen) {
-                return nowNanos - mSentNanos > mFirstLimitNanos;
-            }
-            long gapLimit = SilenceLimits.gapMillis(mRequest.route());
-            return gapLimit != Long.MAX_VALUE && nowNanos - mLastNanos > millis(gapLimit);
-        }
-
-        @Override
-        public void head(StreamingHttpResponse response) {
-            if (mAttempt != this) {
-                call().close();
-                return;
-            }
-            UpstreamHead head = mPorts.dialect().readUpstream(response);
-            mResponse = response;
-            mHead = head;
-            boolean foreign =
-                    head.requestId().map(id -> !id.equals(requestId())).orElse(head.success());
-            if (foreign) {
-                call().close();
-                attemptFailed(PlacementOutcome.BROKEN, "", true);
-            } else if (head.notRun()) {
-                call().discard();
-                PlacementOutcome outcome =
-                        head.misdirected() ? PlacementOutcome.MISDIRECTED : PlacementOutcome.FULL;
-                attemptFailed(outcome, head.culprit(), false);
-            } else {
-                mStream = mRequest.route().streaming() && head.success();
-            }
-        }
-
-        @Override
-        public void part(byte[] part) {
-            if (mAttempt != this) {
-                return;
-            }
-            mLastNanos = now();
-            if (!mStream) {
-                mFirstSeen = true;
-                mBody.write(part, 0, part.length);
-                return;
-            }
-            for (EventCutter.Event event : mCutter.feed(part)) {
-                if (mAttempt == this) {
-                    event(event);
-                }
-            }
-            if (mCutter.tooLong() && mAttempt == this) {
-                call().close();
-                attemptFailed(PlacementOutcome.BROKEN, "", true);
-            }
-        }
-
-        private void event(EventCutter.Event event) {
-            boolean known = event.id() != EventCutter.NO_ID && event.id() <= mLastEventId;
-            if (known) {
-                return;
-            }
-            long nowNanos = now();
-            PlacementKey key = mKey;
-            if (!mFirstSeen) {
-                mFirstSeen = true;
-                if (key != null) {
-                    mPorts.placement().started(key);
-                }
-                logStarted(nowNanos);
-            }
-            if (!mAnswer.begun()) {
-                mFirstMillis = ageMillis();
-                mMetrics.first(mFirstMillis);
-                mAnswer.beginStream(
-                        java.util.Objects.requireNonNull(mResponse), Exchange.this::callerGone);
-            } else {
-                noteGap(nowNanos, key);
-            }
-            mLastEventNanos = nowNanos;
-            if (event.id() != EventCutter.NO_ID) {
-                mLastEventId = event.id();
-            }
-            mAnswer.event(event.content());
-        }
-
-        private void logStarted(long nowNanos) {
-            PlacementGrant grant = java.util.Objects.requireNonNull(mGrant);
-            LOG.info(
-                    "stream_started",
-                    "request",
-                    requestId(),
-                    "upstream",
-                    grant.upstream(),
-                    "expected_ms",
-                    grant.expectedMillis(),
-                    "took_ms",
-                    TimeUnit.NANOSECONDS.toMillis(nowNanos - mSentNanos),
-                    "target_ms",
-                    mRequest.route().targetMillis(),
-                    "age_ms",
-                    ageMillis());
-        }
-
-        private void noteGap(long nowNanos, @Nullable PlacementKey key) {
-            long gap = TimeUnit.NANOSECONDS.toMillis(nowNanos - mLastEventNanos);
-            mMetrics.gap(gap);
-            long target = mRequest.route().targetGapMillis();
-            if (target > 0 && gap > target && !mDelayed && key != null) {
-                mDelayed = true;
-                mPorts.placement().delayed(key, gap);
-                LOG.info(
-                        "stream_delayed",
-                        "request",
-                        requestId(),
-                        "upstream",
-                        Optional.ofNullable(mGrant).map(PlacementGrant::upstream),
-                        "gap_ms",
-                        gap,
-                        "target_ms",
-                        target);
-            }
-        }
-
-        @Override
-        public void ended() {
-            if (mAttempt != this) {
-                return;
-            }
-            UpstreamHead head = java.util.Objects.requireNonNull(mHead);
-            if (mStream) {
-                endStream();
-            } else if (head.status() >= SERVER_ERROR && mayRunAgain()) {
-                attemptFailed(PlacementOutcome.UPSTREAM_ERROR, head.culprit(), true);
-            } else {
-                mAttempt = null;
-                deliver(head);
-            }
-        }
-
-        private boolean mayRunAgain() {
-            return ResendPolicy.sendAgain(
-                    mRequest.route().repeatability(),
-                    mMayHaveRun + 1,
-                    mSends,
-                    mRequest.route().maximumUpstreams(),
-                    true);
-        }
-
-        private void deliver(UpstreamHead head) {
-            boolean error = head.status() >= SERVER_ERROR;
-            if (mAnswer.begun()) {
-                endPlacement(PlacementOutcome.UPSTREAM_ERROR, head.culprit());
-                abort("upstream_error");
-                return;
-            }
-            mMetrics.first(ageMillis());
-            mAnswer.whole(
-                    java.util.Objects.requireNonNull(mResponse), Bytes.copyOf(mBody.toByteArray()));
-            end(
-                    error ? "upstream_error" : "answered",
-                    error ? PlacementOutcome.UPSTREAM_ERROR : PlacementOutcome.ANSWERED);
-        }
-
-        private void endStream() {
-            if (!mFirstSeen || mCutter.unfinished()) {
-                attemptFailed(PlacementOutcome.BROKEN, "", true);
-                return;
-            }
-            mAttempt = null;
-            mAnswer.complete();
-            end("answered", PlacementOutcome.ANSWERED);
-        }
-
-        @Override
-        public void failed(boolean sent, Throwable problem) {
-            if (mAttempt != this) {
-                return;
-            }
-            LOG.info(
-                    "connection_failed",
-                    "request",
-                    requestId(),
-                    "upstream",
-                    Optional.ofNullable(mGrant).map(PlacementGrant::upstream),
-                    "sent",
-                    sent,
-                    "problem",
-                    problem.getClass().getSimpleName());
-            PlacementOutcome outcome =
-                    sent ? PlacementOutcome.BROKEN : PlacementOutcome.NOT_CONNECTED;
-            attemptFailed(outcome, "", sent);
-        }
-
-        private String requestId() {
-            return mRequest.head().requestId();
-        }
-    }
 }
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeLog.java
@@ -0,0 +1,145 @@
+package dev.kumquatweir.gateway.forward;
+
+import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.policy.placement.PlacementAction;
+import dev.kumquatweir.policy.placement.PlacementGrant;
+import dev.kumquatweir.policy.placement.PlacementOutcome;
+import java.util.Optional;
+
+/**
+ * Log lines of one request, each with its id and what decided. What goes wrong is logged as a
+ * warning, which a full log leaves out last.
+ */
+final class ExchangeLog {
+    private static final EventLog LOG = EventLog.of(Exchange.class);
+
+    private final String mId;
+    private final String mRoute;
+
+    ExchangeLog(ForwardedRequest request) {
+        mId = request.head().requestId();
+        mRoute = request.route().name();
+    }
+
+    void placed(PlacementGrant grant, int send, long waitedMillis) {
+        LOG.info(
+                "request_placed",
+                "request",
+                mId,
+                "route",
+                mRoute,
+                "upstream",
+                grant.upstream(),
+                "helpers",
+                grant.helpers().size(),
+                "send",
+                send,
+                "waited_ms",
+                waitedMillis,
+                "expected_ms",
+                grant.expectedMillis());
+    }
+
+    void rejected(PlacementAction.Reject reject, int sends, long ageMillis) {
+        LOG.warn(
+                "request_rejected",
+                "request",
+                mId,
+                "route",
+                mRoute,
+                "reason",
+                reject.reason(),
+                "sends",
+                sends,
+                "age_ms",
+                ageMillis,
+                "retry_after_ms",
+                reject.retryAfterMillis());
+    }
+
+    void connectionFailed(Optional<PlacementGrant> grant, boolean sent, Throwable problem) {
+        LOG.warn(
+                "connection_failed",
+                "request",
+                mId,
+                "upstream",
+                grant.map(PlacementGrant::upstream),
+                "sent",
+                sent,
+                "problem",
+                problem.getClass().getSimpleName());
+    }
+
+    void sendFailed(
+            PlacementGrant grant,
+            PlacementOutcome outcome,
+            String culprit,
+            int sends,
+            int mayHaveRun,
+            boolean again,
+            long ageMillis) {
+        LOG.warn(
+                "send_failed",
+                "request",
+                mId,
+                "upstream",
+                grant.upstream(),
+                "outcome",
+                outcome,
+                "culprit",
+                culprit,
+                "send",
+                sends,
+                "may_have_run",
+                mayHaveRun,
+                "age_ms",
+                ageMillis,
+                "again",
+                again);
+    }
+
+    void started(PlacementGrant grant, long tookMillis, long ageMillis) {
+        LOG.info(
+                "stream_started",
+                "request",
+                mId,
+                "upstream",
+                grant.upstream(),
+                "expected_ms",
+                grant.expectedMillis(),
+                "took_ms",
+                tookMillis,
+                "age_ms",
+                ageMillis);
+    }
+
+    void delayed(Optional<PlacementGrant> grant, long gapMillis) {
+        LOG.info(
+                "stream_delayed",
+                "request",
+                mId,
+                "upstream",
+                grant.map(PlacementGrant::upstream),
+                "gap_ms",
+                gapMillis);
+    }
+
+    void ended(String reason, int sends, long lastEventId, long firstMillis, long ageMillis) {
+        LOG.info(
+                "request_ended",
+                "request",
+                mId,
+                "route",
+                mRoute,
+                "reason",
+                reason,
+                "sends",
+                sends,
+                "last_event",
+                lastEventId,
+                "first_ms",
+                firstMillis,
+                "age_ms",
+                ageMillis);
+    }
+}
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardedRequest.java
@@ -8,6 +8,7 @@
 import io.servicetalk.http.api.HttpRequestMethod;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.zip.CRC32C;
 
 /**
@@ -50,8 +51,8 @@
 
     int priority() {
         return team.map(RoutedTeam::priority)
-                .filter(java.util.OptionalInt::isPresent)
-                .map(java.util.OptionalInt::getAsInt)
+                .filter(OptionalInt::isPresent)
+                .map(OptionalInt::getAsInt)
                 .orElse(route.priority());
     }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -28,34 +28,17 @@
  * are kept by counting. An instance that can't reach it runs one of its own with {@link #alone}.
  */
 public final class PlacementScheduler {
-    private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(6);
-    private static final long SILENCE_ALONE_NANOS = TimeUnit.SECONDS.toNanos(30);
-    private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(60);
     private static final double NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
-    /** A request waits so close to its target for a place that costs others nothing. */
-    private static final long PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(120);
-
     /** A call of a plain service that is not under way so long before its deadline is useless. */
     private static final long CALL_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
-    /** Harm below this share of the value gained is within the error of the estimates. */
-    private static final double NEGLIGIBLE_HARM = 0.02;
-
     /** Late requests that may wait, as a share of all places of their service. */
     private static final double LATE_SHARE = 0.1;
 
-    private static final long SHORTEST_RETRY_MILLIS = 250;
-
-    /** Callers come back after a third of the time they have left at the latest. */
-    private static final long LONGEST_RETRY_MILLIS = 3_300;
-
-    /** While every place is taken, a rejected caller that comes back at once is rejected again. */
-    private static final long SATURATED_RETRY_MILLIS = 1_000;
-
     private final PlacementLimits mLimits;
     private final Map<ServiceName, RoutedService> mServices = new HashMap<>();
-    private final Map<UpstreamId, PlacementUpstream> mUpstreams = new LinkedHashMap<>();
+    private final PlacementUpstreams mUpstreams = new PlacementUpstreams();
     private final Map<PlacementKey, PlacementRequest> mWaiting = new LinkedHashMap<>();
     private final Set<PlacementKey> mReturned = new HashSet<>();
     private final Map<PlacementKey, List<PlacementUpstream>> mPlaced = new HashMap<>();
@@ -63,9 +46,7 @@
     private final CrashHistory mCrashes = new CrashHistory();
     private final List<PlacementAction> mActions = new ArrayList<>();
     private @Nullable RoutingTable mRouting;
-    private Set<FailureDomain> mDomainsOut = Set.of();
     private int mInstances = 1;
-    private boolean mAlone;
 
     /** Makes a scheduler that knows no upstream. */
     public PlacementScheduler(PlacementLimits limits) {
@@ -78,7 +59,7 @@
     public void routing(RoutingTable routing, Set<FailureDomain> domainsOut) {
         mRouting = routing;
         mServices.clear();
-        mDomainsOut = Set.copyOf(domainsOut);
+        mUpstreams.domainsOut(domainsOut);
     }
 
     /**
@@ -86,29 +67,20 @@
      * of each common limit, and leaves cold upstreams alone.
      */
     public void alone(int instances) {
-        mAlone = true;
         mInstances = Math.max(1, instances);
+        mUpstreams.alone(mInstances);
     }
 
     // What is heard of upstreams.
 
     /** Takes what an upstream said. */
     public void heard(UpstreamNotice notice, long heardNanos) {
-        PlacementUpstream known = mUpstreams.get(notice.id());
-        if (known == null) {
-            mUpstreams.put(notice.id(), new PlacementUpstream(notice, heardNanos));
-        } else {
-            known.heard(notice, heardNanos);
-        }
+        mUpstreams.heard(notice, heardNanos);
     }
 
     /** Forgets upstreams that were silent for long and have no work. */
     public void forgetSilent(long nowNanos) {
-        mUpstreams
-                .values()
-                .removeIf(
-                        upstream ->
-                                upstream.silentNanos(nowNanos) > FORGET_NANOS && upstream.idle());
+        mUpstreams.forgetSilent(nowNanos);
     }
 
     // What is heard of requests.
@@ -136,7 +108,7 @@
     /** Takes a request in that an upstream works on already, placed by another scheduler. */
     public void hold(
             PlacementRequest request, UpstreamId upstream, boolean started, long nowNanos) {
-        PlacementUpstream known = mUpstreams.get(upstream);
+        PlacementUpstream known = mUpstreams.find(upstream);
         if (known == null || mPlaced.containsKey(request.key())) {
             return;
         }
@@ -257,19 +229,17 @@
         return mWaiting.size();
     }
 
+    private long waiting(ServiceName service) {
+        return mWaiting.values().stream()
+                .filter(request -> request.service().equals(service))
+                .count();
+    }
+
     /** Returns how many requests are placed. */
     public int placed() {
         return mPlaced.size();
     }
 
-    /** Returns the identifiers of all upstreams that may get work now. */
-    public List<UpstreamId> usable(long nowNanos) {
-        return mUpstreams.values().stream()
-                .filter(upstream -> upstream.takesWork(mDomainsOut, silence(), nowNanos))
-                .map(upstream -> upstream.notice().id())
-                .toList();
-    }
-
     // Helpers.
 
     /**
@@ -310,7 +280,7 @@
     private void decide(PlacementRequest request, long nowNanos) {
         Optional<RoutedService> service = service(request.service());
         List<PlacementUpstream> open =
-                service.map(known -> open(request, known, nowNanos)).orElse(List.of());
+                service.map(known -> mUpstreams.open(request, known, nowNanos)).orElse(List.of());
         Optional<EngineCost> cost = service.flatMap(RoutedService::engine);
         if (cost.isPresent()) {
             decideEngine(request, cost.get(), open, nowNanos);
@@ -326,7 +296,7 @@
         } else if (chosen.isPresent()) {
             PlacedWork work = new PlacedWork(request, true, 0, 0, nowNanos, nowNanos);
             place(request, List.of(chosen.get()), List.of(work), List.of(0L), nowNanos, nowNanos);
-        } else if (!known(request.service(), nowNanos)) {
+        } else if (mUpstreams.working(request.service(), nowNanos).isEmpty()) {
             reject(request, PlacementRefusal.NO_UPSTREAM, nowNanos);
         }
     }
@@ -341,13 +311,18 @@
             reject(request, PlacementRefusal.TOO_LATE, nowNanos);
             return;
         }
-        if (!known(request.service(), nowNanos)) {
+        if (mUpstreams.working(request.service(), nowNanos).isEmpty()) {
             reject(request, PlacementRefusal.NO_UPSTREAM, nowNanos);
             return;
         }
         Optional<EngineOption> option =
                 EngineChooser.choose(
-                        request, cost, open, pressure(request.service(), nowNanos), nowNanos);
+                        request,
+                        cost,
+                        open,
+                        mUpstreams.pressure(
+                                request.service(), waiting(request.service()), nowNanos),
+                        nowNanos);
         if (option.isEmpty()) {
             rejectHopeless(request, cost, nowNanos);
             return;
@@ -356,7 +331,7 @@
             reject(request, PlacementRefusal.TOO_LATE, nowNanos);
         } else if (mayStillBeOnTime(request, option.get(), nowNanos)) {
             return;
-        } else if (isWorthPlacing(request, option.get())) {
+        } else if (PlacementRules.isWorthPlacing(request, option.get())) {
             place(request, option.get(), nowNanos);
         }
     }
@@ -375,11 +350,7 @@
                         .filter(other -> other.service().equals(request.service()))
                         .filter(other -> tooLateForTarget(other, nowNanos))
                         .count();
-        long engines =
-                mUpstreams.values().stream()
-                        .filter(each -> each.notice().service().equals(request.service()))
-                        .filter(each -> each.takesWork(mDomainsOut, silence(), nowNanos))
-                        .count();
+        int engines = mUpstreams.working(request.service(), nowNanos).size();
         if (late > LATE_SHARE * engines * cost.concurrentRequests()) {
             reject(request, PlacementRefusal.TOO_LATE, nowNanos);
         }
@@ -394,36 +365,6 @@
                 && !tooLateForTarget(request, nowNanos);
     }
 
-    private static boolean isWorthPlacing(PlacementRequest request, EngineOption option) {
-        boolean onTime = option.firstNanos() - request.targetNanos() <= 0;
-        double gain = request.value() * (onTime ? 1 : 1 - EngineChooser.LATE_LOSS);
-        if (option.harm() <= NEGLIGIBLE_HARM * request.value()) {
-            return option.displaced() <= gain;
-        }
-        long bound = onTime ? request.targetNanos() : request.latestNanos();
-        boolean patienceEnds = bound - option.firstNanos() - PATIENCE_NANOS < 0;
-        double accepted = onTime ? gain * EngineChooser.LATE_LOSS : gain;
-        return patienceEnds && option.harm() + option.displaced() < accepted;
-    }
-
-    /** Returns the share of the places of a service that are taken or waited for, at most 1. */
-    private double pressure(ServiceName service, long nowNanos) {
-        double places = 0;
-        double taken = 0;
-        for (PlacementUpstream upstream : mUpstreams.values()) {
-            if (upstream.notice().service().equals(service)
-                    && upstream.takesWork(mDomainsOut, silence(), nowNanos)) {
-                places += upstream.notice().slots();
-                taken += upstream.answering();
-            }
-        }
-        long waiting =
-                mWaiting.values().stream()
-                        .filter(request -> request.service().equals(service))
-                        .count();
-        return places == 0 ? 1 : Math.min(1, (taken + waiting) / places);
-    }
-
     private void place(PlacementRequest request, EngineOption option, long nowNanos) {
         List<PlacementUpstream> upstreams =
                 option.parts().stream().map(EnginePart::upstream).toList();
@@ -443,20 +384,11 @@
                             option.firstNanos()));
         }
         if (option.harm() > 0) {
-            markHarmed(option, nowNanos);
+            PlacementRules.markHarmed(option, nowNanos);
         }
         place(request, upstreams, works, option.reservedTokens(), option.firstNanos(), nowNanos);
     }
 
-    /** What a decision has already made late costs nothing the next time. */
-    private static void markHarmed(EngineOption option, long nowNanos) {
-        option.parts().stream()
-                .filter(part -> part.harm() > 0)
-                .flatMap(part -> part.upstream().works().stream())
-                .filter(work -> work.started() || work.expectedNanos() - nowNanos > 0)
-                .forEach(PlacedWork::markLate);
-    }
-
     private void place(
             PlacementRequest request,
             List<PlacementUpstream> upstreams,
@@ -490,54 +422,7 @@
         withdraw(request.key());
         mActions.add(
                 new PlacementAction.Reject(
-                        request.key(), reason, retryAfterMillis(request, nowNanos)));
-    }
-
-    /** Spreads the return over the time in which places become free. */
-    private long retryAfterMillis(PlacementRequest request, long nowNanos) {
-        List<PlacementUpstream> working =
-                mUpstreams.values().stream()
-                        .filter(each -> each.notice().service().equals(request.service()))
-                        .filter(each -> each.takesWork(mDomainsOut, silence(), nowNanos))
-                        .toList();
-        boolean saturated =
-                working.stream().noneMatch(each -> each.answering() < each.notice().slots());
-        double backlog =
-                working.stream()
-                        .mapToDouble(each -> each.unreadMillis(nowNanos))
-                        .average()
-                        .orElse(SHORTEST_RETRY_MILLIS);
-        double least = saturated ? SATURATED_RETRY_MILLIS : SHORTEST_RETRY_MILLIS + backlog;
-        double spread = Math.floorMod(request.key().hashCode() * 0x9E3779B9, 1000) / 1000.0;
-        double most = saturated ? LONGEST_RETRY_MILLIS : least + backlog + 500;
-        return Math.min(LONGEST_RETRY_MILLIS, (long) (least + spread * (most - least)));
-    }
-
-    private List<PlacementUpstream> open(
-            PlacementRequest request, RoutedService service, long nowNanos) {
-        double starts = service.startsPerSecond() / mInstances;
-        return mUpstreams.values().stream()
-                .filter(upstream -> upstream.notice().service().equals(service.name()))
-                .filter(upstream -> upstream.takesWork(mDomainsOut, silence(), nowNanos))
-                .filter(upstream -> !request.excluded().contains(upstream.notice().id()))
-                .filter(upstream -> !(mAlone && upstream.cold(nowNanos)))
-                .filter(
-                        upstream ->
-                                service.startsPerSecond() <= 0
-                                        || upstream.starts().allows(starts, nowNanos))
-                .toList();
-    }
-
-    private boolean known(ServiceName service, long nowNanos) {
-        return mUpstreams.values().stream()
-                .anyMatch(
-                        upstream ->
-                                upstream.notice().service().equals(service)
-                                        && upstream.takesWork(mDomainsOut, silence(), nowNanos));
-    }
-
-    private long silence() {
-        return mAlone ? SILENCE_ALONE_NANOS : SILENCE_NANOS;
+                        request.key(), reason, mUpstreams.retryAfterMillis(request, nowNanos)));
     }
 
     private Optional<RoutedService> service(ServiceName name) {
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstreams.java
@@ -0,0 +1,110 @@
+package dev.kumquatweir.policy.placement;
+
+import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.ServiceName;
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.core.routing.RoutedService;
+import dev.kumquatweir.core.routing.UpstreamNotice;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/** The upstreams of a scheduler, and which of them may get work. Not thread-safe. */
+final class PlacementUpstreams {
+    /** Five heartbeats; some control instance hears one unless the upstream is lost or cut off. */
+    private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(6);
+
+    /** An instance without a leader hears no heartbeats and goes on with what it knew. */
+    private static final long SILENCE_ALONE_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+    private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(60);
+    private static final long SHORTEST_RETRY_MILLIS = 250;
+
+    /** Callers come back after a third of the time they have left at the latest. */
+    private static final long LONGEST_RETRY_MILLIS = 3_300;
+
+    /** While every place is taken, a rejected caller that comes back at once is rejected again. */
+    private static final long SATURATED_RETRY_MILLIS = 1_000;
+
+    private final Map<UpstreamId, PlacementUpstream> mUpstreams = new LinkedHashMap<>();
+    private Set<FailureDomain> mDomainsOut = Set.of();
+    private int mInstances = 1;
+    private boolean mAlone;
+
+    void domainsOut(Set<FailureDomain> domainsOut) {
+        mDomainsOut = Set.copyOf(domainsOut);
+    }
+
+    void alone(int instances) {
+        mAlone = true;
+        mInstances = instances;
+    }
+
+    void heard(UpstreamNotice notice, long heardNanos) {
+        PlacementUpstream known = mUpstreams.get(notice.id());
+        if (known == null) {
+            mUpstreams.put(notice.id(), new PlacementUpstream(notice, heardNanos));
+        } else {
+            known.heard(notice, heardNanos);
+        }
+    }
+
+    void forgetSilent(long nowNanos) {
+        mUpstreams
+                .values()
+                .removeIf(
+                        upstream ->
+                                upstream.silentNanos(nowNanos) > FORGET_NANOS && upstream.idle());
+    }
+
+    @Nullable PlacementUpstream find(UpstreamId id) {
+        return mUpstreams.get(id);
+    }
+
+    /** Returns the upstreams of a service that take work by their own word and the operators'. */
+    List<PlacementUpstream> working(ServiceName service, long nowNanos) {
+        long silence = mAlone ? SILENCE_ALONE_NANOS : SILENCE_NANOS;
+        return mUpstreams.values().stream()
+                .filter(upstream -> upstream.notice().service().equals(service))
+                .filter(upstream -> upstream.takesWork(mDomainsOut, silence, nowNanos))
+                .toList();
+    }
+
+    /** Returns the upstreams that may get a request now as far as limits on starts go. */
+    List<PlacementUpstream> open(PlacementRequest request, RoutedService service, long nowNanos) {
+        double starts = service.startsPerSecond() / mInstances;
+        boolean limited = service.startsPerSecond() > 0;
+        return working(service.name(), nowNanos).stream()
+                .filter(upstream -> !request.excluded().contains(upstream.notice().id()))
+                .filter(upstream -> !(mAlone && upstream.cold(nowNanos)))
+                .filter(upstream -> !limited || upstream.starts().allows(starts, nowNanos))
+                .toList();
+    }
+
+    /** Returns the share of the places of a service that are taken or waited for, at most 1. */
+    double pressure(ServiceName service, long waiting, long nowNanos) {
+        List<PlacementUpstream> working = working(service, nowNanos);
+        double places = working.stream().mapToInt(each -> each.notice().slots()).sum();
+        double taken = working.stream().mapToInt(PlacementUpstream::answering).sum();
+        return places == 0 ? 1 : Math.min(1, (taken + waiting) / places);
+    }
+
+    /** Spreads the return of a rejected caller over the time in which places become free. */
+    long retryAfterMillis(PlacementRequest request, long nowNanos) {
+        List<PlacementUpstream> working = working(request.service(), nowNanos);
+        boolean saturated =
+                working.stream().noneMatch(each -> each.answering() < each.notice().slots());
+        double backlog =
+                working.stream()
+                        .mapToDouble(each -> each.unreadMillis(nowNanos))
+                        .average()
+                        .orElse(SHORTEST_RETRY_MILLIS);
+        double least = saturated ? SATURATED_RETRY_MILLIS : SHORTEST_RETRY_MILLIS + backlog;
+        double spread = Math.floorMod(request.key().hashCode() * 0x9E3779B9, 1000) / 1000.0;
+        double most = saturated ? LONGEST_RETRY_MILLIS : least + backlog + 500;
+        return Math.min(LONGEST_RETRY_MILLIS, (long) (least + spread * (most - least)));
+    }
+}
--- a/policy/src/test/java/dev/kumquatweir/policy/placement/SchedulerReplay.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/SchedulerReplay.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
@@ -88,14 +89,12 @@
 
     /** One engine: requests whose prompts wait, and those that emit events. */
     private final class Engine {
-        private final UpstreamId mId;
         private final double mPace;
         private final List<Work> mUnread = new ArrayList<>();
         private final List<Work> mWriting = new ArrayList<>();
         private boolean mBusy;
 
-        Engine(UpstreamId id, double pace) {
-            mId = id;
+        Engine(double pace) {
             mPace = pace;
         }
 
@@ -172,7 +171,7 @@
         }
 
         void event(long nowNanos) {
-            Outcome outcome = mOutcomes.get(mKey);
+            Outcome outcome = Objects.requireNonNull(mOutcomes.get(mKey));
             double age = (double) (nowNanos - outcome.mArrivedNanos) / MILLI;
             mEventsLeft--;
             if (mLast < 0) {
@@ -204,7 +203,7 @@
     /** Sets how many times longer an engine works than its service publishes. */
     void engine(int number, double pace) {
         UpstreamId id = new UpstreamId("engine-" + number);
-        mEngines.put(id, new Engine(id, pace));
+        mEngines.put(id, new Engine(pace));
         heartbeat(id, 0);
     }
 
@@ -273,7 +272,7 @@
 
     private void decide(long nowNanos) {
         for (PlacementAction action : mScheduler.decide(nowNanos)) {
-            Outcome outcome = mOutcomes.get(action.key());
+            Outcome outcome = Objects.requireNonNull(mOutcomes.get(action.key()));
             switch (action) {
                 case PlacementAction.Reject _ ->
                         outcome.mRejected = (double) (nowNanos - outcome.mArrivedNanos) / MILLI;
@@ -285,8 +284,8 @@
     private void begin(Outcome outcome, PlacementAction.Grant grant, long nowNanos) {
         PlacementRequest request = outcome.mRequest;
         List<Engine> engines = new ArrayList<>();
-        engines.add(mEngines.get(grant.grant().upstream()));
-        grant.grant().helpers().forEach(helper -> engines.add(mEngines.get(helper.upstream())));
+        engines.add(engine(grant.grant().upstream()));
+        grant.grant().helpers().forEach(helper -> engines.add(engine(helper.upstream())));
         outcome.mEngines = engines.size();
         double read = COST.readMillis(request.promptTokens()) / engines.size();
         int events = (int) Math.max(1, request.outputTokens() / 46);
@@ -294,6 +293,10 @@
         engines.forEach(engine -> engine.take(work, nowNanos));
     }
 
+    private Engine engine(UpstreamId id) {
+        return Objects.requireNonNull(mEngines.get(id));
+    }
+
     private void at(long nanos, Runnable action) {
         mOrder++;
         mEvents.add(new Timed(nanos, mOrder, action));
--- a/program/src/main/java/dev/kumquatweir/program/command/WarmCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/WarmCommand.java
@@ -69,8 +69,8 @@
     }
 
     private static InetSocketAddress free() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ADDRESS))) {
-            return new InetSocketAddress(ADDRESS, socket.getLocalPort());
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
         }
     }
 }
--- a/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
@@ -8,6 +8,7 @@
 import dev.kumquatweir.agreement.raft.RaftSettings;
 import dev.kumquatweir.agreement.state.RoutingImage;
 import dev.kumquatweir.agreement.state.StateCommand;
+import dev.kumquatweir.agreement.state.StateResult;
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.duty.Duty;
 import dev.kumquatweir.core.event.EventLog;
@@ -253,10 +254,8 @@
     private static Either<Failure, Long> held(ControlReply reply, long version) {
         if (reply instanceof ControlReply.Applied applied) {
             return switch (applied.result()) {
-                case dev.kumquatweir.agreement.state.StateResult.RoutingHeld held ->
-                        Either.right(held.heldVersion());
-                case dev.kumquatweir.agreement.state.StateResult.DomainSet _ ->
-                        Either.right(version);
+                case StateResult.RoutingHeld held -> Either.right(held.heldVersion());
+                case StateResult.DomainSet _ -> Either.right(version);
                 default -> Either.left(new ControlFailure.Garbled("unexpected result"));
             };
         }
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaDuty.java
@@ -20,7 +20,6 @@
 import dev.kumquatweir.agreement.raft.RaftOutput;
 import dev.kumquatweir.agreement.raft.RaftRole;
 import dev.kumquatweir.agreement.raft.RaftSettings;
-import dev.kumquatweir.agreement.state.RoutingImage;
 import dev.kumquatweir.agreement.state.StateCommand;
 import dev.kumquatweir.agreement.state.StateImage;
 import dev.kumquatweir.agreement.state.StateLimits;
@@ -66,7 +65,7 @@
     private final Clocks mClocks;
     private final Consumer<RaftMessage> mSender;
     private final Consumer<Membership> mOnMembership;
-    private final Consumer<RoutingImage> mOnRouting;
+    private final RoutingWatch mRouting;
     private final int mVoterTarget;
     private final RaftNode mNode;
     private final StorageDuty mStorage;
@@ -80,7 +79,6 @@
     private StateMachine mState = new StateMachine(StateLimits.STANDARD);
     private Optional<Bytes> mFirstConfiguration;
     private Membership mKnownMembership = Membership.EMPTY;
-    private RoutingImage mKnownRouting = RoutingImage.EMPTY;
     private long mExpiredNanos;
     private boolean mStorageFull;
     private volatile Optional<InstanceId> mLeader = Optional.empty();
@@ -107,7 +105,7 @@
         mClocks = ports.clocks();
         mSender = ports.sender();
         mOnMembership = ports.onMembership();
-        mOnRouting = ports.onRouting();
+        mRouting = new RoutingWatch(ports.onRouting());
         mVoterTarget = ports.voterTarget();
         mPermits = new PermitIssuer(ports.observations());
         mFirstConfiguration = firstConfiguration;
@@ -304,7 +302,7 @@
         }
         if (mState.claimCount() > 0 && nowNanos - mExpiredNanos >= EXPIRE_NANOS) {
             mExpiredNanos = nowNanos;
-            expire();
+            ClaimExpiry.run(this::handle);
         }
     }
 
@@ -318,23 +316,6 @@
                         });
     }
 
-    /**
-     * Removes expired claims in bounded steps, one log entry after the other, to the table's end.
-     */
-    private void expire() {
-        CompletableFuture<ControlReply> done = new CompletableFuture<>();
-        CompletionStage<ControlReply> step = done;
-        step.thenAccept(
-                reply -> {
-                    if (reply instanceof ControlReply.Applied applied
-                            && applied.result() instanceof StateResult.Expired expired
-                            && !expired.wrapped()) {
-                        offer(this::expire);
-                    }
-                });
-        propose(new StateCommand.Expire(0), done);
-    }
-
     private void step(RaftInput input) {
         offer(() -> stepNow(input));
     }
@@ -366,7 +347,7 @@
     private void apply(LogEntry entry, long requestId) {
         StateResult result = mState.apply(entry);
         mPending.applied(requestId, result);
-        tellRouting();
+        mRouting.check(mState.routing());
     }
 
     /** Encodes on a thread of its own: a large state takes longer than a heartbeat may wait. */
@@ -385,15 +366,7 @@
                 StateMachine.restore(data)
                         .getOrElseThrow(
                                 fault -> new IllegalStateException("snapshot: " + fault.message()));
-        tellRouting();
-    }
-
-    private void tellRouting() {
-        RoutingImage routing = mState.routing();
-        if (routing.changes() != mKnownRouting.changes()) {
-            mKnownRouting = routing;
-            mOnRouting.accept(routing);
-        }
+        mRouting.check(mState.routing());
     }
 
     private void roleChanged(RaftOutput.RoleChanged changed) {
--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleet.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleet.java
@@ -22,6 +22,7 @@
 import dev.kumquatweir.transport.PeerNetwork;
 import dev.kumquatweir.transport.Responder;
 import io.vavr.control.Either;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -155,7 +156,7 @@
     // On the duty.
 
     private GroupControl group() {
-        return java.util.Objects.requireNonNull(mGroup);
+        return Objects.requireNonNull(mGroup);
     }
 
     /** Without a leader the others may not hear of it, so the upstream has to ask elsewhere. */
--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlWatch.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlWatch.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -104,12 +105,13 @@
                         watched.mRevision,
                         mEntry,
                         hold);
-        mNetwork.request(
+        CompletionStage<Either<TransportFailure, Bytes>> answer =
+                mNetwork.request(
                         peer,
                         FrameType.WATCH.number(),
                         request.encode(),
-                        TimeUnit.MILLISECONDS.toNanos(hold + ANSWER_MILLIS))
-                .thenAccept(answer -> mExecutor.execute(() -> answered(peer, watched, answer)));
+                        TimeUnit.MILLISECONDS.toNanos(hold + ANSWER_MILLIS));
+        answer.thenAccept(content -> mExecutor.execute(() -> answered(peer, watched, content)));
     }
 
     private void answered(
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -192,13 +193,14 @@
         long nowNanos = mClocks.nowNanos();
         asked.mScheduler = leader;
         long limit = Math.max(0, asked.mRequest.latestNanos() - nowNanos) + ANSWER_SLACK_NANOS;
-        mNetwork.request(
+        CompletionStage<Either<TransportFailure, Bytes>> answer =
+                mNetwork.request(
                         leader,
                         FrameType.PLACE.number(),
                         PlacementCodec.encode(asked.mRequest, nowNanos),
-                        limit)
-                .thenAccept(
-                        answer -> mExecutor.execute(() -> leaderAnswered(leader, asked, answer)));
+                        limit);
+        answer.thenAccept(
+                content -> mExecutor.execute(() -> leaderAnswered(leader, asked, content)));
     }
 
     private void leaderAnswered(
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -34,6 +34,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
@@ -67,7 +68,6 @@
     private final Supplier<LogStore> mStores;
     private final Runnable mOnFatal;
     private final List<HttpServerContext> mServers = new ArrayList<>();
-    private @Nullable ControlFleet mControl;
     private @Nullable GroupControl mGroup;
     private @Nullable ForwardingServer mCallers;
     private @Nullable ForwardingDuty mForwarding;
@@ -176,7 +176,6 @@
                         new GroupControl.Listeners(
                                 control::routing, members -> mPeers.heard(0, members)),
                         mOnFatal);
-        mControl = control;
         mGroup = group;
         control.start(group);
         group.start();
@@ -216,7 +215,7 @@
 
     private void tickEntry() {
         try {
-            java.util.Objects.requireNonNull(mEntry).tick();
+            Objects.requireNonNull(mEntry).tick();
         } catch (RuntimeException fault) {
             LOG.fault("entry_tick_fault", fault);
         }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/UpstreamDirectory.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/UpstreamDirectory.java
@@ -60,11 +60,10 @@
      */
     Optional<UpstreamNotice> leave(UpstreamId id, long bornMillis, long nowNanos) {
         Entry known = mEntries.get(id);
-        boolean meant =
-                known != null
-                        && (bornMillis == 0 || bornMillis == known.notice().bornMillis())
-                        && known.notice().phase() != UpstreamPhase.GONE;
-        if (!meant) {
+        if (known == null || known.notice().phase() == UpstreamPhase.GONE) {
+            return Optional.empty();
+        }
+        if (bornMillis != 0 && bornMillis != known.notice().bornMillis()) {
             return Optional.empty();
         }
         UpstreamNotice left = gone(known.notice());
--- a/program/src/main/java/dev/kumquatweir/program/fleet/WatchAnswer.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchAnswer.java
@@ -74,7 +74,7 @@
         writer.text(notice.id().value()).number(notice.bornMillis());
         writer.text(notice.service().value()).text(notice.address());
         writer.text(notice.domain().value()).number(notice.slots());
-        writer.number(notice.phase().ordinal()).number(notice.coldMillis());
+        writer.text(notice.phase().name()).number(notice.coldMillis());
         writer.number(notice.sequence()).number(heard.ageMillis());
     }
 
@@ -87,17 +87,17 @@
                         reader.text(),
                         new FailureDomain(reader.text()),
                         reader.smallNumber(),
-                        phase(reader.smallNumber()),
+                        phase(reader.text()),
                         reader.number(),
                         reader.number());
         return new HeardNotice(notice, reader.number());
     }
 
-    private static UpstreamPhase phase(int number) throws MalformedException {
-        UpstreamPhase[] phases = UpstreamPhase.values();
-        if (number < 0 || number >= phases.length) {
-            throw new MalformedException("no phase " + number);
+    private static UpstreamPhase phase(String name) throws MalformedException {
+        try {
+            return UpstreamPhase.valueOf(name);
+        } catch (IllegalArgumentException unknown) {
+            throw new MalformedException("no phase " + name);
         }
-        return phases[number];
     }
 }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/WatchDesk.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchDesk.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -92,7 +93,7 @@
     }
 
     /** Completes once the entry instances in touch have all notices up to now, or after a while. */
-    CompletableFuture<Boolean> confirmed(long nowNanos) {
+    CompletionStage<Boolean> confirmed(long nowNanos) {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
         mConfirmations.add(new Confirmation(done, mOwn.revision(), nowNanos + CONFIRM_NANOS));
         confirm(nowNanos);
--- a/program/src/test/java/dev/kumquatweir/program/fleet/PlacementCodecTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/PlacementCodecTest.java
@@ -60,7 +60,7 @@
 
     /** Guards against content of a broken peer that ends the duty instead of the message. */
     @Test
-    void malformedContentIsAFailure() {
+    void malformedContentFails() {
         assertThat(PlacementCodec.request(OWNER, Bytes.ofText("x"), 0).isLeft(), is(true));
         assertThat(PlacementEvent.decode(OWNER, Bytes.ofText("x"), 0).isLeft(), is(true));
         assertThat(WatchAnswer.decode(Bytes.ofText("x")).isLeft(), is(true));
