Test founding from seeds and the loss of two disks in processes

Five control instances start in shuffled order, take a configuration, lose the disks of two at once and answer the newest version; an older one is acknowledged and changes nothing. Ruled out for this test: cutting power, since processes on one machine can't lose unsynced writes.

--- /dev/null
+++ b/program/src/test/java/dev/kumquatweir/program/system/FleetIt.java
@@ -0,0 +1,183 @@
+package dev.kumquatweir.program.system;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Control instances that find each other from seeds, each a process of the real binary. */
+final class FleetIt {
+    private static final int INSTANCES = 5;
+    private static final int SEEDS = 3;
+    private static final long SEED = 20_261_204L;
+
+    @TempDir private Path mFolder;
+
+    private final List<LocalProcess> mProcesses = new ArrayList<>();
+    private final HttpClient mClient =
+            HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+    // Addresses of the loopback network, others for each test process.
+    private final int mNetwork = (int) (1 + ProcessHandle.current().pid() % 200);
+
+    @AfterEach
+    void stop() {
+        mProcesses.forEach(LocalProcess::close);
+    }
+
+    /**
+     * Guards against a group that forgets a confirmed configuration when as many disks as it may
+     * lose are emptied at once, and against seeds that found a group only in a certain order.
+     */
+    @Test
+    void confirmedConfigurationSurvivesTheLossOfTwoDisks() throws IOException {
+        List<Integer> order = new ArrayList<>(IntStream.range(0, INSTANCES).boxed().toList());
+        Collections.shuffle(order, new Random(SEED));
+        LocalProcess[] started = new LocalProcess[INSTANCES];
+        for (int number : order) {
+            writeSettings(number, true);
+            started[number] = launch(number);
+            mProcesses.add(started[number]);
+        }
+        put(7, 0);
+        awaitVoters();
+        put(9, 1);
+        for (int number : List.of(0, 3)) {
+            started[number].kill();
+            empty(folder(number));
+            writeSettings(number, false);
+            started[number].startAgain();
+        }
+        Waiting.until("version 9 is read back", () -> read(4).contains("\"version\":9"));
+        assertThat(read(4), containsString("\"version\":9"));
+        awaitVoters();
+        assertThat(putOnce(8, 2), is(200));
+        assertThat(read(1), containsString("\"version\":9"));
+    }
+
+    private void awaitVoters() {
+        Waiting.until(
+                "all five instances vote",
+                () ->
+                        mProcesses.stream()
+                                .map(LocalProcess::log)
+                                .anyMatch(log -> lastMembers(log).split("VOTER", -1).length == 6));
+    }
+
+    private static String lastMembers(String log) {
+        return log.lines()
+                .filter(line -> line.contains("event=members_changed"))
+                .reduce((first, second) -> second)
+                .orElse("");
+    }
+
+    private void put(int version, int number) {
+        Waiting.until("version " + version + " is taken", () -> putOnce(version, number) == 200);
+    }
+
+    private int putOnce(int version, int number) {
+        String document =
+                "{\"version\":" + version + ",\"route_table\":[],\"services\":[],\"tenants\":[]}";
+        return send(HttpRequest.newBuilder(uri(number, "/Configuration.Replace"))
+                        .POST(HttpRequest.BodyPublishers.ofString(document)))
+                .statusCode();
+    }
+
+    private String read(int number) {
+        HttpResponse<String> response =
+                send(HttpRequest.newBuilder(uri(number, "/Configuration.Fetch")).GET());
+        return response.statusCode() == 200 ? response.body() : "";
+    }
+
+    private HttpResponse<String> send(HttpRequest.Builder request) {
+        while (true) {
+            try {
+                return mClient.send(
+                        request.timeout(Duration.ofSeconds(10)).build(),
+                        HttpResponse.BodyHandlers.ofString());
+            } catch (IOException starting) {
+                Waiting.pause();
+            } catch (InterruptedException exception) {
+                throw new AssertionError(exception);
+            }
+        }
+    }
+
+    private LocalProcess launch(int number) {
+        return LocalProcess.start(
+                mFolder.resolve("instance-" + number + ".log"),
+                List.of("fleet", settings(number).toString()));
+    }
+
+    private void writeSettings(int number, boolean firstStart) throws IOException {
+        String seeds = String.join(",", IntStream.range(0, SEEDS).mapToObj(this::address).toList());
+        String text =
+                """
+                [instance]
+                name = "control-%d"
+                address = "%s"
+                failure_domain = "a"
+                data_folder = "%s"
+                [cluster]
+                name = "fleet-test"
+                key = "key-of-the-fleet-test"
+                seeds = "%s"
+                peer_port = 17340
+                first_start = %b
+                lost_disks = 2
+                [listen]
+                metrics = "%s:19180"
+                control = "%s:18229"
+                """
+                        .formatted(
+                                number,
+                                address(number),
+                                folder(number),
+                                seeds,
+                                firstStart,
+                                address(number),
+                                address(number));
+        Files.writeString(settings(number), text);
+    }
+
+    private URI uri(int number, String path) {
+        return URI.create("http://" + address(number) + ":18229" + path);
+    }
+
+    private String address(int number) {
+        return "127.77." + mNetwork + "." + (number + 1);
+    }
+
+    private Path settings(int number) {
+        return mFolder.resolve("instance-" + number + ".toml");
+    }
+
+    private Path folder(int number) {
+        return mFolder.resolve("data-" + number);
+    }
+
+    private static void empty(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+}
