Keep connections to members whatever an instance that lags tells

Ruled out: the commit on three disks (the configuration was on the two that were left), and the promotion rule (the learner was never caught up). After: members are ordered by how far in the log the teller was, and the own replica's members always stay; FleetIt now waits until all five instances know five voters after the loss of two disks.

--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleet.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleet.java
@@ -22,6 +22,7 @@
 import dev.kumquatweir.transport.PeerNetwork;
 import dev.kumquatweir.transport.Responder;
 import io.vavr.control.Either;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -56,6 +57,8 @@
     private final Duty mDuty;
     private @Nullable GroupControl mGroup;
     private RoutingImage mRouting = RoutingImage.EMPTY;
+    private List<InstanceId> mMembers = List.of();
+    private long mMembersIndex;
     private long mWatchedNanos;
     private long mExpiredNanos;
 
@@ -255,7 +258,7 @@
                             mAll.hear(heard.notice(), heardNanos);
                             mScheduler.heard(heard.notice(), heardNanos);
                         });
-        mPeers.heard(answer.term(), answer.members());
+        mPeers.heard(answer.membersIndex(), answer.members());
         group().knownInstances(mPeers.controlInstances());
     }
 
@@ -283,8 +286,14 @@
 
     private void tellState(long nowNanos) {
         ReplicaStatus status = group().status();
+        List<InstanceId> members = group().members();
+        if (!members.equals(mMembers)) {
+            mMembers = members;
+            mMembersIndex = status.commitIndex();
+        }
         mDesk.state(
-                new WatchDesk.State(status.term(), status.leading(), group().members(), mRouting),
+                new WatchDesk.State(
+                        status.term(), status.leading(), members, mMembersIndex, mRouting),
                 nowNanos);
     }
 
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleet.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleet.java
@@ -112,7 +112,7 @@
 
     private void heard(InstanceId peer, WatchAnswer answer) {
         long nowNanos = mClocks.nowNanos();
-        mPeers.heard(answer.term(), answer.members());
+        mPeers.heard(answer.membersIndex(), answer.members());
         answer.routing().ifPresent(this::accept);
         answer.notices()
                 .forEach(
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -97,7 +97,7 @@
                                 .clock(clocks.monotonicNanos())
                                 .acceptUnlisted(true)
                                 .open());
-        mPeers = new PeerBook(mNetwork, settings.peerPort(), settings.seeds());
+        mPeers = new PeerBook(mNetwork::peers, settings.peerPort(), settings.seeds());
     }
 
     // Life-cycle.
@@ -173,8 +173,7 @@
                         mNetwork,
                         mClocks,
                         mStores,
-                        new GroupControl.Listeners(
-                                control::routing, members -> mPeers.heard(0, members)),
+                        new GroupControl.Listeners(control::routing, mPeers::own),
                         mOnFatal);
         mGroup = group;
         control.start(group);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/PeerBook.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/PeerBook.java
@@ -2,31 +2,41 @@
 
 import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.identity.InstanceId;
-import dev.kumquatweir.transport.PeerNetwork;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /**
- * The control instances that are known: the seeds of the settings and the members of the group.
- * Keeps connections to all of them. Thread-safe.
+ * The control instances that are known: the seeds of the settings, the members that this instance's
+ * own replica knows, and those that others told of. Thread-safe.
  */
 final class PeerBook {
     private static final EventLog LOG = EventLog.of(PeerBook.class);
 
-    private final PeerNetwork mNetwork;
+    private final Consumer<Map<InstanceId, InetSocketAddress>> mConnections;
     private final int mPort;
     private List<InstanceId> mSeeds;
-    private List<InstanceId> mMembers = List.of();
-    private long mTerm;
+    private List<InstanceId> mOwn = List.of();
+    private List<InstanceId> mHeard = List.of();
+    private long mHeardIndex = -1;
     private List<InstanceId> mAll = List.of();
 
-    PeerBook(PeerNetwork network, int port, List<InstanceId> seeds) {
-        mNetwork = network;
+    /**
+     * Makes a book of the seeds.
+     *
+     * @param connections keeps connections to the instances it is given
+     * @param port port between instances
+     */
+    PeerBook(
+            Consumer<Map<InstanceId, InetSocketAddress>> connections,
+            int port,
+            List<InstanceId> seeds) {
+        mConnections = connections;
         mPort = port;
         mSeeds = List.copyOf(seeds);
         update();
@@ -38,13 +48,22 @@
         update();
     }
 
+    /** Replaces the members that this instance's own replica knows. */
+    synchronized void own(List<InstanceId> members) {
+        mOwn = List.copyOf(members);
+        update();
+    }
+
     /**
-     * Takes the members as an instance of a term knows them; those of earlier terms are ignored.
+     * Takes the members as another instance knows them. One that lags, such as a new member that
+     * still catches up, knows an earlier membership and is ignored.
+     *
+     * @param index how far in the log that instance was when it learned of them
      */
-    synchronized void heard(long term, List<InstanceId> members) {
-        if (term >= mTerm && !members.isEmpty() && !members.equals(mMembers)) {
-            mTerm = term;
-            mMembers = List.copyOf(members);
+    synchronized void heard(long index, List<InstanceId> members) {
+        if (index >= mHeardIndex && !members.isEmpty()) {
+            mHeardIndex = index;
+            mHeard = List.copyOf(members);
             update();
         }
     }
@@ -55,20 +74,29 @@
     }
 
     private void update() {
-        Set<InstanceId> all = new LinkedHashSet<>(mMembers);
+        Set<InstanceId> all = new LinkedHashSet<>(mOwn);
+        all.addAll(mHeard);
         all.addAll(mSeeds);
-        List<InstanceId> next = List.copyOf(all);
+        List<InstanceId> next = all.stream().sorted().toList();
         if (next.equals(mAll)) {
             return;
         }
         mAll = next;
-        LOG.info("control_instances_known", "members", mMembers, "seeds", mSeeds, "term", mTerm);
-        Map<InstanceId, InetSocketAddress> addresses =
+        LOG.info(
+                "control_instances_known",
+                "own",
+                mOwn,
+                "heard",
+                mHeard,
+                "index",
+                mHeardIndex,
+                "seeds",
+                mSeeds);
+        mConnections.accept(
                 next.stream()
                         .collect(
                                 Collectors.toMap(
                                         Function.identity(),
-                                        each -> new InetSocketAddress(each.value(), mPort)));
-        mNetwork.peers(addresses);
+                                        each -> new InetSocketAddress(each.value(), mPort))));
     }
 }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/WatchAnswer.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchAnswer.java
@@ -24,6 +24,7 @@
  * @param term term of its replica
  * @param leading whether it leads and may schedule
  * @param members members of the group that it knows
+ * @param membersIndex how far in the log it was when it learned of them
  * @param entries entry instances that watch it
  * @param routing routing image, if it is newer than the one known
  * @param directoryLife which life of the process the revision is from
@@ -34,6 +35,7 @@
         long term,
         boolean leading,
         List<InstanceId> members,
+        long membersIndex,
         int entries,
         Optional<RoutingImage> routing,
         long directoryLife,
@@ -47,7 +49,7 @@
     Bytes encode() {
         PackWriter writer = new PackWriter().number(term).flag(leading);
         writer.list(members, (target, member) -> target.text(member.value()));
-        writer.number(entries);
+        writer.number(membersIndex).number(entries);
         writer.list(routing.stream().toList(), StateCodec::writeRouting);
         writer.number(directoryLife).number(directoryRevision);
         writer.list(notices, WatchAnswer::write);
@@ -62,6 +64,7 @@
                                 reader.number(),
                                 reader.flag(),
                                 reader.list(source -> new InstanceId(source.text())),
+                                reader.number(),
                                 reader.smallNumber(),
                                 reader.list(StateCodec::readRouting).stream().findFirst(),
                                 reader.number(),
--- a/program/src/main/java/dev/kumquatweir/program/fleet/WatchDesk.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchDesk.java
@@ -31,7 +31,7 @@
     private final Map<InstanceId, Long> mTold = new HashMap<>();
     private final List<Confirmation> mConfirmations = new ArrayList<>();
     private long mTellings;
-    private State mState = new State(0, false, List.of(), RoutingImage.EMPTY);
+    private State mState = new State(0, false, List.of(), 0, RoutingImage.EMPTY);
 
     /**
      * What watchers are told beside notices.
@@ -39,9 +39,15 @@
      * @param term term of the replica
      * @param leading whether it leads
      * @param members members of the group
+     * @param membersIndex how far in the log the replica was when it learned of them
      * @param routing what is in force
      */
-    record State(long term, boolean leading, List<InstanceId> members, RoutingImage routing) {}
+    record State(
+            long term,
+            boolean leading,
+            List<InstanceId> members,
+            long membersIndex,
+            RoutingImage routing) {}
 
     private record Pending(WatchRequest request, Responder responder, long dueNanos) {}
 
@@ -143,6 +149,7 @@
                         mState.term(),
                         mState.leading(),
                         mState.members(),
+                        mState.membersIndex(),
                         mEntries.size(),
                         routing.changes() > request.routingChanges()
                                 ? Optional.of(routing)
--- a/program/src/test/java/dev/kumquatweir/program/system/FleetIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/FleetIt.java
@@ -78,7 +78,7 @@
                 () ->
                         mProcesses.stream()
                                 .map(LocalProcess::log)
-                                .anyMatch(log -> lastMembers(log).split("VOTER", -1).length == 6));
+                                .allMatch(log -> lastMembers(log).split("VOTER", -1).length == 6));
     }
 
     private static String lastMembers(String log) {
