--- a/program/src/test/java/dev/kumquatweir/program/system/FleetIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/FleetIt.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
+import dev.kumquatweir.platform.ControlService;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -93,16 +94,15 @@
     }
 
     private int putOnce(int version, int number) {
-        String document =
-                "{\"version\":" + version + ",\"route_table\":[],\"services\":[],\"tenants\":[]}";
-        return send(HttpRequest.newBuilder(uri(number, "/Configuration.Replace"))
+        String document = "{\"version\":" + version + ",\"services\":[],\"tenants\":[]}";
+        return send(HttpRequest.newBuilder(uri(number, ControlService.PUT_ROUTING))
                         .POST(HttpRequest.BodyPublishers.ofString(document)))
                 .statusCode();
     }
 
     private String read(int number) {
         HttpResponse<String> response =
-                send(HttpRequest.newBuilder(uri(number, "/Configuration.Fetch")).GET());
+                send(HttpRequest.newBuilder(uri(number, ControlService.READ_ROUTING)).GET());
         return response.statusCode() == 200 ? response.body() : "";
     }
 
