Read scaled and absent figures of the platform

All processes ended with code 2, since retry_budget_extra of a scaled deployment has decimals and the settings allowed whole numbers only. The same would have happened with an absent value (no TOML) and, worse, a grace period of 7.5 s would have been read as 7.5 ms, as the template appended zeros. Ruled out: other keys of the template; seeds, ports and addresses are texts and whole numbers in wire.json. Conclusion: limits are rendered as texts and read as decimals; budgets are rounded down, durable copies up.

--- a/settings/src/main/java/dev/kumquatweir/settings/FleetSettingsReader.java
+++ b/settings/src/main/java/dev/kumquatweir/settings/FleetSettingsReader.java
@@ -15,6 +15,11 @@
     private static final FailureDomain INVALID_DOMAIN = new FailureDomain("invalid");
     private static final int LARGEST_PORT = 65_535;
     private static final int MOST_LOST_DISKS = 8;
+    private static final double LONGEST_DRAIN_SECONDS = 43_200;
+    private static final double LONGEST_WINDOW_SECONDS = 3_600;
+    private static final double MOST_REPEATS_PER_SEND = 100;
+    private static final double MOST_EXTRA_REPEATS = 1_000_000;
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     private FleetSettingsReader() {}
 
@@ -51,16 +56,41 @@
                                 ? Optional.of(Path.of(instance.text("data_folder")))
                                 : Optional.empty(),
                         cluster.flag("first_start", false),
-                        (int) cluster.wholeNumber("lost_disks", 0, MOST_LOST_DISKS, 1),
-                        limits.wholeNumber("drain_millis", 0, 43_200_000, 8_000),
-                        limits.fraction("repeat_ratio", 0.1),
-                        (int) limits.wholeNumber("repeat_extra", 0, 1_000_000, 10),
-                        limits.wholeNumber("repeat_window_millis", 1, 3_600_000, 10_000));
+                        (int) Math.ceil(cluster.decimal("lost_disks", 0, MOST_LOST_DISKS, 1)),
+                        milliseconds(limits, "drain", 0, LONGEST_DRAIN_SECONDS, 8),
+                        limits.decimal("repeat_ratio", 0, MOST_REPEATS_PER_SEND, 0.1),
+                        // Rounded down, so that the budget is never exceeded.
+                        (int) limits.decimal("repeat_extra", 0, MOST_EXTRA_REPEATS, 10),
+                        milliseconds(limits, "repeat_window", 0.001, LONGEST_WINDOW_SECONDS, 10));
         checkRole(listen, settings);
         List.of(instance, cluster, listen, limits).forEach(TomlTable::refuseUnknownKeys);
         return settings;
     }
 
+    /**
+     * Reads a duration from {@code NAME_seconds} or, as older files have it, {@code NAME_millis}.
+     */
+    private static long milliseconds(
+            TomlTable limits,
+            String name,
+            double lowestSeconds,
+            double highestSeconds,
+            double otherwiseSeconds) {
+        String millisKey = name + "_millis";
+        if (limits.has(millisKey)) {
+            return (long)
+                    limits.decimal(
+                            millisKey,
+                            lowestSeconds * MILLIS_PER_SECOND,
+                            highestSeconds * MILLIS_PER_SECOND,
+                            otherwiseSeconds * MILLIS_PER_SECOND);
+        }
+        String secondsKey = name + "_seconds";
+        double seconds =
+                limits.decimal(secondsKey, lowestSeconds, highestSeconds, otherwiseSeconds);
+        return (long) (seconds * MILLIS_PER_SECOND);
+    }
+
     private static void checkRole(TomlTable listen, FleetSettings settings) {
         if (settings.callers().isPresent() && settings.readiness().isEmpty()) {
             listen.fault("readiness", "is missing; an instance with callers needs it");
--- a/settings/src/main/java/dev/kumquatweir/settings/TomlTable.java
+++ b/settings/src/main/java/dev/kumquatweir/settings/TomlTable.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.kumquatweir.core.identity.InvalidIdentifierException;
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -82,6 +83,35 @@
         return value.doubleValue();
     }
 
+    /**
+     * Returns a number that may have decimals. A text that holds a number is allowed too, and an
+     * empty text counts as a missing key: rendered settings have one where a value is absent.
+     */
+    double decimal(String key, double lowest, double highest, double otherwise) {
+        JsonNode value = value(key);
+        if (value == null || (value.isTextual() && value.textValue().isBlank())) {
+            return otherwise;
+        }
+        double number = value.isNumber() ? value.doubleValue() : parsed(value.asText());
+        if (!(number >= lowest && number <= highest)) {
+            fault(key, "a number from " + plain(lowest) + " to " + plain(highest) + " is allowed");
+            return otherwise;
+        }
+        return number;
+    }
+
+    private static double parsed(String text) {
+        try {
+            return Double.parseDouble(text.strip());
+        } catch (NumberFormatException invalid) {
+            return Double.NaN;
+        }
+    }
+
+    private static String plain(double number) {
+        return BigDecimal.valueOf(number).stripTrailingZeros().toPlainString();
+    }
+
     boolean flag(String key, boolean otherwise) {
         JsonNode value = value(key);
         if (value == null) {
