Use routing only once a replica has caught up

Ruled out: linearizable reads of the operator, which were right throughout. Change: RaftNode.isCaughtUp; a replica publishes routing when it leads and has committed an entry of its term, or has all that its leader told to be committed, once for each step instead of once for each entry.

--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/Follower.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/Follower.java
@@ -19,6 +19,7 @@
     private long mMatchIndex;
     private long mAcknowledgedIndex;
     private long mNewestSentNanos;
+    private long mLeaderCommitIndex;
     private @Nullable IncomingSnapshot mIncomingSnapshot;
 
     Follower(Replica replica) {
@@ -28,9 +29,15 @@
     /** A partly received snapshot and the term of the leader that sends it. */
     private record IncomingSnapshot(long term, long index, ByteArrayOutputStream data) {}
 
+    /** Returns the highest commit index that a leader has told since this replica started. */
+    long leaderCommitIndex() {
+        return mLeaderCommitIndex;
+    }
+
     /** Handles AppendEntries from the leader of the current term. */
     void onAppendEntries(MemberId leader, MessageBody.AppendEntriesRequest request, long nowNanos) {
         recordLeaderContact(leader, request.sentNanos(), nowNanos);
+        mLeaderCommitIndex = Math.max(mLeaderCommitIndex, request.leaderCommitIndex());
         RaftLog log = mReplica.log();
         long previousIndex = request.previousLogIndex();
         List<LogEntry> entries = request.entries();
--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftNode.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftNode.java
@@ -162,6 +162,22 @@
         return leader != null && leader.hasCommittedInTerm();
     }
 
+    /**
+     * Returns whether the applied state includes all that was committed when this replica last
+     * heard from its leader. A replica that was restarted or replaced applies the entries of its
+     * log again; until it has caught up its state is one that held in the past.
+     */
+    public boolean isCaughtUp() {
+        if (mReplica.leader() != null) {
+            return isReadyLeader();
+        }
+        // A leader learns what earlier leaders committed when it commits an entry of its own term.
+        long commitIndex = mReplica.commitIndex();
+        return mReplica.leaderId().isPresent()
+                && commitIndex >= mFollower.leaderCommitIndex()
+                && mReplica.log().term(commitIndex) == mReplica.term();
+    }
+
     /**
      * Returns the time since the leader sent the newest message that a member acknowledged, or
      * since the leader began to track that member. Empty if this replica is not the leader or does
--- a/agreement/src/test/java/dev/kumquatweir/agreement/raft/RaftNodeTest.java
+++ b/agreement/src/test/java/dev/kumquatweir/agreement/raft/RaftNodeTest.java
@@ -68,6 +68,29 @@
         assertThat(node.node().lastIndex(), equalTo(3L));
     }
 
+    // Guards against a restarted follower whose state of the past is used, such as a routing
+    // document with a key that was withdrawn later.
+    @Test
+    void restartedFollowerIsCaughtUpAtTheCommitIndexOfItsLeader() {
+        var stored = List.of(entry(2, 1), entry(3, 1), entry(4, 1));
+        RaftNodeHarness node =
+                RaftNodeHarness.withEntries(RaftNodeHarness.defaultSettings(), stored);
+        assertThat(node.node().isCaughtUp(), is(false));
+        // A new leader does not know yet what its predecessors committed.
+        node.receive(PEER, 2, new AppendEntriesRequest(4, 1, List.of(), 2, 1));
+        assertThat(node.node().isCaughtUp(), is(false));
+        // The leader has committed its first entry, and more that this follower lacks.
+        node.receive(PEER, 2, new AppendEntriesRequest(4, 1, List.of(entry(5, 2)), 7, 2));
+        assertThat(node.node().commitIndex(), equalTo(5L));
+        assertThat(node.node().isCaughtUp(), is(false));
+        node.receive(
+                PEER, 2, new AppendEntriesRequest(5, 2, List.of(entry(6, 2), entry(7, 2)), 7, 3));
+        assertThat(node.node().isCaughtUp(), is(true));
+        // A message that was overtaken tells an older commit index.
+        node.receive(PEER, 2, new AppendEntriesRequest(7, 2, List.of(), 6, 2));
+        assertThat(node.node().isCaughtUp(), is(true));
+    }
+
     // Guards against two votes in one term: a vote sent before it is synced is lost in a restart.
     @Test
     void voteIsSyncedBeforeResponseIsSent() {
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaEventLoop.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaEventLoop.java
@@ -323,6 +323,9 @@
 
     private void stepNow(RaftInput input) {
         executeOutputs(mNode.step(input, mClocks.nowNanos()));
+        if (mNode.isCaughtUp()) {
+            mRoutingNotifier.update(mState.routing());
+        }
     }
 
     private void executeOutputs(List<RaftOutput> outputs) {
@@ -350,7 +353,6 @@
     private void apply(LogEntry entry, long requestId) {
         StateResult result = mState.apply(entry);
         mPendingReplies.completeApplied(requestId, result);
-        mRoutingNotifier.update(mState.routing());
     }
 
     /**
@@ -374,7 +376,6 @@
                                 fault ->
                                         new IllegalStateException(
                                                 "snapshot unreadable: " + fault.message()));
-        mRoutingNotifier.update(mState.routing());
     }
 
     private void roleChanged(RaftOutput.RoleChanged changed) {
--- a/program/src/test/java/dev/kumquatweir/program/system/FleetIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/FleetIt.java
@@ -2,6 +2,8 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.is;
 
 import dev.kumquatweir.platform.ControlService;
@@ -73,6 +75,57 @@
         assertThat(read(1), containsString("\"version\":9"));
     }
 
+    /**
+     * Guards against versions of the past that are in use again while restarted control instances
+     * apply their logs: such a version may hold a key or a route that was withdrawn.
+     */
+    @Test
+    void restartOfAllInstancesUsesTheNewestConfigurationOnly() throws IOException {
+        LocalProcess[] started = new LocalProcess[INSTANCES];
+        for (int number = 0; number < INSTANCES; number++) {
+            writeSettings(number, true);
+            started[number] = launch(number);
+            mProcesses.add(started[number]);
+        }
+        put(3, 0);
+        awaitVoters();
+        IntStream.of(5, 8, 11).forEach(version -> put(version, version % INSTANCES));
+        mProcesses.forEach(LocalProcess::kill);
+        List<Integer> linesBefore =
+                mProcesses.stream().map(process -> usedVersions(process).size()).toList();
+        for (int number = 0; number < INSTANCES; number++) {
+            writeSettings(number, false);
+            started[number].startAgain();
+        }
+        Waiting.until(
+                "all instances use version 11 again",
+                () ->
+                        IntStream.range(0, INSTANCES)
+                                .allMatch(
+                                        number ->
+                                                usedVersions(started[number]).size()
+                                                        > linesBefore.get(number)));
+        IntStream.range(0, INSTANCES)
+                .forEach(
+                        number ->
+                                assertThat(
+                                        usedVersions(started[number])
+                                                .subList(
+                                                        linesBefore.get(number),
+                                                        usedVersions(started[number]).size()),
+                                        everyItem(equalTo("version=11"))));
+    }
+
+    private static List<String> usedVersions(LocalProcess process) {
+        String log = process.log();
+        return log.substring(0, log.lastIndexOf('\n') + 1)
+                .lines()
+                .filter(line -> line.contains("event=routing_changed"))
+                .flatMap(line -> Stream.of(line.split(" ")))
+                .filter(word -> word.startsWith("version="))
+                .toList();
+    }
+
     private void awaitVoters() {
         Waiting.until(
                 "all five instances vote",
