Hold requests until routing is known and keep heartbeats without a leader

Cause: after a loss of power of all, entry instances listen about a second before an election and a commit tell them what is in force. They refused what came in that time with 503; the caller's only retry came 0.5 s later and was refused too. Control instances dropped heartbeats while there was no leader, so that the next leader knew no upstream until they were sent again. Ruled out: using a document from disk before a quorum is reached, since a key withdrawn later would be in use again. An exception in a check of time limits no longer ends all checks.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import dev.kumquatweir.core.event.EventLog;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.api.Executor;
 import java.util.LinkedHashSet;
@@ -14,6 +15,8 @@
  * thread, except where a method says otherwise.
  */
 public final class ExchangeRegistry {
+    private static final EventLog LOG = EventLog.of(ExchangeRegistry.class);
+
     /** Precision of deadlines and silence limits. */
     private static final long TICK_MILLIS = 50;
 
@@ -21,6 +24,7 @@
     private final ForwardingMetrics mMetrics;
     private final Executor mExecutor;
     private final Set<Exchange> mExchanges = new LinkedHashSet<>();
+    private final HeldRequests mHeld = new HeldRequests();
     private Cancellable mTimer = () -> {};
     private volatile int mRunningCount;
 
@@ -58,6 +62,10 @@
         return mPorts;
     }
 
+    HeldRequests held() {
+        return mHeld;
+    }
+
     ForwardingMetrics metrics() {
         return mMetrics;
     }
@@ -75,8 +83,14 @@
     }
 
     private void tick() {
-        long nowNanos = mPorts.clocks().nowNanos();
-        List.copyOf(mExchanges).forEach(exchange -> exchange.tick(nowNanos));
-        start();
+        try {
+            long nowNanos = mPorts.clocks().nowNanos();
+            mHeld.tick(mPorts.state().routing().isPresent(), nowNanos);
+            List.copyOf(mExchanges).forEach(exchange -> exchange.tick(nowNanos));
+        } catch (RuntimeException fault) {
+            LOG.error("forward_tick_fault", fault);
+        } finally {
+            start();
+        }
     }
 }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,6 +35,9 @@
     private static final int UNAVAILABLE = 503;
     private static final long NO_ROUTING_RETRY_AFTER_MILLIS = 500;
 
+    /** Limit for a body while the limit of the routing table is not known. */
+    private static final long HELD_BODY_LIMIT_BYTES = 8L << 20;
+
     private final ExchangeRegistry mExchanges;
     private final ReturningCallers mReturningCallers = new ReturningCallers();
     private volatile boolean mDraining;
@@ -58,63 +62,116 @@
         CallerResponse callerResponse =
                 new CallerResponse(
                         responses, context.executionContext().bufferAllocator(), mDraining);
+        Arrival arrival =
+                new Arrival(request, head, callerResponse, mExchanges.ports().clocks().nowNanos());
+        Optional<RoutingTable> routing = mExchanges.ports().state().routing();
+        return routing.isPresent()
+                ? route(
+                        arrival,
+                        routing.get(),
+                        () ->
+                                BodyCollector.collect(
+                                        request.payloadBody(),
+                                        routing.get().limits().maximumBodyBytes()),
+                        request)
+                : holdUntilRouted(arrival);
+    }
+
+    /** A request and when it arrived. */
+    private record Arrival(
+            StreamingHttpRequest request,
+            CallerRequestHead head,
+            CallerResponse callerResponse,
+            long nanos) {}
+
+    /** Reads the body, so that the caller sees progress, and waits for a routing table. */
+    private Single<StreamingHttpResponse> holdUntilRouted(Arrival arrival) {
+        long untilNanos =
+                HeldRequests.holdUntilNanos(arrival.head().remainingMillis(), arrival.nanos());
+        LOG.info(
+                "request_held",
+                "request",
+                arrival.head().requestId(),
+                "reason",
+                "no_configuration",
+                "hold_ms",
+                TimeUnit.NANOSECONDS.toMillis(untilNanos - arrival.nanos()));
+        return BodyCollector.collect(arrival.request().payloadBody(), HELD_BODY_LIMIT_BYTES)
+                .flatMap(
+                        body ->
+                                mExchanges
+                                        .held()
+                                        .hold(body.size(), untilNanos)
+                                        .flatMap(routed -> afterHold(arrival, body)))
+                .onErrorResume(FailureException.class, failure -> refuseLargeBody(arrival));
+    }
+
+    private Single<StreamingHttpResponse> afterHold(Arrival arrival, Bytes body) {
         Optional<RoutingTable> routing = mExchanges.ports().state().routing();
         if (routing.isEmpty()) {
             return refuse(
-                    request,
-                    head,
-                    callerResponse,
+                    null,
+                    arrival.head(),
+                    arrival.callerResponse(),
                     UNAVAILABLE,
                     "no_configuration",
                     NO_ROUTING_RETRY_AFTER_MILLIS);
         }
-        Optional<Route> route = routing.get().match(head.host(), head.path());
+        boolean tooLarge = body.size() > routing.get().limits().maximumBodyBytes();
+        return tooLarge
+                ? refuseLargeBody(arrival)
+                : route(arrival, routing.get(), () -> Single.succeeded(body), null);
+    }
+
+    private Single<StreamingHttpResponse> refuseLargeBody(Arrival arrival) {
+        return refuse(
+                null,
+                arrival.head(),
+                arrival.callerResponse(),
+                PAYLOAD_TOO_LARGE,
+                "body_too_large",
+                0);
+    }
+
+    /**
+     * @param unread the request if its body was not read yet, else null
+     */
+    private Single<StreamingHttpResponse> route(
+            Arrival arrival,
+            RoutingTable routing,
+            Supplier<Single<Bytes>> body,
+            @Nullable StreamingHttpRequest unread) {
+        CallerRequestHead head = arrival.head();
+        CallerResponse callerResponse = arrival.callerResponse();
+        Optional<Route> route = routing.match(head.host(), head.path());
         if (route.isEmpty()) {
-            return refuse(request, head, callerResponse, NOT_FOUND, "no_route", 0);
+            return refuse(unread, head, callerResponse, NOT_FOUND, "no_route", 0);
         }
-        Optional<RoutedTeam> team = head.apiKey().flatMap(routing.get()::teamOfKey);
-        if (routing.get().requiresApiKey(route.get()) && team.isEmpty()) {
-            return refuse(request, head, callerResponse, UNAUTHORIZED, "unknown_key", 0);
+        boolean keyRequired = routing.requiresApiKey(route.get());
+        Optional<RoutedTeam> team = head.apiKey().flatMap(routing::teamOfKey);
+        if (keyRequired && team.isEmpty()) {
+            return refuse(unread, head, callerResponse, UNAUTHORIZED, "unknown_key", 0);
         }
         ServiceName service = route.get().selectService(head.requestId().hashCode());
         if (service == null) {
-            return refuse(request, head, callerResponse, NOT_FOUND, "no_service", 0);
+            return refuse(unread, head, callerResponse, NOT_FOUND, "no_service", 0);
         }
-        Optional<RoutedTeam> effectiveTeam =
-                routing.get().requiresApiKey(route.get()) ? team : Optional.empty();
-        return BodyCollector.collect(
-                        request.payloadBody(), routing.get().limits().maximumBodyBytes())
-                .flatMap(
-                        body ->
-                                forward(
-                                        request,
-                                        head,
-                                        callerResponse,
-                                        route.get(),
-                                        service,
-                                        effectiveTeam,
-                                        body))
-                .onErrorResume(
-                        FailureException.class,
-                        failure ->
-                                refuse(
-                                        null,
-                                        head,
-                                        callerResponse,
-                                        PAYLOAD_TOO_LARGE,
-                                        "body_too_large",
-                                        0));
+        Optional<RoutedTeam> effectiveTeam = keyRequired ? team : Optional.empty();
+        return body.get()
+                .flatMap(content -> forward(arrival, route.get(), service, effectiveTeam, content))
+                .onErrorResume(FailureException.class, failure -> refuseLargeBody(arrival));
     }
 
     private Single<StreamingHttpResponse> forward(
-            StreamingHttpRequest request,
-            CallerRequestHead head,
-            CallerResponse callerResponse,
+            Arrival arrival,
             Route route,
             ServiceName service,
             Optional<RoutedTeam> team,
             Bytes body) {
-        long nowNanos = mExchanges.ports().clocks().nowNanos();
+        StreamingHttpRequest request = arrival.request();
+        CallerRequestHead head = arrival.head();
+        CallerResponse callerResponse = arrival.callerResponse();
+        long nowNanos = arrival.nanos();
         long timeLimitMillis =
                 Math.min(head.remainingMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
         ForwardedRequest forwarded =
--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
@@ -179,42 +179,41 @@
     }
 
     private void handleStatus(UpstreamStatus status, CompletableFuture<Boolean> confirmed) {
-        if (!hasLeader()) {
-            confirmed.complete(false);
-            return;
-        }
         long nowNanos = mClocks.nowNanos();
         mUpstreams.update(status, nowNanos);
         UpstreamDirectory.Change change = mLocalUpstreams.update(status, nowNanos);
-        if (change != UpstreamDirectory.Change.STATE) {
+        if (change == UpstreamDirectory.Change.STATE) {
+            publishChange(status, nowNanos);
+        } else {
             mScheduler.updateUpstream(status, nowNanos);
-            boolean draining = status.phase() != UpstreamPhase.READY;
-            if (draining) {
-                mWatchServer.confirmDelivery(nowNanos).thenAccept(confirmed::complete);
-            } else {
-                confirmed.complete(true);
-            }
-            return;
         }
-        publishChange(status, nowNanos);
-        mWatchServer.confirmDelivery(nowNanos).thenAccept(confirmed::complete);
+        if (!hasLeader()) {
+            // Kept, so that the next leader knows the upstream at once, but not confirmed.
+            confirmed.complete(false);
+        } else if (change == UpstreamDirectory.Change.STATE
+                || status.phase() != UpstreamPhase.READY) {
+            mWatchServer.confirmDelivery(nowNanos).thenAccept(confirmed::complete);
+        } else {
+            confirmed.complete(true);
+        }
     }
 
     private void handleLeave(
             UpstreamId upstream, long startedAtMillis, CompletableFuture<Boolean> confirmed) {
-        if (!hasLeader()) {
-            confirmed.complete(false);
-            return;
-        }
         long nowNanos = mClocks.nowNanos();
         Optional<UpstreamStatus> left = mUpstreams.markLeft(upstream, startedAtMillis, nowNanos);
-        if (left.isEmpty()) {
+        left.ifPresent(
+                status -> {
+                    mLocalUpstreams.update(status, nowNanos);
+                    publishChange(status, nowNanos);
+                });
+        if (!hasLeader()) {
+            confirmed.complete(false);
+        } else if (left.isEmpty()) {
             confirmed.complete(true);
-            return;
+        } else {
+            mWatchServer.confirmDelivery(nowNanos).thenAccept(confirmed::complete);
         }
-        mLocalUpstreams.update(left.get(), nowNanos);
-        publishChange(left.get(), nowNanos);
-        mWatchServer.confirmDelivery(nowNanos).thenAccept(confirmed::complete);
     }
 
     private void publishChange(UpstreamStatus status, long nowNanos) {
--- a/program/src/test/java/dev/kumquatweir/program/system/FleetIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/FleetIt.java
@@ -116,6 +116,40 @@
                                         everyItem(equalTo("version=11"))));
     }
 
+    /**
+     * Guards against a new leader that knows no upstream for as long as upstreams take to try
+     * again: a heartbeat that comes while there is no leader is kept, but not confirmed.
+     */
+    @Test
+    void heartbeatWithoutLeaderIsKeptButNotConfirmed() throws IOException {
+        for (int number = 0; number < INSTANCES; number++) {
+            writeSettings(number, true);
+            mProcesses.add(launch(number));
+        }
+        put(3, 0);
+        awaitVoters();
+        IntStream.range(0, 3).forEach(number -> mProcesses.get(number).kill());
+        Waiting.until("there is no leader", () -> heartbeat(3, "i-1") == 503);
+        assertThat(heartbeat(3, "i-2"), is(503));
+        assertThat(metrics(3), containsString("kumquatweir_fleet_upstreams 2"));
+    }
+
+    private int heartbeat(int number, String upstream) {
+        String status =
+                """
+                {"service":"s","address":"10.0.0.9:8080","availability_zone":"a","version":"v1",
+                "capacity_slots":11,"state":"ready","cold_remaining_ms":0,"born":99,
+                "sequence_number":4}""";
+        return send(HttpRequest.newBuilder(uri(number, ControlService.HEARTBEAT + upstream))
+                        .POST(HttpRequest.BodyPublishers.ofString(status)))
+                .statusCode();
+    }
+
+    private String metrics(int number) {
+        URI uri = URI.create("http://" + address(number) + ":19180/metrics");
+        return send(HttpRequest.newBuilder(uri).GET()).body();
+    }
+
     private static List<String> usedVersions(LocalProcess process) {
         String log = process.log();
         return log.substring(0, log.lastIndexOf('\n') + 1)
