Count held requests among those that a planned stop waits for

Ruled out: a cut by the listener's graceful close, which waits for accepted requests but ends with the process. No stop of real processes in that second was played.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
@@ -53,9 +53,12 @@
         mTimer.cancel();
     }
 
-    /** Returns the number of exchanges in progress. May be called from any thread. */
+    /**
+     * Returns the number of requests that have no answer yet, those held until routing is known
+     * included: a planned stop waits for them. May be called from any thread.
+     */
     public int runningCount() {
-        return mRunningCount;
+        return mRunningCount + mHeld.size();
     }
 
     ForwardingPorts ports() {
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/HeldRequests.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/HeldRequests.java
@@ -14,7 +14,7 @@
 /**
  * Requests that arrived before this instance knew a routing table, as in the second after a restart
  * of the whole fleet. They are held for a short time: a caller that is refused may come back only
- * once, and would be refused again. Confined to the I/O thread.
+ * once, and would be refused again. Confined to the I/O thread, except {@link #size}.
  */
 final class HeldRequests {
     /** Callers of streams may leave when nothing arrives for two seconds. */
@@ -28,6 +28,7 @@
 
     private final Deque<Held> mHeld = new ArrayDeque<>();
     private long mBytes;
+    private volatile int mSize;
 
     private record Held(
             SingleSource.Processor<Boolean, Boolean> result, long bytes, long untilNanos) {}
@@ -60,6 +61,7 @@
         Held held = new Held(Processors.newSingleProcessor(), bytes, untilNanos);
         mHeld.add(held);
         mBytes += bytes;
+        mSize = mHeld.size();
         return SourceAdapters.fromSource(held.result()).whenCancel(() -> remove(held));
     }
 
@@ -77,13 +79,15 @@
                 });
     }
 
+    /** Returns the number of requests held. May be called from any thread. */
     int size() {
-        return mHeld.size();
+        return mSize;
     }
 
     private void remove(Held held) {
         if (mHeld.remove(held)) {
             mBytes -= held.bytes();
+            mSize = mHeld.size();
         }
     }
 }
