Log requests that arrive during a planned stop and those unfinished at its end

Cause: no line tells when a request was taken during a stop, on which connection and in which phase it was cut, so that the three hypotheses of the late requests can't be told apart. Change: request_during_stop (time since the stop began, number of requests on the connection), request_unfinished (phase) and a counter for each. No decision changes.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -2,7 +2,6 @@
 
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.identity.UpstreamId;
-import dev.kumquatweir.core.routing.Route;
 import dev.kumquatweir.policy.placement.PlacementAction;
 import dev.kumquatweir.policy.placement.PlacementGrant;
 import dev.kumquatweir.policy.placement.PlacementHelper;
@@ -34,9 +33,6 @@
     private static final int SERVER_ERROR = 500;
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 300;
 
-    /** Expected share of the output still to be generated when a stream is resumed. */
-    private static final double RESUMED_OUTPUT_SHARE = 0.5;
-
     private final ForwardingPorts mPorts;
     private final ForwardingMetrics mMetrics;
     private final ForwardedRequest mRequest;
@@ -112,6 +108,14 @@
         }
     }
 
+    /** Logs that the process ends before this request has a complete response. */
+    void logUnfinished() {
+        String phase =
+                mCallerResponse.isStarted() ? "streaming" : mAttempt != null ? "sent" : "waiting";
+        mLog.unfinished(phase, mSends, mLastEventId, ageMillis());
+        mMetrics.countCut(phase);
+    }
+
     // Placement.
 
     private void requestPlacement() {
@@ -125,27 +129,10 @@
     }
 
     private PlacementRequest placementRequest(PlacementKey key, long nowNanos) {
-        Route route = mRequest.route();
-        CallerRequestHead head = mRequest.head();
-        boolean resumed = mCallerResponse.isStarted();
-        long callerTimeoutNanos = millisToNanos(mPorts.dialect().callerTimeoutMillis(route));
-        long targetNanos =
-                resumed
-                        ? nowNanos + millisToNanos(route.targetGapMillis())
-                        : mRequest.firstAttemptNanos() + millisToNanos(route.targetLatencyMillis());
-        long latestStartNanos =
-                (resumed ? mLastEventNanos : mRequest.arrivedNanos()) + callerTimeoutNanos;
-        double expectedOutputTokens =
-                head.expectedOutputTokens() * (resumed ? RESUMED_OUTPUT_SHARE : 1);
-        return PlacementRequest.builder(key, head.requestId(), mRequest.service())
-                .contentHash(mRequest.contentHash())
-                .times(targetNanos, latestStartNanos, mRequest.deadlineNanos())
-                .generation(
-                        head.promptTokens(), (long) expectedOutputTokens, route.targetGapMillis())
-                .priority(mRequest.priority())
-                .domain(mPorts.state().domain())
-                .previousAttempts(mTriedUpstreams, mSends > 0)
-                .build();
+        return mCallerResponse.isStarted()
+                ? PlacementRequests.resumed(
+                        key, mRequest, mPorts, mTriedUpstreams, mLastEventNanos, nowNanos)
+                : PlacementRequests.first(key, mRequest, mPorts, mTriedUpstreams, mSends > 0);
     }
 
     private void handlePlacement(PlacementKey key, PlacementAction action) {
@@ -442,8 +429,4 @@
     private long ageMillis() {
         return TimeUnit.NANOSECONDS.toMillis(now() - mRequest.arrivedNanos());
     }
-
-    private static long millisToNanos(long millis) {
-        return TimeUnit.MILLISECONDS.toNanos(millis);
-    }
 }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
@@ -61,6 +61,14 @@
         return mRunningCount + mHeld.size();
     }
 
+    /**
+     * Logs the requests that have no complete response, because the process ends now. May be called
+     * from any thread.
+     */
+    public void logUnfinished() {
+        mExecutor.execute(() -> mExchanges.forEach(Exchange::logUnfinished));
+    }
+
     ForwardingPorts ports() {
         return mPorts;
     }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
@@ -9,6 +9,8 @@
 import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.gateway.http.BodyCollector;
 import io.netty.channel.ChannelOption;
+import io.netty.util.Attribute;
+import io.netty.util.AttributeKey;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpServiceContext;
 import io.servicetalk.http.api.StreamingHttpRequest;
@@ -39,8 +41,12 @@
     private static final long HELD_BODY_LIMIT_BYTES = 8L << 20;
 
     private final ExchangeRegistry mExchanges;
+    private static final AttributeKey<Integer> REQUESTS_ON_CONNECTION =
+            AttributeKey.valueOf(ForwardingServer.class, "requests");
+
     private final ReturningCallers mReturningCallers = new ReturningCallers();
     private volatile boolean mDraining;
+    private volatile long mDrainStartNanos;
 
     /** Creates a server that registers its requests with the given registry. */
     public ForwardingServer(ExchangeRegistry exchanges) {
@@ -48,7 +54,8 @@
     }
 
     /** From now on closes each connection after its next response. */
-    public void drain() {
+    public void drain(long nowNanos) {
+        mDrainStartNanos = nowNanos;
         mDraining = true;
     }
 
@@ -58,12 +65,16 @@
             StreamingHttpRequest request,
             StreamingHttpResponseFactory responses) {
         disableHalfClosure(context);
+        int requestsOnConnection = countRequest(context);
         CallerRequestHead head = mExchanges.ports().dialect().decodeRequest(request);
         CallerResponse callerResponse =
                 new CallerResponse(
                         responses, context.executionContext().bufferAllocator(), mDraining);
         Arrival arrival =
                 new Arrival(request, head, callerResponse, mExchanges.ports().clocks().nowNanos());
+        if (mDraining) {
+            logDuringStop(arrival, requestsOnConnection);
+        }
         Optional<RoutingTable> routing = mExchanges.ports().state().routing();
         return routing.isPresent()
                 ? route(
@@ -77,6 +88,18 @@
                 : holdUntilRouted(arrival);
     }
 
+    private void logDuringStop(Arrival arrival, int requestsOnConnection) {
+        LOG.info(
+                "request_during_stop",
+                "request",
+                arrival.head().requestId(),
+                "stopping_ms",
+                TimeUnit.NANOSECONDS.toMillis(arrival.nanos() - mDrainStartNanos),
+                "connection_requests",
+                requestsOnConnection);
+        mExchanges.metrics().countDuringStop();
+    }
+
     /** A request and when it arrived. */
     private record Arrival(
             StreamingHttpRequest request,
@@ -224,6 +247,18 @@
                 : request.payloadBody().ignoreElements().onErrorComplete().concat(response);
     }
 
+    /** Returns how many requests the connection has carried, this one included. */
+    private static int countRequest(HttpServiceContext context) {
+        if (!(context instanceof NettyConnectionContext connection)) {
+            return 1;
+        }
+        Attribute<Integer> requests = connection.nettyChannel().attr(REQUESTS_ON_CONNECTION);
+        Integer before = requests.get();
+        int count = before == null ? 1 : before + 1;
+        requests.set(count);
+        return count;
+    }
+
     /**
      * Closes the connection when the caller closes its sending side. With half-closed connections a
      * disconnect would be noticed only at the next write, while upstreams go on executing the
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementRequests.java
@@ -0,0 +1,71 @@
+package dev.kumquatweir.gateway.forward;
+
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.core.routing.Route;
+import dev.kumquatweir.policy.placement.PlacementKey;
+import dev.kumquatweir.policy.placement.PlacementRequest;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** Builds the placement requests of forwarded requests. Holds no state. */
+final class PlacementRequests {
+    /** Expected share of the output still to be generated when a stream is resumed. */
+    private static final double RESUMED_OUTPUT_SHARE = 0.5;
+
+    private PlacementRequests() {}
+
+    /** Returns the placement request for the first event of an answer. */
+    static PlacementRequest first(
+            PlacementKey key,
+            ForwardedRequest request,
+            ForwardingPorts ports,
+            Set<UpstreamId> triedUpstreams,
+            boolean retry) {
+        Route route = request.route();
+        return builder(key, request, ports, 1)
+                .times(
+                        request.firstAttemptNanos() + millisToNanos(route.targetLatencyMillis()),
+                        request.arrivedNanos() + callerTimeoutNanos(request, ports),
+                        request.deadlineNanos())
+                .previousAttempts(triedUpstreams, retry)
+                .build();
+    }
+
+    /** Returns the placement request for the rest of a stream that has lost its upstream. */
+    static PlacementRequest resumed(
+            PlacementKey key,
+            ForwardedRequest request,
+            ForwardingPorts ports,
+            Set<UpstreamId> triedUpstreams,
+            long lastEventNanos,
+            long nowNanos) {
+        return builder(key, request, ports, RESUMED_OUTPUT_SHARE)
+                .times(
+                        nowNanos + millisToNanos(request.route().targetGapMillis()),
+                        lastEventNanos + callerTimeoutNanos(request, ports),
+                        request.deadlineNanos())
+                .previousAttempts(triedUpstreams, true)
+                .build();
+    }
+
+    private static PlacementRequest.Builder builder(
+            PlacementKey key, ForwardedRequest request, ForwardingPorts ports, double outputShare) {
+        CallerRequestHead head = request.head();
+        return PlacementRequest.builder(key, head.requestId(), request.service())
+                .contentHash(request.contentHash())
+                .generation(
+                        head.promptTokens(),
+                        (long) (head.expectedOutputTokens() * outputShare),
+                        request.route().targetGapMillis())
+                .priority(request.priority())
+                .domain(ports.state().domain());
+    }
+
+    private static long callerTimeoutNanos(ForwardedRequest request, ForwardingPorts ports) {
+        return millisToNanos(ports.dialect().callerTimeoutMillis(request.route()));
+    }
+
+    private static long millisToNanos(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+}
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -144,7 +144,7 @@
         mDraining = true;
         ForwardingServer forwardingServer = mForwardingServer;
         if (forwardingServer != null) {
-            forwardingServer.drain();
+            forwardingServer.drain(startNanos);
             drainRequests(startNanos);
         }
         GroupControl group = mGroup;
@@ -243,6 +243,9 @@
         while (runningRequests() > 0 && mClocks.nowNanos() - exitAtNanos < 0) {
             LockSupport.parkNanos(DRAIN_POLL_INTERVAL_NANOS);
         }
+        if (runningRequests() > 0) {
+            Objects.requireNonNull(mForwarding).logUnfinished();
+        }
     }
 
     private int runningRequests() {
