--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/stop/PlannedStop.java
@@ -0,0 +1,41 @@
+package dev.kumquatweir.policy.stop;
+
+import java.util.concurrent.TimeUnit;
+
+/** Decisions during a planned stop of an instance that serves callers. Immutable. */
+public final class PlannedStop {
+    /** The load balancer probes every second and removes an instance after two failed probes. */
+    private static final long ACCEPT_NANOS = TimeUnit.MILLISECONDS.toNanos(3_500);
+
+    private final long mStartedNanos;
+    private final long mExitNanos;
+
+    /**
+     * @param startedNanos time at which the stop began
+     * @param drainNanos time after which no request runs any more
+     */
+    public PlannedStop(long startedNanos, long drainNanos) {
+        mStartedNanos = startedNanos;
+        mExitNanos = startedNanos + drainNanos;
+    }
+
+    /** Returns the time at which no request runs any more. */
+    public long exitNanos() {
+        return mExitNanos;
+    }
+
+    /** Returns the time since the stop began. */
+    public long elapsedNanos(long nowNanos) {
+        return nowNanos - mStartedNanos;
+    }
+
+    /** Returns whether connections and further requests on open connections are accepted. */
+    public boolean acceptsConnections(long nowNanos) {
+        return elapsedNanos(nowNanos) < Math.min(ACCEPT_NANOS, mExitNanos - mStartedNanos);
+    }
+
+    /** Decides on a request, on its arrival and periodically until it ends. */
+    public StopAction decide(RequestProgress progress, long nowNanos) {
+        return StopAction.CONTINUE;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/stop/RequestProgress.java
@@ -0,0 +1,17 @@
+package dev.kumquatweir.policy.stop;
+
+/** How far a request has come when a planned stop of its instance decides on it. */
+public sealed interface RequestProgress {
+    /**
+     * No upstream has received the request.
+     *
+     * @param expectedNanos expected time from now to the complete answer
+     */
+    record Waiting(long expectedNanos) implements RequestProgress {}
+
+    /** An upstream may have executed the request; its caller has received nothing. */
+    record Sent() implements RequestProgress {}
+
+    /** The caller has received a part of the answer. */
+    record Answering() implements RequestProgress {}
+}
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -16,6 +16,7 @@
 import dev.kumquatweir.platform.ReadinessService;
 import dev.kumquatweir.platform.RoutingDocuments;
 import dev.kumquatweir.policy.placement.PlacementLimits;
+import dev.kumquatweir.policy.stop.PlannedStop;
 import dev.kumquatweir.program.control.GroupControl;
 import dev.kumquatweir.program.instance.MetricsText;
 import dev.kumquatweir.settings.FleetSettings;
@@ -50,9 +51,6 @@
     private static final long IDLE_CONNECTION_MILLIS = 60_000;
     private static final int MAXIMUM_HEADER_BYTES = 64 * 1024;
 
-    /** The load balancer probes every second and removes an instance after two failed probes. */
-    private static final long ACCEPT_WHILE_DRAINING_MILLIS = 3_500;
-
     /** Part of the time for a planned stop that is reserved for ending the process. */
     private static final long EXIT_MARGIN_MILLIS = 600;
 
@@ -232,15 +230,13 @@
     }
 
     private void drainRequests(long startNanos) {
-        long acceptUntilNanos =
-                startNanos + TimeUnit.MILLISECONDS.toNanos(ACCEPT_WHILE_DRAINING_MILLIS);
-        long exitMillis = Math.max(0, mSettings.drainMillis() - EXIT_MARGIN_MILLIS);
-        long exitAtNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(exitMillis);
-        while (mClocks.nowNanos() - Math.min(acceptUntilNanos, exitAtNanos) < 0) {
+        long drainMillis = Math.max(0, mSettings.drainMillis() - EXIT_MARGIN_MILLIS);
+        PlannedStop stop = new PlannedStop(startNanos, TimeUnit.MILLISECONDS.toNanos(drainMillis));
+        while (stop.acceptsConnections(mClocks.nowNanos())) {
             LockSupport.parkNanos(DRAIN_POLL_INTERVAL_NANOS);
         }
         mServers.forEach(server -> server.closeAsyncGracefully().subscribe());
-        while (runningRequests() > 0 && mClocks.nowNanos() - exitAtNanos < 0) {
+        while (runningRequests() > 0 && mClocks.nowNanos() - stop.exitNanos() < 0) {
             LockSupport.parkNanos(DRAIN_POLL_INTERVAL_NANOS);
         }
         if (runningRequests() > 0) {
