Admit requests during a planned stop by the time that is left

Callers saw requests that were read up to 3.5 s after SIGTERM and given up without a complete answer when the process ended at 7.4 s: the channel closed in the middle of a stream, or with no answer at all.

Cause: admission during a stop knew no time left. A prompt that needs 6 s was taken with 4 s to go, requests that waited for a place waited on, and at the end the process closed all connections whatever ran. Class: work accepted past the end of the one who accepts it. Ruled out: a late balancer as the only cause; at 3 s and later most requests came on kept connections, the others on new ones when several instances of a domain stop at once.

Change: PlannedStop decides by the expected time to the complete answer (CompletionTimes: published cost and recent answers of the route). What can't complete is rejected at once as not executed, also while it waits for a place; connections are closed after 2.5 s instead of 3.5 s; the process waits until the connections are closed rather than until no request is known; at the end each request without an answer gets a final status, and streams are broken off visibly.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/CallerResponse.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/CallerResponse.java
@@ -20,6 +20,7 @@
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
 import java.util.Locale;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -32,7 +33,7 @@
 
     private final StreamingHttpResponseFactory mResponses;
     private final BufferAllocator mBuffers;
-    private final boolean mCloseConnection;
+    private final BooleanSupplier mCloseConnection;
     private final SingleSource.Processor<StreamingHttpResponse, StreamingHttpResponse> mResponse =
             Processors.newSingleProcessor();
     private PublisherSource.@Nullable Processor<Buffer, Buffer> mEvents;
@@ -40,12 +41,13 @@
     private boolean mEnded;
 
     /**
-     * @param closeConnection whether the connection is closed after this response
+     * @param closeConnection asked at the start of the response whether the connection is closed
+     *     after it
      */
     CallerResponse(
             StreamingHttpResponseFactory responses,
             BufferAllocator buffers,
-            boolean closeConnection) {
+            BooleanSupplier closeConnection) {
         mResponses = responses;
         mBuffers = buffers;
         mCloseConnection = closeConnection;
@@ -144,7 +146,7 @@
             return;
         }
         mStarted = true;
-        if (mCloseConnection) {
+        if (mCloseConnection.getAsBoolean()) {
             response.setHeader(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         mResponse.onSuccess(response);
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -4,16 +4,15 @@
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.policy.placement.PlacementAction;
 import dev.kumquatweir.policy.placement.PlacementGrant;
-import dev.kumquatweir.policy.placement.PlacementHelper;
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementOutcome;
 import dev.kumquatweir.policy.placement.PlacementRefusal;
 import dev.kumquatweir.policy.placement.PlacementRequest;
+import dev.kumquatweir.policy.stop.StopAction;
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -33,10 +32,14 @@
     private static final int SERVER_ERROR = 500;
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 300;
 
+    /** Another instance takes the request at once. */
+    private static final OptionalLong RETRY_ELSEWHERE = OptionalLong.of(50);
+
     private final ForwardingPorts mPorts;
     private final ForwardingMetrics mMetrics;
     private final ForwardedRequest mRequest;
     private final CallerResponse mCallerResponse;
+    private final StopAdmission mStops;
     private final EndListener mEndListener;
     private final ExchangeLog mLog;
     private final Set<UpstreamId> mTriedUpstreams = new HashSet<>();
@@ -65,11 +68,13 @@
             ForwardingMetrics metrics,
             ForwardedRequest request,
             CallerResponse callerResponse,
+            StopAdmission stops,
             EndListener endListener) {
         mPorts = ports;
         mMetrics = metrics;
         mRequest = request;
         mCallerResponse = callerResponse;
+        mStops = stops;
         mEndListener = endListener;
         mLog = new ExchangeLog(request);
         mLastEventId = request.head().lastEventId();
@@ -78,7 +83,9 @@
     // Life cycle.
 
     void start() {
-        requestPlacement();
+        if (!endForStop(now())) {
+            requestPlacement();
+        }
     }
 
     /** Cancels the request because its caller has disconnected. */
@@ -88,7 +95,7 @@
         }
     }
 
-    /** Checks the deadline and the silence limit, and renews memory reservations. */
+    /** Checks the deadline, a planned stop and the silence limit, and renews reservations. */
     void tick(long nowNanos) {
         if (mDone) {
             return;
@@ -101,6 +108,9 @@
             handleTimeout();
             return;
         }
+        if (endForStop(nowNanos)) {
+            return;
+        }
         Attempt attempt = mAttempt;
         if (attempt != null && attempt.exceedsSilenceLimit(nowNanos)) {
             attempt.close();
@@ -116,6 +126,22 @@
         mMetrics.countCut(phase);
     }
 
+    /** Ends the request if a planned stop leaves no time for it. Returns whether it has ended. */
+    private boolean endForStop(long nowNanos) {
+        boolean answering = mCallerResponse.isStarted();
+        StopAction action =
+                answering || mAttempt != null || mPossibleExecutions > 0
+                        ? mStops.decideSent(answering, nowNanos)
+                        : mStops.decideWaiting(mRequest, nowNanos);
+        switch (action) {
+            case CONTINUE -> {}
+            case REJECT -> fail(UNAVAILABLE, RETRY_ELSEWHERE, "stopping");
+            case FAIL -> fail(BAD_GATEWAY, OptionalLong.empty(), "stopping");
+            case ABORT -> abort("stopping");
+        }
+        return action != StopAction.CONTINUE;
+    }
+
     // Placement.
 
     private void requestPlacement() {
@@ -214,15 +240,13 @@
                 atMostOnce
                         ? mPorts.clients().newClient(grant.address())
                         : mPorts.clients().of(grant.address());
-        List<HelperAddress> helpers =
-                grant.helpers().stream().map(helper -> address(memory, helper)).toList();
         UpstreamInstructions instructions =
                 new UpstreamInstructions(
                         grant.upstream(),
                         remainingMillis,
                         mRequest.team().map(team -> team.name()),
                         mCallerResponse.isStarted() ? mLastEventId : -1,
-                        helpers);
+                        memory.addresses(grant.helpers()));
         StreamingHttpRequest request =
                 UpstreamRequests.newRequest(client, mRequest, instructions, mPorts);
         Attempt attempt =
@@ -232,10 +256,6 @@
         attempt.send(client, atMostOnce, request);
     }
 
-    private static HelperAddress address(ReservedMemory memory, PlacementHelper helper) {
-        return new HelperAddress(helper.address(), memory.reservationName(helper));
-    }
-
     @Override
     public boolean isCurrent(Attempt attempt) {
         return mAttempt == attempt;
@@ -303,7 +323,7 @@
     public void responseCompleted(
             StreamingHttpResponse response, UpstreamResponseHead head, Bytes body) {
         boolean error = head.status() >= SERVER_ERROR;
-        if (error && mayResendAfterError()) {
+        if (error && mayResend(mPossibleExecutions + 1, true)) {
             attemptFailed(PlacementOutcome.UPSTREAM_ERROR, head.culprit(), true);
             return;
         }
@@ -320,13 +340,14 @@
                 error ? PlacementOutcome.UPSTREAM_ERROR : PlacementOutcome.ANSWERED);
     }
 
-    private boolean mayResendAfterError() {
-        return ResendPolicy.mayResend(
-                mRequest.route().repeatability(),
-                mPossibleExecutions + 1,
-                mSends,
-                mRequest.route().maximumUpstreams(),
-                true);
+    private boolean mayResend(int possibleExecutions, boolean lastMayHaveExecuted) {
+        return mStops.leavesTimeFor(mRequest, now())
+                && ResendPolicy.mayResend(
+                        mRequest.route().repeatability(),
+                        possibleExecutions,
+                        mSends,
+                        mRequest.route().maximumUpstreams(),
+                        lastMayHaveExecuted);
     }
 
     @Override
@@ -345,13 +366,7 @@
         mAttempt = null;
         mPossibleExecutions += mayHaveExecuted ? 1 : 0;
         endPlacement(outcome, culprit);
-        boolean resend =
-                ResendPolicy.mayResend(
-                        mRequest.route().repeatability(),
-                        mPossibleExecutions,
-                        mSends,
-                        mRequest.route().maximumUpstreams(),
-                        mayHaveExecuted);
+        boolean resend = mayResend(mPossibleExecutions, mayHaveExecuted);
         mLog.sendFailed(grant, outcome, culprit, mSends, mPossibleExecutions, resend, ageMillis());
         if (resend) {
             mMetrics.countResent(outcome.name().toLowerCase(Locale.ROOT));
@@ -397,6 +412,9 @@
             attempt.close();
         }
         endPlacement(outcome, "");
+        if (outcome == PlacementOutcome.ANSWERED) {
+            mStops.recordAnswer(mRequest, ageMillis());
+        }
         mMetrics.countEnded(reason);
         mLog.ended(reason, mSends, mLastEventId, mFirstEventMillis, ageMillis());
         mEndListener.exchangeEnded(this);
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.policy.stop.PlannedStop;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.api.Executor;
 import java.util.LinkedHashSet;
@@ -25,6 +26,7 @@
     private final Executor mExecutor;
     private final Set<Exchange> mExchanges = new LinkedHashSet<>();
     private final HeldRequests mHeld = new HeldRequests();
+    private final StopAdmission mStops;
     private Cancellable mTimer = () -> {};
     private volatile int mRunningCount;
 
@@ -39,6 +41,7 @@
         mPorts = ports;
         mMetrics = new ForwardingMetrics(metrics);
         mExecutor = executor;
+        mStops = new StopAdmission(ports.state());
         Gauge<Integer> running = () -> mRunningCount;
         metrics.register("kumquatweir_forward_requests_running", running);
     }
@@ -61,6 +64,14 @@
         return mRunningCount + mHeld.size();
     }
 
+    /**
+     * Begins a planned stop: requests that can't complete in time are rejected, and those without a
+     * complete response at its end get a final one. May be called from any thread.
+     */
+    public void beginStop(PlannedStop stop) {
+        mStops.begin(stop);
+    }
+
     /**
      * Logs the requests that have no complete response, because the process ends now. May be called
      * from any thread.
@@ -77,12 +88,17 @@
         return mHeld;
     }
 
+    StopAdmission stops() {
+        return mStops;
+    }
+
     ForwardingMetrics metrics() {
         return mMetrics;
     }
 
     Exchange register(ForwardedRequest request, CallerResponse callerResponse) {
-        Exchange exchange = new Exchange(mPorts, mMetrics, request, callerResponse, this::remove);
+        Exchange exchange =
+                new Exchange(mPorts, mMetrics, request, callerResponse, mStops, this::remove);
         mExchanges.add(exchange);
         mRunningCount = mExchanges.size();
         return exchange;
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
@@ -26,8 +26,7 @@
 
 /**
  * HTTP service of an entry instance for forwarded requests: matches the route, checks the API key,
- * reads the body and starts an {@link Exchange}. Called on the I/O thread; {@link #drain} may be
- * called from any thread.
+ * reads the body and starts an {@link Exchange}. Called on the I/O thread.
  */
 public final class ForwardingServer implements StreamingHttpService {
     private static final EventLog LOG = EventLog.of(ForwardingServer.class);
@@ -45,20 +44,12 @@
             AttributeKey.valueOf(ForwardingServer.class, "requests");
 
     private final ReturningCallers mReturningCallers = new ReturningCallers();
-    private volatile boolean mDraining;
-    private volatile long mDrainStartNanos;
 
     /** Creates a server that registers its requests with the given registry. */
     public ForwardingServer(ExchangeRegistry exchanges) {
         mExchanges = exchanges;
     }
 
-    /** From now on closes each connection after its next response. */
-    public void drain(long nowNanos) {
-        mDrainStartNanos = nowNanos;
-        mDraining = true;
-    }
-
     @Override
     public Single<StreamingHttpResponse> handle(
             HttpServiceContext context,
@@ -69,10 +60,12 @@
         CallerRequestHead head = mExchanges.ports().dialect().decodeRequest(request);
         CallerResponse callerResponse =
                 new CallerResponse(
-                        responses, context.executionContext().bufferAllocator(), mDraining);
+                        responses,
+                        context.executionContext().bufferAllocator(),
+                        mExchanges.stops()::stopping);
         Arrival arrival =
                 new Arrival(request, head, callerResponse, mExchanges.ports().clocks().nowNanos());
-        if (mDraining) {
+        if (mExchanges.stops().stopping()) {
             logDuringStop(arrival, requestsOnConnection);
         }
         Optional<RoutingTable> routing = mExchanges.ports().state().routing();
@@ -94,7 +87,7 @@
                 "request",
                 arrival.head().requestId(),
                 "stopping_ms",
-                TimeUnit.NANOSECONDS.toMillis(arrival.nanos() - mDrainStartNanos),
+                mExchanges.stops().stoppingMillis(arrival.nanos()),
                 "connection_requests",
                 requestsOnConnection);
         mExchanges.metrics().countDuringStop();
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ReservedMemory.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ReservedMemory.java
@@ -44,8 +44,15 @@
         return !mReservingHelpers.isEmpty();
     }
 
+    /** Returns the addresses of engines, with the names of their reservations. */
+    List<HelperAddress> addresses(List<PlacementHelper> helpers) {
+        return helpers.stream()
+                .map(helper -> new HelperAddress(helper.address(), reservationName(helper)))
+                .toList();
+    }
+
     /** Returns the name of an engine's reservation, empty if it needs none. */
-    String reservationName(PlacementHelper helper) {
+    private String reservationName(PlacementHelper helper) {
         int position = mReservingHelpers.indexOf(helper);
         return position < 0 ? "" : mName + "-" + position;
     }
--- a/policy/src/main/java/dev/kumquatweir/policy/stop/PlannedStop.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/stop/PlannedStop.java
@@ -4,8 +4,11 @@
 
 /** Decisions during a planned stop of an instance that serves callers. Immutable. */
 public final class PlannedStop {
-    /** The load balancer probes every second and removes an instance after two failed probes. */
-    private static final long ACCEPT_NANOS = TimeUnit.MILLISECONDS.toNanos(3_500);
+    /**
+     * The load balancer probes every second and removes an instance after two failed probes; later
+     * requests come on connections that were idle since before the stop.
+     */
+    private static final long ACCEPT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
     private final long mStartedNanos;
     private final long mExitNanos;
@@ -34,8 +37,24 @@
         return elapsedNanos(nowNanos) < Math.min(ACCEPT_NANOS, mExitNanos - mStartedNanos);
     }
 
+    /**
+     * Returns whether a request that needs this time to its complete answer ends before the process
+     * does.
+     */
+    public boolean leavesTimeFor(long expectedNanos, long nowNanos) {
+        return nowNanos + expectedNanos - mExitNanos <= 0;
+    }
+
     /** Decides on a request, on its arrival and periodically until it ends. */
     public StopAction decide(RequestProgress progress, long nowNanos) {
-        return StopAction.CONTINUE;
+        boolean ended = nowNanos - mExitNanos >= 0;
+        return switch (progress) {
+            case RequestProgress.Waiting waiting ->
+                    ended || !leavesTimeFor(waiting.expectedNanos(), nowNanos)
+                            ? StopAction.REJECT
+                            : StopAction.CONTINUE;
+            case RequestProgress.Sent _ -> ended ? StopAction.FAIL : StopAction.CONTINUE;
+            case RequestProgress.Answering _ -> ended ? StopAction.ABORT : StopAction.CONTINUE;
+        };
     }
 }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -36,6 +36,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
@@ -54,6 +55,9 @@
     /** Part of the time for a planned stop that is reserved for ending the process. */
     private static final long EXIT_MARGIN_MILLIS = 600;
 
+    /** Time in which requests without an answer get their final responses at the end of a stop. */
+    private static final long FINAL_RESPONSES_MILLIS = 200;
+
     private static final long DRAIN_POLL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     private final FleetSettings mSettings;
@@ -67,7 +71,7 @@
     private final Runnable mOnFatal;
     private final List<HttpServerContext> mServers = new ArrayList<>();
     private @Nullable GroupControl mGroup;
-    private @Nullable ForwardingServer mForwardingServer;
+    private @Nullable HttpServerContext mCallerServer;
     private @Nullable ExchangeRegistry mForwarding;
     private @Nullable EntryFleetView mEntry;
     private volatile boolean mDraining;
@@ -140,10 +144,10 @@
         long startNanos = mClocks.nowNanos();
         LOG.info("instance_draining", "running", runningRequests());
         mDraining = true;
-        ForwardingServer forwardingServer = mForwardingServer;
-        if (forwardingServer != null) {
-            forwardingServer.drain(startNanos);
-            drainRequests(startNanos);
+        ExchangeRegistry forwarding = mForwarding;
+        HttpServerContext callerServer = mCallerServer;
+        if (forwarding != null && callerServer != null) {
+            drainRequests(forwarding, callerServer, startNanos);
         }
         GroupControl group = mGroup;
         if (group != null) {
@@ -209,13 +213,11 @@
                         clients,
                         mClocks);
         ExchangeRegistry forwarding = new ExchangeRegistry(ports, mMetrics, mExecutor);
-        ForwardingServer forwardingServer = new ForwardingServer(forwarding);
         mEntry = entry;
         mForwarding = forwarding;
-        mForwardingServer = forwardingServer;
         mExecutor.execute(forwarding::start);
         mExecutor.execute(this::tickEntry);
-        listen(address, forwardingServer);
+        mCallerServer = listen(address, new ForwardingServer(forwarding));
         InetSocketAddress readiness = mSettings.readiness().orElseThrow();
         listen(readiness, new ReadinessService(() -> !mDraining && entry.serving()));
     }
@@ -229,18 +231,27 @@
         mExecutor.schedule(this::tickEntry, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void drainRequests(long startNanos) {
+    /**
+     * Waits until all connections of callers are closed, which happens once each request that was
+     * read has its complete response, or until the time of the planned stop is over.
+     */
+    private void drainRequests(
+            ExchangeRegistry forwarding, HttpServerContext callerServer, long startNanos) {
         long drainMillis = Math.max(0, mSettings.drainMillis() - EXIT_MARGIN_MILLIS);
         PlannedStop stop = new PlannedStop(startNanos, TimeUnit.MILLISECONDS.toNanos(drainMillis));
+        forwarding.beginStop(stop);
         while (stop.acceptsConnections(mClocks.nowNanos())) {
             LockSupport.parkNanos(DRAIN_POLL_INTERVAL_NANOS);
         }
+        Future<?> closed = callerServer.closeAsyncGracefully().toFuture();
         mServers.forEach(server -> server.closeAsyncGracefully().subscribe());
-        while (runningRequests() > 0 && mClocks.nowNanos() - stop.exitNanos() < 0) {
+        long finalResponsesNanos =
+                stop.exitNanos() + TimeUnit.MILLISECONDS.toNanos(FINAL_RESPONSES_MILLIS);
+        while (!closed.isDone() && mClocks.nowNanos() - finalResponsesNanos < 0) {
             LockSupport.parkNanos(DRAIN_POLL_INTERVAL_NANOS);
         }
         if (runningRequests() > 0) {
-            Objects.requireNonNull(mForwarding).logUnfinished();
+            forwarding.logUnfinished();
         }
     }
 
@@ -249,9 +260,9 @@
         return forwarding == null ? 0 : forwarding.runningCount();
     }
 
-    private void listen(InetSocketAddress address, StreamingHttpService service) {
+    private HttpServerContext listen(InetSocketAddress address, StreamingHttpService service) {
         try {
-            mServers.add(
+            HttpServerContext server =
                     HttpServers.forAddress(address)
                             .ioExecutor(mExecutor)
                             .executionStrategy(HttpExecutionStrategies.offloadNone())
@@ -262,7 +273,9 @@
                                             .build())
                             .socketOption(
                                     ServiceTalkSocketOptions.IDLE_TIMEOUT, IDLE_CONNECTION_MILLIS)
-                            .listenStreamingAndAwait(service));
+                            .listenStreamingAndAwait(service);
+            mServers.add(server);
+            return server;
         } catch (Exception exception) {
             throw new FailureException(
                     new CannotListen(address.toString(), String.valueOf(exception.getMessage())));
