Fail requests that outlive a planned stop of serve instead of dropping them

A caller whose generation still ran when the drain time of a planned stop ended got a connection that closed in the middle of the answer, or no answer at all, as in a crash. It couldn't tell whether to send again.

Cause: InstanceDaemon closed the listeners and stopped the dispatch loop while requests ran; the loop drops what it still holds. Only oversize runs were ended before.

Ruled out: late admission of requests that come as a whole during the stop. They are refused at once with 503, ran=no and Retry-After.

Now the dispatch loop fails all requests that run at the end of the drain time, and admits none after that. One that no upstream can have executed is refused as draining (ran=no); attempts that were refused don't count. The stop waits up to 2 s for these answers and for the records of claims. The addresses of upstreams move to KnownUpstreams, to keep DispatchDuty short.

--- a/core/src/main/java/dev/kumquatweir/core/failure/RequestFailure.java
+++ b/core/src/main/java/dev/kumquatweir/core/failure/RequestFailure.java
@@ -268,6 +268,23 @@
         }
     }
 
+    /**
+     * The instance stopped before the response was complete.
+     *
+     * @param executed what is known about its execution
+     */
+    record InstanceStopped(Executed executed) implements RequestFailure {
+        @Override
+        public String code() {
+            return "instance_stopped";
+        }
+
+        @Override
+        public String message() {
+            return "this instance stopped before the response was complete";
+        }
+    }
+
     /** No quorum decided the claim on a non-repeatable request; the request was not sent. */
     record NoQuorum() implements RequestFailure {
         @Override
--- a/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/DispatchDuty.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/DispatchDuty.java
@@ -48,8 +48,6 @@
     /** The policy must hear of slow streams too, as it gives up what makes no progress for 1 s. */
     private static final long PROGRESS_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
-    private static final long FORGET_NANOS = TimeUnit.MINUTES.toNanos(1);
-
     private final Dispatcher mDispatcher;
     private final UpstreamCaller mCaller;
     private final ConfigurationPort mConfiguration;
@@ -58,14 +56,14 @@
     private final SilenceWatch mSilence;
     private final EventLoop mDuty;
     private final Map<RequestId, RunningRequest> mRunning = new HashMap<>();
-    private final Map<UpstreamId, Announcement> mUpstreams = new HashMap<>();
-    private final Map<UpstreamId, Long> mHeardNanos = new HashMap<>();
+    private final KnownUpstreams mUpstreams = new KnownUpstreams();
     private final AtomicInteger mRunningCount = new AtomicInteger();
 
     /** Holds at most a few events for each running attempt, since new requests are shed first. */
     private final Queue<Runnable> mOverflow = new ConcurrentLinkedQueue<>();
 
     private long mConfiguredVersion = -1;
+    private boolean mClosed;
 
     /**
      * Makes a duty that is not yet running.
@@ -134,15 +132,21 @@
                 nowNanos -> {
                     RunningRequest running = mRunning.get(request);
                     if (running != null) {
-                        running.failed(new RequestFailure.CallerDisconnected());
-                        mDispatcher.handleEvent(
-                                new AttemptEvent.CallerDisconnected(request), nowNanos);
-                        carryOut(nowNanos);
-                        remove(request);
+                        cancel(running, new RequestFailure.CallerDisconnected(), nowNanos);
                     }
                 });
     }
 
+    /** Fails all requests that still run, because the instance stops, and admits no more. */
+    public void failUnfinished() {
+        run(
+                nowNanos -> {
+                    mClosed = true;
+                    List.copyOf(mRunning.values())
+                            .forEach(running -> cancel(running, running.stopFailure(), nowNanos));
+                });
+    }
+
     /** Takes an announcement. */
     public void announced(Announcement announcement) {
         run(nowNanos -> takeAnnouncement(announcement, nowNanos));
@@ -152,7 +156,7 @@
     public CompletionStage<Boolean> reported(LoadReport report) {
         return ask(
                 () -> {
-                    mHeardNanos.replace(report.id(), mClocks.nowNanos());
+                    mUpstreams.heard(report.id(), mClocks.nowNanos());
                     return mDispatcher.loadReported(report, mClocks.nowNanos());
                 });
     }
@@ -169,12 +173,12 @@
 
     /** Completes with the announcement of an upstream, if it is known here. */
     public CompletionStage<Optional<Announcement>> upstream(UpstreamId id) {
-        return ask(() -> Optional.ofNullable(mUpstreams.get(id)));
+        return ask(() -> mUpstreams.find(id));
     }
 
     /** Completes with the announcements of all upstreams known here. */
     public CompletionStage<List<Announcement>> upstreams() {
-        return ask(() -> List.copyOf(mUpstreams.values()));
+        return ask(mUpstreams::all);
     }
 
     private void admit(
@@ -193,6 +197,9 @@
     }
 
     private Optional<RequestFailure> refusal(WorkRequest request, long nowNanos) {
+        if (mClosed) {
+            return Optional.of(new RequestFailure.Draining());
+        }
         if (!mConfiguration.current().inForce(nowNanos)) {
             return Optional.of(new RequestFailure.NoConfigurationLease());
         }
@@ -209,15 +216,7 @@
         takeConfiguration(nowNanos);
         breakSilentAttempts(nowNanos);
         carryOut(nowNanos);
-        forgetSilentUpstreams(nowNanos);
-    }
-
-    /**
-     * The address is kept longer than the policy keeps the upstream, so that it can be cancelled.
-     */
-    private void forgetSilentUpstreams(long nowNanos) {
-        mHeardNanos.values().removeIf(heard -> nowNanos - heard > FORGET_NANOS);
-        mUpstreams.keySet().retainAll(mHeardNanos.keySet());
+        mUpstreams.forgetSilent(nowNanos);
     }
 
     private void takeConfiguration(long nowNanos) {
@@ -230,21 +229,9 @@
     }
 
     private void takeAnnouncement(Announcement announcement, long nowNanos) {
-        Announcement known = mUpstreams.put(announcement.id(), announcement);
-        if (known == null || known.incarnation() != announcement.incarnation()) {
-            LOG.info(
-                    "upstream_announced",
-                    "upstream",
-                    announcement.id(),
-                    "incarnation",
-                    announcement.incarnation(),
-                    "domain",
-                    announcement.domain(),
-                    "service",
-                    announcement.service());
+        if (mUpstreams.put(announcement, nowNanos)) {
             mSilence.restarted(announcement.id());
         }
-        mHeardNanos.put(announcement.id(), nowNanos);
         mDispatcher.upstreamAnnounced(announcement, nowNanos);
         carryOut(nowNanos);
     }
@@ -267,8 +254,9 @@
         }
         running.begin(start.attempt());
         if (upstream == null
-                || !mUpstreams.keySet().containsAll(start.partners())
+                || !mUpstreams.containsAll(start.partners())
                 || !maySend(running, upstream, nowNanos)) {
+            running.refused(start.attempt());
             AttemptEvent refused =
                     new AttemptEvent.Refused(start.attempt(), AttemptEvent.RefusalReason.NOT_SENT);
             offerEvent(refused);
@@ -324,7 +312,7 @@
     private void breakSilentAttempts(long nowNanos) {
         SilenceWatch.Findings findings = mSilence.check(nowNanos);
         for (UpstreamId upstream : findings.doubtful()) {
-            Optional.ofNullable(mUpstreams.get(upstream)).ifPresent(mCaller::replaceConnections);
+            mUpstreams.find(upstream).ifPresent(mCaller::replaceConnections);
         }
         findings.silent().forEach((attempt, upstream) -> breakSilent(upstream, attempt, nowNanos));
     }
@@ -339,6 +327,15 @@
                 new AttemptEvent.Broken(attempt, AttemptEvent.BreakCause.SILENT), nowNanos);
     }
 
+    /** Ends a request and what runs for it on upstreams. */
+    private void cancel(RunningRequest running, RequestFailure failure, long nowNanos) {
+        RequestId request = running.request().id();
+        running.failed(failure);
+        mDispatcher.handleEvent(new AttemptEvent.CallerDisconnected(request), nowNanos);
+        carryOut(nowNanos);
+        remove(request);
+    }
+
     private void remove(RequestId request) {
         mRunning.remove(request);
         mRunningCount.set(mRunning.size());
@@ -423,7 +420,7 @@
 
         @Override
         public void refused(AttemptEvent.RefusalReason reason) {
-            mRequest.abandon(mAttempt);
+            mRequest.refused(mAttempt);
             offerEvent(new AttemptEvent.Refused(mAttempt, reason));
         }
 
--- a/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/RunningRequest.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/dispatch/RunningRequest.java
@@ -1,6 +1,7 @@
 package dev.kumquatweir.gateway.dispatch;
 
 import dev.kumquatweir.core.control.RecordedResponse;
+import dev.kumquatweir.core.failure.Executed;
 import dev.kumquatweir.core.failure.RequestFailure;
 import dev.kumquatweir.core.identity.AttemptId;
 import dev.kumquatweir.policy.dispatch.WorkRequest;
@@ -24,6 +25,7 @@
     private long mHeardNanos;
     private boolean mHeardToken;
     private long mCachedTokens = -1;
+    private int mPossibleExecutions;
     private boolean mEnded;
 
     /**
@@ -52,6 +54,7 @@
     synchronized void begin(AttemptId attempt) {
         closeConnection();
         mCurrent = attempt;
+        mPossibleExecutions++;
         mHeardToken = false;
     }
 
@@ -136,6 +139,21 @@
         return true;
     }
 
+    /** Drops the current attempt, which no upstream has executed, without ending the request. */
+    synchronized void refused(AttemptId attempt) {
+        if (attempt.equals(mCurrent)) {
+            mPossibleExecutions--;
+        }
+        abandon(attempt);
+    }
+
+    /** Returns the failure of a request that runs when the instance stops. */
+    synchronized RequestFailure stopFailure() {
+        return mPossibleExecutions == 0
+                ? new RequestFailure.Draining()
+                : new RequestFailure.InstanceStopped(Executed.UNKNOWN);
+    }
+
     /** Ends the request with a failure, unless it has ended. */
     synchronized void failed(RequestFailure failure) {
         closeConnection();
--- a/gateway/src/main/java/dev/kumquatweir/gateway/http/ErrorResponse.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/http/ErrorResponse.java
@@ -29,6 +29,7 @@
             case RequestFailure.Overloaded _ -> 429;
             case RequestFailure.CallerDisconnected _ -> 499;
             case RequestFailure.UpstreamFailed _ -> 502;
+            case RequestFailure.InstanceStopped _ -> 502;
             case RequestFailure.NoUpstream _ -> 503;
             case RequestFailure.NoConfigurationLease _ -> 503;
             case RequestFailure.NoQuorum _ -> 503;
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -50,6 +50,9 @@
      */
     private static final long READINESS_PROPAGATION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** Time for the final answers and records of requests that the stop cuts off. */
+    private static final long FINAL_ANSWERS_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private final InstanceSettings mSettings;
     private final ControlPlane mControl;
     private final Clocks mClocks;
@@ -159,18 +162,18 @@
 
     /**
      * Shuts down gracefully: readiness fails first, then admitted requests may finish within the
-     * drain time of the settings. Oversize runs that have not finished by then are aborted.
+     * drain time of the settings. Those that have not finished by then fail.
      */
     public void stop() {
         LOG.info("instance_draining", "running", mUpstreamSubsystem.dispatch().running());
         mHealth.startDraining();
         LockSupport.parkNanos(READINESS_PROPAGATION_NANOS);
         long drainTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(mSettings.limits().drainMillis());
-        long startNanos = mClocks.nowNanos();
-        while (hasUnfinishedRequests() && mClocks.nowNanos() - startNanos < drainTimeoutNanos) {
-            LockSupport.parkNanos(DRAIN_POLL_INTERVAL_NANOS);
-        }
+        awaitRequests(mClocks.nowNanos() + drainTimeoutNanos);
+        int cut = mUpstreamSubsystem.dispatch().running();
+        mUpstreamSubsystem.dispatch().failUnfinished();
         mUpstreamSubsystem.abandonOversizeRuns();
+        awaitRequests(mClocks.nowNanos() + FINAL_ANSWERS_NANOS);
         mHttpServers.forEach(InstanceDaemon::closeGracefully);
         mControl.handOver();
         mCallerServer.stop();
@@ -178,7 +181,13 @@
         mBurnRecorder.stop();
         mControl.stop();
         mUpstreamClients.close();
-        LOG.info("instance_stopped", "cut", mUpstreamSubsystem.dispatch().running());
+        LOG.info("instance_stopped", "cut", cut);
+    }
+
+    private void awaitRequests(long untilNanos) {
+        while (hasUnfinishedRequests() && mClocks.nowNanos() - untilNanos < 0) {
+            LockSupport.parkNanos(DRAIN_POLL_INTERVAL_NANOS);
+        }
     }
 
     private boolean hasUnfinishedRequests() {
--- a/program/src/test/java/dev/kumquatweir/program/system/LocalCluster.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LocalCluster.java
@@ -43,7 +43,11 @@
     private static final Pattern LED =
             Pattern.compile("event=role_changed role=LEADER term=(\\d+)");
 
+    /** Default of the product, in seconds. */
+    private static final int USUAL_DRAIN_SECONDS = 1_800;
+
     private final Path mFolder;
+    private final int mDrainSeconds;
     private final int[][] mPorts = new int[INSTANCES][LISTENERS];
     private final int[] mOwnPeerPorts = new int[INSTANCES];
     private final List<CuttingRelay> mRelays = new ArrayList<>();
@@ -51,13 +55,23 @@
     private final Map<String, LocalProcess> mUpstreams = new LinkedHashMap<>();
     private final Map<String, Integer> mUpstreamPorts = new LinkedHashMap<>();
 
-    private LocalCluster(Path folder) {
+    private LocalCluster(Path folder, int drainSeconds) {
         mFolder = folder;
+        mDrainSeconds = drainSeconds;
     }
 
     /** Starts four instances and waits until all of them are ready. */
     static LocalCluster start(Path folder) {
-        LocalCluster cluster = new LocalCluster(folder);
+        return start(folder, USUAL_DRAIN_SECONDS);
+    }
+
+    /**
+     * Starts four instances and waits until all of them are ready.
+     *
+     * @param drainSeconds longest wait for running requests at a planned stop
+     */
+    static LocalCluster start(Path folder, int drainSeconds) {
+        LocalCluster cluster = new LocalCluster(folder, drainSeconds);
         IntStream.range(0, INSTANCES).forEach(cluster::choosePorts);
         cluster.write("configuration.toml", configuration());
         IntStream.range(0, INSTANCES).forEach(cluster::startInstance);
@@ -247,6 +261,7 @@
         text.append("caller = \"127.0.0.1:").append(mPorts[number][0]).append("\"\n");
         text.append("upstream = \"127.0.0.1:").append(mPorts[number][1]).append("\"\n");
         text.append("operator = \"127.0.0.1:").append(mPorts[number][2]).append("\"\n");
+        text.append("[limits]\ndrain_seconds = ").append(mDrainSeconds).append('\n');
         text.append("[cluster]\nname = \"test\"\nkey = \"cluster-key-of-the-test\"\n");
         text.append("announce_key = \"").append(ANNOUNCE_KEY).append("\"\n");
         text.append("first_configuration = \"configuration.toml\"\n");
