Refuse a request of serve whose body ends after the planned stop began

A caller whose request head came before SIGTERM and whose body ended after it was admitted during the stop. A long generation was then cut when the process ended.

Cause: CallerServer asked whether the instance drains before it read the body, not after it. The stop saw no running request and closed.

Evidence: PlannedStopIt sends a head and one byte, SIGTERM, then the rest. Without the change the connection closed with no byte of an answer; with it a 503 with draining, ran=no comes at once.

Ruled out: the order of closing. The listener's graceful close does wait for the request, but only for 5 s.

Asking again after the body is read closes the gap, since nothing was sent or claimed before.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/CallerServer.java
@@ -158,7 +158,15 @@
         if (mHealth.draining()) {
             return call.failure(refusedBeforeClaim(call, new RequestFailure.Draining()));
         }
-        return BodyCollector.collect(call.request().payloadBody(), mMaximumBodyBytes).flatMap(next);
+        // Asked once more, since the stop may begin while the body is read.
+        return BodyCollector.collect(call.request().payloadBody(), mMaximumBodyBytes)
+                .flatMap(
+                        body ->
+                                mHealth.draining()
+                                        ? call.failure(
+                                                refusedBeforeClaim(
+                                                        call, new RequestFailure.Draining()))
+                                        : next.apply(body));
     }
 
     private Single<StreamingHttpResponse> handleCompletion(
--- a/program/src/test/java/dev/kumquatweir/program/system/PlannedStopIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/PlannedStopIt.java
@@ -5,7 +5,14 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +32,7 @@
 
     private static final String PROMPT = "Describe the lobby";
     private static final long LIMIT_SECONDS = 60;
+    private static final int SOCKET_TIMEOUT_MILLIS = 30_000;
 
     @TempDir static Path sFolder;
     private static LocalCluster sCluster;
@@ -75,4 +83,43 @@
         assertThat(answer.type(), is("instance_stopped"));
         assertThat(answer.ran(), is("unknown"));
     }
+
+    /**
+     * Guards against a request that is admitted during a planned stop, since its head came before
+     * the stop and its body after it.
+     */
+    @Test
+    void requestWhoseBodyEndsAfterTheStopBeganIsRejectedAtOnce() throws IOException {
+        byte[] body =
+                "{\"model\":\"quote-7b\",\"prompt\":\"%s\",\"max_tokens\":%d}"
+                        .formatted(PROMPT, TOKENS)
+                        .getBytes(StandardCharsets.UTF_8);
+        String head =
+                "POST /v1/completions HTTP/1.1\r\nHost: test\r\nContent-Type: application/json\r\n"
+                        + "Authorization: Bearer %s\r\nKumquatweir-Profile: quick\r\n"
+                                .formatted(LocalCluster.TEAM_KEY)
+                        + "Content-Length: %d\r\n\r\n".formatted(body.length);
+        int port = URI.create(sCluster.url(STOPPED)).getPort();
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+            OutputStream output = socket.getOutputStream();
+            output.write(head.getBytes(StandardCharsets.US_ASCII));
+            output.write(body, 0, 1);
+            output.flush();
+            // The head is read long before the signal comes.
+            Waiting.during(Duration.ofMillis(300));
+            sCluster.instance(STOPPED).beginTermination();
+            Waiting.until(
+                    "the instance stops",
+                    () -> Caller.status(sCluster.url(STOPPED) + "/health/ready") == 503);
+            output.write(body, 1, body.length - 1);
+            output.flush();
+            byte[] answer = socket.getInputStream().readNBytes("HTTP/1.1 503".length());
+            assertThat(new String(answer, StandardCharsets.US_ASCII), is("HTTP/1.1 503"));
+            String rest =
+                    new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertThat(rest, containsString("\"type\":\"draining\""));
+            assertThat(rest, containsString("\"ran\":\"no\""));
+        }
+    }
 }
