Estimate by the median of recent run times during a planned stop

Change: the median of the time from send to end of the last 30 s, half of the output for a resumption. A request that waits to be sent again is broken off as soon as it can't complete, and every request that a stop breaks off counts in instance_stopped cut.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
@@ -72,6 +72,11 @@
         mStops.begin(stop);
     }
 
+    /** Returns the number of requests that a planned stop has broken off. */
+    public int brokenOffCount() {
+        return mStops.brokenOffCount();
+    }
+
     /**
      * Logs the requests that have no complete response, because the process ends now. May be called
      * from any thread.
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementRequests.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementRequests.java
@@ -9,9 +9,6 @@
 
 /** Builds the placement requests of forwarded requests. Holds no state. */
 final class PlacementRequests {
-    /** Expected share of the output still to be generated when a stream is resumed. */
-    private static final double RESUMED_OUTPUT_SHARE = 0.5;
-
     private PlacementRequests() {}
 
     /** Returns the placement request for the first event of an answer. */
@@ -39,7 +36,7 @@
             Set<UpstreamId> triedUpstreams,
             long lastEventNanos,
             long nowNanos) {
-        return builder(key, request, ports, RESUMED_OUTPUT_SHARE)
+        return builder(key, request, ports, StopAdmission.RESUMED_OUTPUT_SHARE)
                 .times(
                         nowNanos + millisToNanos(request.route().targetGapMillis()),
                         lastEventNanos + callerTimeoutNanos(request, ports),
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/StopAdmission.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/StopAdmission.java
@@ -7,16 +7,21 @@
 import dev.kumquatweir.policy.stop.RequestProgress;
 import dev.kumquatweir.policy.stop.StopAction;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Applies a planned stop to the requests of an instance. Confined to the I/O thread, except {@link
- * #begin} and {@link #stopping}.
+ * #begin}, {@link #stopping} and {@link #brokenOffCount}.
  */
 final class StopAdmission {
+    /** Expected share of the output still to be generated when a stream is resumed. */
+    static final double RESUMED_OUTPUT_SHARE = 0.5;
+
     private final ForwardingState mState;
     private final CompletionTimes mCompletionTimes = new CompletionTimes();
     private volatile @Nullable PlannedStop mStop;
+    private final AtomicInteger mBrokenOffCount = new AtomicInteger();
 
     StopAdmission(ForwardingState state) {
         mState = state;
@@ -38,55 +43,70 @@
         return stop == null ? 0 : TimeUnit.NANOSECONDS.toMillis(stop.elapsedNanos(nowNanos));
     }
 
-    /** Decides on a request that no upstream has received. */
-    StopAction decideWaiting(ForwardedRequest request, long nowNanos) {
-        PlannedStop stop = mStop;
-        return stop == null
-                ? StopAction.CONTINUE
-                : stop.decide(
-                        new RequestProgress.Waiting(expectedNanos(request, nowNanos)), nowNanos);
-    }
-
     /**
-     * Decides on a request that may have been executed.
+     * Decides on a request.
      *
+     * @param sent whether it was sent to an upstream and has not come back
+     * @param mayHaveExecuted whether an earlier send may have executed it
      * @param answering whether its caller has received a part of the answer
      */
-    StopAction decideSent(boolean answering, long nowNanos) {
+    StopAction decide(
+            ForwardedRequest request,
+            boolean sent,
+            boolean mayHaveExecuted,
+            boolean answering,
+            long nowNanos) {
         PlannedStop stop = mStop;
-        return stop == null
-                ? StopAction.CONTINUE
-                : stop.decide(
-                        answering ? new RequestProgress.Answering() : new RequestProgress.Sent(),
-                        nowNanos);
+        if (stop == null) {
+            return StopAction.CONTINUE;
+        }
+        RequestProgress progress;
+        if (sent) {
+            progress = answering ? new RequestProgress.Answering() : new RequestProgress.Sent();
+        } else if (mayHaveExecuted) {
+            double outputShare = answering ? RESUMED_OUTPUT_SHARE : 1;
+            progress =
+                    new RequestProgress.WaitingAgain(
+                            expectedNanos(request, outputShare, nowNanos), answering);
+        } else {
+            progress = new RequestProgress.Waiting(expectedNanos(request, 1, nowNanos));
+        }
+        StopAction action = stop.decide(progress, nowNanos);
+        if (action == StopAction.FAIL || action == StopAction.ABORT) {
+            mBrokenOffCount.incrementAndGet();
+        }
+        return action;
     }
 
-    /**
-     * Returns whether a request that is sent now is expected to complete before the process ends.
-     */
-    boolean leavesTimeFor(ForwardedRequest request, long nowNanos) {
-        PlannedStop stop = mStop;
-        return stop == null || stop.leavesTimeFor(expectedNanos(request, nowNanos), nowNanos);
+    /** Returns the number of requests that a planned stop has broken off. */
+    int brokenOffCount() {
+        return mBrokenOffCount.get();
     }
 
     /** Records a complete answer, which later estimates of its route take into account. */
-    void recordAnswer(ForwardedRequest request, long tookMillis) {
-        mCompletionTimes.record(request.route(), size(request), tookMillis);
+    void recordAnswer(ForwardedRequest request, long sentNanos, long nowNanos) {
+        boolean whole = request.head().lastEventId() < 0;
+        if (whole) {
+            long tookMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos);
+            mCompletionTimes.record(request.route(), size(request, 1), tookMillis, nowNanos);
+        }
     }
 
     /** At most until the request's deadline, since it gets its final answer then at the latest. */
-    private long expectedNanos(ForwardedRequest request, long nowNanos) {
-        double millis = mCompletionTimes.expectedMillis(request.route(), size(request));
+    private long expectedNanos(ForwardedRequest request, double outputShare, long nowNanos) {
+        double millis =
+                mCompletionTimes.expectedMillis(
+                        request.route(), size(request, outputShare), nowNanos);
         long expectedNanos = (long) (millis * TimeUnit.MILLISECONDS.toNanos(1));
         return Math.min(expectedNanos, Math.max(0, request.deadlineNanos() - nowNanos));
     }
 
-    private CompletionTimes.Size size(ForwardedRequest request) {
+    private CompletionTimes.Size size(ForwardedRequest request, double outputShare) {
         return new CompletionTimes.Size(
                 mState.routing()
                         .flatMap((RoutingTable routing) -> routing.service(request.service()))
                         .flatMap(RoutedService::engineCost),
                 request.head().promptTokens(),
-                request.head().expectedOutputTokens());
+                (long) (request.head().expectedOutputTokens() * outputShare));
     }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/stop/CompletionTimes.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/stop/CompletionTimes.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Estimates the time from a request's arrival to its complete answer, from the published cost of
@@ -20,42 +21,50 @@
     /** Fewer recent answers than this say little about a route. */
     private static final int MINIMUM_ANSWERS = 4;
 
-    /** Expected share of answers that take at most the estimate. */
-    private static final double QUANTILE = 0.9;
+    /** Answers of a burst say nothing about the time after it. */
+    private static final long MAXIMUM_AGE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
     /** Ratio of actual to published time on busy engines, while a route has few answers. */
-    private static final double DEFAULT_RATIO = 2.5;
+    private static final double DEFAULT_RATIO = 1.5;
 
-    private final Map<String, Deque<Double>> mRatiosByRoute = new HashMap<>();
+    private final Map<String, Deque<Ratio>> mRatiosByRoute = new HashMap<>();
+
+    private record Ratio(double value, long nanos) {}
 
     /** Size of a request, which with the cost of the engines gives its time on an idle engine. */
     public record Size(Optional<EngineCost> cost, long promptTokens, long outputTokens) {}
 
-    /** Records a complete answer. */
-    public void record(Route route, Size size, long tookMillis) {
+    /** Records a complete answer that took this time since it was sent. */
+    public void record(Route route, Size size, long tookMillis, long nowNanos) {
         if (mRatiosByRoute.size() >= MAXIMUM_ROUTES) {
             mRatiosByRoute.clear();
         }
-        Deque<Double> ratios =
+        Deque<Ratio> ratios =
                 mRatiosByRoute.computeIfAbsent(route.name(), name -> new ArrayDeque<>());
-        ratios.addLast(tookMillis / idleMillis(route, size));
+        ratios.addLast(new Ratio(tookMillis / idleMillis(route, size), nowNanos));
         if (ratios.size() > RECENT_ANSWERS) {
             ratios.removeFirst();
         }
     }
 
-    /** Returns the expected time to the complete answer. */
-    public double expectedMillis(Route route, Size size) {
-        return idleMillis(route, size) * recentRatio(route).orElse(DEFAULT_RATIO);
+    /**
+     * Returns the expected time to the complete answer: the median, since a request that is taken
+     * in vain and one that is rejected in vain both cost their caller one attempt.
+     */
+    public double expectedMillis(Route route, Size size, long nowNanos) {
+        return idleMillis(route, size) * recentRatio(route, nowNanos).orElse(DEFAULT_RATIO);
     }
 
-    private OptionalDouble recentRatio(Route route) {
-        Deque<Double> ratios = mRatiosByRoute.get(route.name());
-        if (ratios == null || ratios.size() < MINIMUM_ANSWERS) {
-            return OptionalDouble.empty();
-        }
-        long rank = Math.min(ratios.size(), (long) Math.ceil(QUANTILE * (ratios.size() + 1)));
-        return ratios.stream().mapToDouble(Double::doubleValue).sorted().skip(rank - 1).findFirst();
+    private OptionalDouble recentRatio(Route route, long nowNanos) {
+        double[] ratios =
+                mRatiosByRoute.getOrDefault(route.name(), new ArrayDeque<>()).stream()
+                        .filter(ratio -> nowNanos - ratio.nanos() <= MAXIMUM_AGE_NANOS)
+                        .mapToDouble(Ratio::value)
+                        .sorted()
+                        .toArray();
+        return ratios.length < MINIMUM_ANSWERS
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(ratios[ratios.length / 2]);
     }
 
     private static double idleMillis(Route route, Size size) {
--- a/policy/src/main/java/dev/kumquatweir/policy/stop/PlannedStop.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/stop/PlannedStop.java
@@ -53,8 +53,16 @@
                     ended || !leavesTimeFor(waiting.expectedNanos(), nowNanos)
                             ? StopAction.REJECT
                             : StopAction.CONTINUE;
-            case RequestProgress.Sent _ -> ended ? StopAction.FAIL : StopAction.CONTINUE;
-            case RequestProgress.Answering _ -> ended ? StopAction.ABORT : StopAction.CONTINUE;
+            case RequestProgress.WaitingAgain waiting ->
+                    ended || !leavesTimeFor(waiting.expectedNanos(), nowNanos)
+                            ? breakOff(waiting.answering())
+                            : StopAction.CONTINUE;
+            case RequestProgress.Sent _ -> ended ? breakOff(false) : StopAction.CONTINUE;
+            case RequestProgress.Answering _ -> ended ? breakOff(true) : StopAction.CONTINUE;
         };
     }
+
+    private static StopAction breakOff(boolean answering) {
+        return answering ? StopAction.ABORT : StopAction.FAIL;
+    }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/stop/RequestProgress.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/stop/RequestProgress.java
@@ -9,6 +9,14 @@
      */
     record Waiting(long expectedNanos) implements RequestProgress {}
 
+    /**
+     * The request has lost its upstream and waits for another one.
+     *
+     * @param expectedNanos expected time from now to the complete answer
+     * @param answering whether the caller has received a part of the answer
+     */
+    record WaitingAgain(long expectedNanos, boolean answering) implements RequestProgress {}
+
     /** An upstream may have executed the request; its caller has received nothing. */
     record Sent() implements RequestProgress {}
 
--- a/policy/src/test/java/dev/kumquatweir/policy/stop/LateRequestAtPlannedStopTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/stop/LateRequestAtPlannedStopTest.java
@@ -45,6 +45,14 @@
                         .filter(end -> end.cut() && end.arrivedMillis() > EXCUSED_MILLIS)
                         .count(),
                 is(0L));
+        assertThat(
+                "long prompts taken without the time to answer them",
+                ends.stream()
+                        .filter(end -> end.load().expectedMillis() > DRAIN_MILLIS)
+                        .filter(end -> end.arrivedMillis() > 0)
+                        .filter(end -> end.action() != StopAction.REJECT)
+                        .count(),
+                is(0L));
         assertThat(
                 "cut with neither status nor answer",
                 ends.stream()
@@ -84,6 +92,22 @@
         assertThat(stop.decide(waiting, 2_000 * MILLI), is(StopAction.REJECT));
     }
 
+    /** Guards against work that is sent again although it can't complete any more. */
+    @Test
+    void resendThatCannotCompleteIsBrokenOffAtOnce() {
+        PlannedStop stop = new PlannedStop(0, DRAIN_MILLIS * MILLI);
+        long expectedNanos = 6_000 * MILLI;
+        assertThat(
+                stop.decide(new RequestProgress.WaitingAgain(expectedNanos, false), 2_000 * MILLI),
+                is(StopAction.FAIL));
+        assertThat(
+                stop.decide(new RequestProgress.WaitingAgain(expectedNanos, true), 2_000 * MILLI),
+                is(StopAction.ABORT));
+        assertThat(
+                stop.decide(new RequestProgress.WaitingAgain(expectedNanos, true), 1_000 * MILLI),
+                is(StopAction.CONTINUE));
+    }
+
     private static List<End> replay(long seed) {
         Random random = new Random(seed);
         List<End> ends = new ArrayList<>();
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -157,7 +157,8 @@
         if (group != null) {
             group.stop();
         }
-        LOG.info("instance_stopped", "cut", runningRequests());
+        int brokenOff = forwarding == null ? 0 : forwarding.brokenOffCount();
+        LOG.info("instance_stopped", "cut", brokenOff + runningRequests());
     }
 
     // Helpers.
