Close upstream connections that an unframed answer has ended

Callers saw nothing directly: an idempotent call was sent again and took a place of a second upstream and of the retry budget; an attempt of an engine broke with CONNECTION_LOST before it reached the engine.

Cause: for an HTTP/1.1 answer without Content-Length, Transfer-Encoding and Connection: close, the HTTP library returns the connection to its pool when the upstream has closed its sending side. The next request is written to a connection that the upstream has ended.

A head with Connection: close and an HTTP/1.0 head were right before.

Ruled out: a truncated unframed answer that passes for a whole one. Resets fail the call at each position, also while the request is still being written.

The fix works because a connection filter closes the connection before the end of the body is passed on, so the pool never sees it idle; it covers reserved connections of forwarding and the calls of EngineClient and ServiceClient.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/UpstreamClients.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/UpstreamClients.java
@@ -51,6 +51,7 @@
                 .protocols(h1().maxPipelinedRequests(1).build())
                 .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_LIMIT_MILLIS)
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
+                .appendConnectionFilter(new UnframedResponseFilter())
                 .loadBalancerFactory(connectionsOfOneHost())
                 .buildStreaming();
     }
--- /dev/null
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -0,0 +1,268 @@
+package dev.kumquatweir.gateway.forward;
+
+import com.codahale.metrics.MetricRegistry;
+import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.identity.ServiceName;
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.core.routing.CallerLimits;
+import dev.kumquatweir.core.routing.Repeatability;
+import dev.kumquatweir.core.routing.Route;
+import dev.kumquatweir.core.routing.RoutedService;
+import dev.kumquatweir.core.routing.RoutingTable;
+import dev.kumquatweir.core.routing.ServiceShare;
+import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.gateway.raw.RawCaller;
+import dev.kumquatweir.gateway.raw.RawUpstream;
+import dev.kumquatweir.gateway.upstream.UpstreamClients;
+import dev.kumquatweir.policy.placement.PlacementAction;
+import dev.kumquatweir.policy.placement.PlacementGrant;
+import dev.kumquatweir.policy.placement.PlacementKey;
+import dev.kumquatweir.policy.placement.PlacementOutcome;
+import dev.kumquatweir.policy.placement.PlacementRequest;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.netty.HttpServers;
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/**
+ * A forwarding server with real connections on both sides. The first send of each request goes to
+ * one upstream, further ones to a second upstream.
+ */
+final class ForwardingHarness implements AutoCloseable {
+    static final String ONCE = "/once/";
+    static final String IDEMPOTENT = "/idempotent/";
+    static final String STREAM_ONCE = "/stream-once/";
+    static final String RESUMABLE = "/resumable/";
+
+    private static final String HOST = "callers.test";
+    private static final ServiceName SERVICE = new ServiceName("service");
+    private static final long BODY_LIMIT_BYTES = 8L << 20;
+    private static final int MAXIMUM_UPSTREAMS = 2;
+
+    private final IoExecutor mExecutor = NettyIoExecutors.createIoExecutor(1, "test");
+    private final UpstreamClients mClients = new UpstreamClients(mExecutor);
+    private final GrantInTurn mPlacement;
+    private final RawUpstream mFirst;
+    private final RawUpstream mSecond;
+    private final ExchangeRegistry mExchanges;
+    private final HttpServerContext mServer;
+
+    /**
+     * @param first script of the upstream that gets each request first
+     * @param second script of the upstream that gets the requests that are sent again
+     */
+    ForwardingHarness(
+            Function<RawUpstream.Received, RawUpstream.Answer> first,
+            Function<RawUpstream.Received, RawUpstream.Answer> second)
+            throws Exception {
+        mFirst = new RawUpstream(first);
+        mSecond = new RawUpstream(second);
+        mPlacement = new GrantInTurn(mFirst.address(), mSecond.address());
+        ForwardingPorts ports =
+                new ForwardingPorts(
+                        new FixedState(),
+                        mPlacement,
+                        new NoReservations(),
+                        new PlainDialect(),
+                        mClients,
+                        Clocks.system());
+        mExchanges = new ExchangeRegistry(ports, new MetricRegistry(), mExecutor);
+        mExecutor.execute(mExchanges::start);
+        mServer =
+                HttpServers.forAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                        .ioExecutor(mExecutor)
+                        .executionStrategy(HttpExecutionStrategies.offloadNone())
+                        .listenStreamingAndAwait(new ForwardingServer(mExchanges));
+    }
+
+    /** Sends a request without a body; the id tells the requests of a test apart. */
+    RawCaller.Response call(String route, String requestId) throws IOException {
+        return call(route, requestId, "", "");
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param headers further header lines, each with its line end
+     */
+    RawCaller.Response call(String route, String requestId, String headers, String body)
+            throws IOException {
+        return send("POST " + route + " HTTP/1.1\r\n", requestId, headers, body);
+    }
+
+    /** Sends a request with the given request line. */
+    RawCaller.Response send(String requestLine, String requestId, String headers, String body)
+            throws IOException {
+        return RawCaller.call(
+                (InetSocketAddress) mServer.listenAddress(),
+                requestLine
+                        + "Host: "
+                        + HOST
+                        + "\r\n"
+                        + PlainDialect.REQUEST_ID
+                        + ": "
+                        + requestId
+                        + "\r\nContent-Length: "
+                        + body.length()
+                        + "\r\n"
+                        + headers
+                        + "\r\n"
+                        + body);
+    }
+
+    RawUpstream first() {
+        return mFirst;
+    }
+
+    RawUpstream second() {
+        return mSecond;
+    }
+
+    /** Returns the id of a request. */
+    static String requestId(RawUpstream.Received received) {
+        return received.header(PlainDialect.REQUEST_ID).orElse("");
+    }
+
+    /** Returns the requests with this id that an upstream got. */
+    static List<RawUpstream.Received> requests(RawUpstream upstream, String id) {
+        return upstream.requests().stream()
+                .filter(received -> requestId(received).equals(id))
+                .toList();
+    }
+
+    /** Returns how the placements of a request ended, in order. */
+    List<PlacementOutcome> outcomes(String requestId) {
+        return List.copyOf(mPlacement.mOutcomes.getOrDefault(requestId, List.of()));
+    }
+
+    /** Returns the number of requests in progress. */
+    int running() {
+        return mExchanges.runningCount();
+    }
+
+    @Override
+    public void close() throws Exception {
+        mExchanges.stop();
+        mFirst.close();
+        mSecond.close();
+        mServer.closeAsync().toFuture().get();
+        mClients.close();
+        mExecutor.closeAsync().toFuture().get();
+    }
+
+    private static RoutingTable routing() {
+        return new RoutingTable(
+                1,
+                List.of(
+                        route(ONCE, Repeatability.ONCE, false),
+                        route(IDEMPOTENT, Repeatability.IDEMPOTENT, false),
+                        route(STREAM_ONCE, Repeatability.ONCE, true),
+                        route(RESUMABLE, Repeatability.RESUMABLE, true)),
+                List.of(new RoutedService(SERVICE, 0, Optional.empty())),
+                List.of(),
+                new CallerLimits(BODY_LIMIT_BYTES));
+    }
+
+    private static Route route(String prefix, Repeatability repeatability, boolean streaming) {
+        return Route.builder(prefix, HOST, prefix)
+                .shares(List.of(new ServiceShare(SERVICE, 1)))
+                .execution(repeatability, streaming)
+                .limits(0, MAXIMUM_UPSTREAMS)
+                .build();
+    }
+
+    /** Grants the first upstream for the first placement of a request, then the second. */
+    private static final class GrantInTurn implements PlacementPort {
+        private final String mFirstAddress;
+        private final String mSecondAddress;
+        private final AtomicLong mNumbers = new AtomicLong();
+        private final Map<PlacementKey, String> mRequests = new ConcurrentHashMap<>();
+        private final Map<String, List<PlacementOutcome>> mOutcomes = new ConcurrentHashMap<>();
+
+        GrantInTurn(String firstAddress, String secondAddress) {
+            mFirstAddress = firstAddress;
+            mSecondAddress = secondAddress;
+        }
+
+        @Override
+        public PlacementKey newKey() {
+            return new PlacementKey(new InstanceId("instance"), mNumbers.incrementAndGet());
+        }
+
+        @Override
+        public void submit(PlacementRequest request, Consumer<PlacementAction> onDecision) {
+            PlacementKey key = request.key();
+            mRequests.put(key, request.requestId());
+            boolean again = request.retry();
+            UpstreamId upstream = new UpstreamId(again ? "second" : "first");
+            String address = again ? mSecondAddress : mFirstAddress;
+            onDecision.accept(
+                    new PlacementAction.Grant(
+                            key, new PlacementGrant(upstream, address, 0, List.of())));
+        }
+
+        @Override
+        public void withdraw(PlacementKey key) {}
+
+        @Override
+        public void recordFirstEvent(PlacementKey key) {}
+
+        @Override
+        public void recordLateEvent(PlacementKey key, long gapMillis) {}
+
+        @Override
+        public void ended(PlacementKey key, PlacementOutcome outcome, String culprit) {
+            mOutcomes
+                    .computeIfAbsent(
+                            mRequests.getOrDefault(key, ""), id -> new CopyOnWriteArrayList<>())
+                    .add(outcome);
+        }
+    }
+
+    /** A routing table that never changes; all upstreams accept requests. */
+    private static final class FixedState implements ForwardingState {
+        private final Optional<RoutingTable> mRouting = Optional.of(ForwardingHarness.routing());
+
+        @Override
+        public Optional<RoutingTable> routing() {
+            return mRouting;
+        }
+
+        @Override
+        public FailureDomain domain() {
+            return new FailureDomain("domain");
+        }
+
+        @Override
+        public boolean acceptsRequests(UpstreamId upstream) {
+            return true;
+        }
+    }
+
+    /** Refuses all reservations; the requests of these tests need none. */
+    private static final class NoReservations implements ReservationPort {
+        @Override
+        public Single<Boolean> reserve(String address, String name, long tokens, long leaseMillis) {
+            return Single.succeeded(false);
+        }
+
+        @Override
+        public Single<Boolean> release(String address, String name) {
+            return Single.succeeded(false);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/PlainDialect.java
@@ -0,0 +1,58 @@
+package dev.kumquatweir.gateway.forward;
+
+import dev.kumquatweir.core.routing.Route;
+import io.servicetalk.http.api.HttpHeaders;
+import io.servicetalk.http.api.HttpRequestMetaData;
+import io.servicetalk.http.api.HttpResponseMetaData;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** The fewest headers that forwarding needs. */
+final class PlainDialect implements RequestDialect {
+    static final String REQUEST_ID = "Request-Id";
+    static final String RESUME_AFTER = "Resume-After";
+    static final String NOT_EXECUTED = "Refused";
+
+    private static final long CALLER_TIMEOUT_MILLIS = 5_000;
+
+    @Override
+    public CallerRequestHead decodeRequest(HttpRequestMetaData request) {
+        return new CallerRequestHead(
+                text(request.headers(), REQUEST_ID).orElse(""),
+                text(request.headers(), "host").orElse(""),
+                request.rawPath(),
+                Optional.empty(),
+                OptionalLong.empty(),
+                0,
+                0,
+                text(request.headers(), RESUME_AFTER).map(Long::parseLong).orElse(-1L));
+    }
+
+    @Override
+    public long callerTimeoutMillis(Route route) {
+        return CALLER_TIMEOUT_MILLIS;
+    }
+
+    @Override
+    public void encodeUpstreamRequest(
+            HttpHeaders caller, UpstreamInstructions instructions, HttpHeaders target) {
+        ForwardedHeaders.copy(caller, target);
+        if (instructions.lastEventId() >= 0) {
+            target.set(RESUME_AFTER, Long.toString(instructions.lastEventId()));
+        }
+    }
+
+    @Override
+    public UpstreamResponseHead decodeResponse(HttpResponseMetaData response) {
+        return new UpstreamResponseHead(
+                response.status().code(),
+                text(response.headers(), REQUEST_ID),
+                response.headers().contains(NOT_EXECUTED),
+                false,
+                "");
+    }
+
+    private static Optional<String> text(HttpHeaders headers, String name) {
+        return Optional.ofNullable(headers.get(name)).map(CharSequence::toString);
+    }
+}
