Answer callers that resume a stream whose events they all have

A caller that resumed a stream after its last event, at an upstream that sent the events again from the start, got no answer at all: it waited until it gave up, while the log said that the request was answered.

Cause: events that the caller has are left out, so the response to the caller was never started, and its completion did nothing.

Evidence: with real connections the caller got no byte within 5 s, and the log had request_ended reason=answered. Now it gets 200 and an empty complete stream.

The fix works because the end of a complete stream starts the response if no event has started it.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
@@ -37,8 +37,12 @@
         void eventReceived(
                 StreamingHttpResponse head, EventStreamSplitter.Event event, boolean first);
 
-        /** Handles the end of a complete stream. */
-        void streamCompleted();
+        /**
+         * Handles the end of a complete stream.
+         *
+         * @param head status and headers of the response
+         */
+        void streamCompleted(StreamingHttpResponse head);
 
         /** Handles a complete response that is not streamed. */
         void responseCompleted(
@@ -180,7 +184,7 @@
             mOwner.responseCompleted(
                     Objects.requireNonNull(mResponse), Objects.requireNonNull(mHead), body);
         } else if (mResponseStarted && !mEventSplitter.hasPartialEvent()) {
-            mOwner.streamCompleted();
+            mOwner.streamCompleted(Objects.requireNonNull(mResponse));
         } else {
             mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
         }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -293,8 +293,12 @@
     }
 
     @Override
-    public void streamCompleted() {
+    public void streamCompleted(StreamingHttpResponse head) {
         mAttempt = null;
+        if (!mCallerResponse.isStarted()) {
+            // The caller resumes a stream and has all its events already.
+            mCallerResponse.startStream(head, this::callerDisconnected);
+        }
         mCallerResponse.complete();
         end("answered", PlacementOutcome.ANSWERED);
     }
