Complete a resumed stream that has no events left

A stream that lost its upstream after its last event, before the last chunk, was resumed, and the caller's stream was aborted though it had each event. A caller that itself resumed a stream after its last event got 502.

Cause: a stream without any event always counted as broken off. The upstream that is asked for the events after the last one answers with an empty stream.

Evidence: TruncatedAnswerTest, which cuts a chunked stream at each byte, found every cut between the last event and the end of the last chunk aborted, after one more send.

Ruled out: taking an empty answer without length and chunks for complete.

The fix works because an empty response to a resumption, with a length or in chunks, says itself that nothing follows.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
@@ -1,6 +1,7 @@
 package dev.kumquatweir.gateway.forward;
 
 import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.gateway.http.ResponseFraming;
 import dev.kumquatweir.policy.placement.PlacementOutcome;
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpRequest;
@@ -69,6 +70,7 @@
     private final ForwardedRequest mRequest;
     private final RequestDialect mDialect;
     private final Owner mOwner;
+    private final boolean mResumed;
     private final long mSentNanos;
     private final long mFirstEventLimitMillis;
     private final EventStreamSplitter mEventSplitter = new EventStreamSplitter();
@@ -86,17 +88,20 @@
     /**
      * Creates an attempt that is not yet sent.
      *
+     * @param resumed whether the upstream is asked to resume a stream after an event
      * @param expectedMillis expected time to the first event, or to the response if not streamed
      */
     Attempt(
             ForwardedRequest request,
             RequestDialect dialect,
             Owner owner,
+            boolean resumed,
             long expectedMillis,
             long nowNanos) {
         mRequest = request;
         mDialect = dialect;
         mOwner = owner;
+        mResumed = resumed;
         mSentNanos = nowNanos;
         mLastPartNanos = nowNanos;
         mFirstEventLimitMillis =
@@ -183,7 +188,7 @@
             Bytes body = Bytes.copyOf(mBody.toByteArray());
             mOwner.responseCompleted(
                     Objects.requireNonNull(mResponse), Objects.requireNonNull(mHead), body);
-        } else if (mResponseStarted && !mEventSplitter.hasPartialEvent()) {
+        } else if (!mEventSplitter.hasPartialEvent() && (mResponseStarted || hasNoEventsLeft())) {
             mOwner.streamCompleted(Objects.requireNonNull(mResponse));
         } else {
             mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
@@ -197,6 +202,17 @@
         }
     }
 
+    /**
+     * Returns whether a stream without events is complete: the upstream was asked for the events
+     * after the last one that the caller has, and the end of its response can't be mistaken. A
+     * response that ends with its connection may have been cut before its first event.
+     */
+    private boolean hasNoEventsLeft() {
+        return mResumed
+                && !ResponseFraming.endsWithConnection(
+                        mRequest.method(), Objects.requireNonNull(mResponse));
+    }
+
     private UpstreamCall call() {
         return Objects.requireNonNull(mCall);
     }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -226,7 +226,13 @@
         StreamingHttpRequest request =
                 UpstreamRequests.newRequest(client, mRequest, instructions, mPorts);
         Attempt attempt =
-                new Attempt(mRequest, mPorts.dialect(), this, grant.expectedMillis(), nowNanos);
+                new Attempt(
+                        mRequest,
+                        mPorts.dialect(),
+                        this,
+                        mLastEventId >= 0,
+                        grant.expectedMillis(),
+                        nowNanos);
         mAttempt = attempt;
         mSentNanos = nowNanos;
         attempt.send(client, atMostOnce, request);
