--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -252,7 +252,13 @@
         StreamingHttpRequest request =
                 UpstreamRequests.newRequest(client, mRequest, instructions, mPorts);
         Attempt attempt =
-                new Attempt(mRequest, mPorts.dialect(), this, grant.expectedMillis(), nowNanos);
+                new Attempt(
+                        mRequest,
+                        mPorts.dialect(),
+                        this,
+                        mLastEventId >= 0,
+                        grant.expectedMillis(),
+                        nowNanos);
         mAttempt = attempt;
         mSentNanos = nowNanos;
         attempt.send(client, atMostOnce, request);
@@ -315,8 +321,12 @@
     }
 
     @Override
-    public void streamCompleted() {
+    public void streamCompleted(StreamingHttpResponse head) {
         mAttempt = null;
+        if (!mCallerResponse.isStarted()) {
+            // The caller resumes a stream and has all its events already.
+            mCallerResponse.startStream(head, this::callerDisconnected);
+        }
         mCallerResponse.complete();
         end("answered", PlacementOutcome.ANSWERED);
     }
