Keep a silent upstream during a stop where no other one could complete

Cause: the limit for silence gives up an upstream for another one; during a stop there may be no time for another, and the silent one, slowed by a burst, may go on. Change: the limit applies only where another upstream could still complete the answer. Exchange also loses the line for unfinished requests, which has no use since a stop ends each request with a reason.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -83,7 +83,7 @@
     // Life cycle.
 
     void start() {
-        if (!endForStop(now())) {
+        if (!endForStop(nowNanos())) {
             requestPlacement();
         }
     }
@@ -112,20 +112,14 @@
             return;
         }
         Attempt attempt = mAttempt;
-        if (attempt != null && attempt.exceedsSilenceLimit(nowNanos)) {
+        if (attempt != null
+                && attempt.exceedsSilenceLimit(nowNanos)
+                && mStops.leavesTimeToResend(mRequest, mCallerResponse.isStarted(), nowNanos)) {
             attempt.close();
             attemptFailed(PlacementOutcome.SILENT, "", true);
         }
     }
 
-    /** Logs that the process ends before this request has a complete response. */
-    void logUnfinished() {
-        String phase =
-                mCallerResponse.isStarted() ? "streaming" : mAttempt != null ? "sent" : "waiting";
-        mLog.unfinished(phase, mSends, mLastEventId, ageMillis());
-        mMetrics.countCut(phase);
-    }
-
     /** Ends the request if a planned stop leaves no time for it. Returns whether it has ended. */
     private boolean endForStop(long nowNanos) {
         StopAction action =
@@ -147,7 +141,7 @@
     // Placement.
 
     private void requestPlacement() {
-        long nowNanos = now();
+        long nowNanos = nowNanos();
         PlacementKey key = mPorts.placement().newKey();
         mPlacementKey = key;
         mGrant = null;
@@ -174,7 +168,7 @@
     }
 
     private void handleGrant(PlacementGrant grant) {
-        long nowNanos = now();
+        long nowNanos = nowNanos();
         mGrant = grant;
         long waitedMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - mPlacementRequestedNanos);
         mMetrics.recordPlacementWait(waitedMillis);
@@ -229,7 +223,7 @@
     // Sending.
 
     private void send(ReservedMemory memory, PlacementGrant grant) {
-        long nowNanos = now();
+        long nowNanos = nowNanos();
         long remainingMillis = TimeUnit.NANOSECONDS.toMillis(mRequest.deadlineNanos() - nowNanos);
         if (remainingMillis <= 0) {
             handleTimeout();
@@ -271,7 +265,7 @@
 
     @Override
     public long nowNanos() {
-        return now();
+        return mPorts.clocks().nowNanos();
     }
 
     @Override
@@ -281,7 +275,7 @@
         if (duplicate) {
             return;
         }
-        long nowNanos = now();
+        long nowNanos = nowNanos();
         if (first) {
             recordFirstEvent();
         }
@@ -304,7 +298,8 @@
         PlacementGrant grant = mGrant;
         if (key != null && grant != null) {
             mPorts.placement().recordFirstEvent(key);
-            mLog.firstEvent(grant, TimeUnit.NANOSECONDS.toMillis(now() - mSentNanos), ageMillis());
+            mLog.firstEvent(
+                    grant, TimeUnit.NANOSECONDS.toMillis(nowNanos() - mSentNanos), ageMillis());
         }
     }
 
@@ -424,7 +419,7 @@
         }
         endPlacement(outcome, "");
         if (outcome == PlacementOutcome.ANSWERED) {
-            mStops.recordAnswer(mRequest, mSentNanos, now());
+            mStops.recordAnswer(mRequest, mSentNanos, nowNanos());
         }
         mMetrics.countEnded(reason);
         mLog.ended(reason, mSends, mLastEventId, mFirstEventMillis, ageMillis());
@@ -449,11 +444,7 @@
         }
     }
 
-    private long now() {
-        return mPorts.clocks().nowNanos();
-    }
-
     private long ageMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(now() - mRequest.arrivedNanos());
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos() - mRequest.arrivedNanos());
     }
 }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/StopAdmission.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/StopAdmission.java
@@ -64,10 +64,7 @@
         if (sent) {
             progress = answering ? new RequestProgress.Answering() : new RequestProgress.Sent();
         } else if (mayHaveExecuted) {
-            double outputShare = answering ? RESUMED_OUTPUT_SHARE : 1;
-            progress =
-                    new RequestProgress.WaitingAgain(
-                            expectedNanos(request, outputShare, nowNanos), answering);
+            progress = waitingAgain(request, answering, nowNanos);
         } else {
             progress = new RequestProgress.Waiting(expectedNanos(request, 1, nowNanos));
         }
@@ -78,6 +75,17 @@
         return action;
     }
 
+    /**
+     * Returns whether a request could still complete on another upstream. If not, a silent upstream
+     * may yet go on and is better than none.
+     */
+    boolean leavesTimeToResend(ForwardedRequest request, boolean answering, long nowNanos) {
+        PlannedStop stop = mStop;
+        return stop == null
+                || stop.decide(waitingAgain(request, answering, nowNanos), nowNanos)
+                        == StopAction.CONTINUE;
+    }
+
     /** Returns the number of requests that a planned stop has broken off. */
     int brokenOffCount() {
         return mBrokenOffCount.get();
@@ -92,6 +100,13 @@
         }
     }
 
+    private RequestProgress waitingAgain(
+            ForwardedRequest request, boolean answering, long nowNanos) {
+        double outputShare = answering ? RESUMED_OUTPUT_SHARE : 1;
+        return new RequestProgress.WaitingAgain(
+                expectedNanos(request, outputShare, nowNanos), answering);
+    }
+
     /** At most until the request's deadline, since it gets its final answer then at the latest. */
     private long expectedNanos(ForwardedRequest request, double outputShare, long nowNanos) {
         double millis =
