--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeLog.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeLog.java
@@ -142,21 +142,4 @@
                 "age_ms",
                 ageMillis);
     }
-
-    void unfinished(String phase, int sends, long lastEventId, long ageMillis) {
-        LOG.warn(
-                "request_unfinished",
-                "request",
-                mRequestId,
-                "route",
-                mRoute,
-                "phase",
-                phase,
-                "sends",
-                sends,
-                "last_event",
-                lastEventId,
-                "age_ms",
-                ageMillis);
-    }
 }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
@@ -77,14 +77,6 @@
         return mStops.brokenOffCount();
     }
 
-    /**
-     * Logs the requests that have no complete response, because the process ends now. May be called
-     * from any thread.
-     */
-    public void logUnfinished() {
-        mExecutor.execute(() -> mExchanges.forEach(Exchange::logUnfinished));
-    }
-
     ForwardingPorts ports() {
         return mPorts;
     }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingMetrics.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingMetrics.java
@@ -42,11 +42,6 @@
         mRegistry.counter("kumquatweir_forward_requests_during_stop").inc();
     }
 
-    /** Counts a request that is unfinished when the process ends. */
-    void countCut(String phase) {
-        mRegistry.counter("kumquatweir_forward_cut_" + phase).inc();
-    }
-
     void countResent(String reason) {
         mRegistry.counter("kumquatweir_forward_resent_" + reason).inc();
     }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -251,9 +251,6 @@
         while (!closed.isDone() && mClocks.nowNanos() - finalResponsesNanos < 0) {
             LockSupport.parkNanos(DRAIN_POLL_INTERVAL_NANOS);
         }
-        if (runningRequests() > 0) {
-            forwarding.logUnfinished();
-        }
     }
 
     private int runningRequests() {
