Carry the shared parts of prompts to the scheduler

Callers see workers crash one after the other on requests that are no two alike but share one part of their prompt. The scheduler can't attribute such crashes: it knows a request by a hash of body, target and key only, and the parts are named in a header that nothing reads. The request for a placement carries them to the leader. QuarantinedPart and the two methods of PlacementScheduler are the interface for exchanging quarantined parts between instances; nothing is rejected by them yet.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/CallerRequestHead.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/CallerRequestHead.java
@@ -1,5 +1,6 @@
 package dev.kumquatweir.gateway.forward;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -14,6 +15,8 @@
  * @param promptTokens length of the prompt, 0 for a request that generates nothing
  * @param expectedOutputTokens expected length of the output
  * @param lastEventId id of the last event that the caller received, -1 if none
+ * @param sharedParts ids of the parts of the prompt that other requests may share, in order; empty
+ *     if the prompt has none
  */
 public record CallerRequestHead(
         String requestId,
@@ -23,4 +26,10 @@
         OptionalLong remainingMillis,
         long promptTokens,
         long expectedOutputTokens,
-        long lastEventId) {}
+        long lastEventId,
+        List<String> sharedParts) {
+    /** Copies the list. */
+    public CallerRequestHead {
+        sharedParts = List.copyOf(sharedParts);
+    }
+}
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementRequests.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementRequests.java
@@ -53,6 +53,7 @@
         CallerRequestHead head = request.head();
         return PlacementRequest.builder(key, head.requestId(), request.service())
                 .contentHash(request.contentHash())
+                .sharedParts(head.sharedParts())
                 .generation(
                         head.promptTokens(),
                         (long) (head.expectedOutputTokens() * outputShare),
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ReturningCallersTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ReturningCallersTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 
 import dev.kumquatweir.core.routing.Route;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
@@ -33,6 +34,6 @@
 
     private static CallerRequestHead head(OptionalLong remainingMillis) {
         return new CallerRequestHead(
-                "id", "a.example", "/", Optional.empty(), remainingMillis, 0, 0, -1);
+                "id", "a.example", "/", Optional.empty(), remainingMillis, 0, 0, -1, List.of());
     }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementOption.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementOption.java
@@ -1,5 +1,6 @@
 package dev.kumquatweir.policy.placement;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -21,4 +22,25 @@
         long firstEventNanos,
         double lostValue,
         double displacedValue,
-        double score) {}
+        double score) {
+
+    /** Returns what each engine processes, in the order of {@code parts}. */
+    List<PlacedPart> placedParts(PlacementRequest request, long nowNanos) {
+        long reserved = reservedTokens.stream().mapToLong(Long::longValue).sum();
+        List<PlacedPart> placedParts = new ArrayList<>();
+        for (int index = 0; index < parts.size(); index++) {
+            boolean isPrimary = index == 0;
+            placedParts.add(
+                    new PlacedPart(
+                            request,
+                            isPrimary,
+                            parts.get(index).prefillMillis(),
+                            isPrimary
+                                    ? request.memoryTokens() - reserved
+                                    : reservedTokens.get(index),
+                            nowNanos,
+                            firstEventNanos));
+        }
+        return placedParts;
+    }
+}
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRequest.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRequest.java
@@ -3,6 +3,7 @@
 import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.identity.UpstreamId;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -51,6 +52,7 @@
         private final String mRequestId;
         private final ServiceName mService;
         private String mContentHash = "";
+        private List<String> mSharedParts = List.of();
         private long mTargetNanos;
         private long mLatestStartNanos;
         private long mDeadlineNanos;
@@ -74,6 +76,12 @@
             return this;
         }
 
+        /** Sets the ids of the parts of the prompt that other requests may share. */
+        public Builder sharedParts(List<String> value) {
+            mSharedParts = List.copyOf(value);
+            return this;
+        }
+
         /**
          * Sets the time limits.
          *
@@ -158,6 +166,11 @@
         return mValues.mContentHash;
     }
 
+    /** Returns the ids of the parts of the prompt that other requests may share, in order. */
+    public List<String> sharedParts() {
+        return mValues.mSharedParts;
+    }
+
     /** Returns the time until which the answer, or the first event of a stream, is on time. */
     public long targetNanos() {
         return mValues.mTargetNanos;
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRules.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRules.java
@@ -36,6 +36,17 @@
         return mustPlaceNow && option.lostValue() + option.displacedValue() < acceptableLoss;
     }
 
+    /**
+     * Returns whether to wait for a better placement: this one would miss the target, although
+     * engines that soon complete their present work may still meet it. This applies to long prompts
+     * that arrive together.
+     */
+    static boolean shouldWaitForTarget(
+            WaitingRequest waiting, PlacementOption option, long nowNanos) {
+        return option.firstEventNanos() - waiting.request().targetNanos() > 0
+                && !waiting.willMissTarget(nowNanos);
+    }
+
     /**
      * Marks the parts that this placement delays as late, so that later decisions do not count the
      * same loss again.
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -224,6 +224,19 @@
         return actions;
     }
 
+    /** Returns the parts of prompts that are quarantined. */
+    public List<QuarantinedPart> quarantinedParts(long nowNanos) {
+        return mCrashes.quarantinedParts(nowNanos);
+    }
+
+    /**
+     * Adds parts that another scheduler has quarantined. Of two ages the younger holds; a part that
+     * was in a complete answer after its last crash stays cleared.
+     */
+    public void addQuarantinedParts(List<QuarantinedPart> parts, long nowNanos) {
+        mCrashes.addQuarantinedParts(parts, nowNanos);
+    }
+
     /** Returns the number of waiting requests. */
     public int waitingCount() {
         return mWaiting.size();
@@ -309,7 +322,7 @@
         if (option.isEmpty()) {
             mComparisonBudget.recordUnsuccessful(round.upstreamCount(), nowNanos);
             shedIfLate(waiting, cost, round, nowNanos);
-        } else if (!shouldWaitForTarget(waiting, option.get(), nowNanos)
+        } else if (!PlacementRules.shouldWaitForTarget(waiting, option.get(), nowNanos)
                 && PlacementRules.isWorthPlacing(request, option.get())) {
             round.adjustLateCount(waiting.late() ? -1 : 0);
             place(request, option.get(), nowNanos);
@@ -341,44 +354,16 @@
         }
     }
 
-    /**
-     * Returns whether to wait for a better placement: this one would miss the target, although
-     * engines that soon complete their present work may still meet it. This applies to long prompts
-     * that arrive together.
-     */
-    private static boolean shouldWaitForTarget(
-            WaitingRequest waiting, PlacementOption option, long nowNanos) {
-        return option.firstEventNanos() - waiting.request().targetNanos() > 0
-                && !waiting.willMissTarget(nowNanos);
-    }
-
     private void place(PlacementRequest request, PlacementOption option, long nowNanos) {
         List<PlacementUpstream> upstreams =
                 option.parts().stream().map(PartEstimate::upstream).toList();
-        long reserved = option.reservedTokens().stream().mapToLong(Long::longValue).sum();
-        List<PlacedPart> placedParts = new ArrayList<>();
-        for (int index = 0; index < option.parts().size(); index++) {
-            boolean primary = index == 0;
-            long memoryTokens =
-                    primary
-                            ? request.memoryTokens() - reserved
-                            : option.reservedTokens().get(index);
-            placedParts.add(
-                    new PlacedPart(
-                            request,
-                            primary,
-                            option.parts().get(index).prefillMillis(),
-                            memoryTokens,
-                            nowNanos,
-                            option.firstEventNanos()));
-        }
         if (option.lostValue() > 0) {
             PlacementRules.markDelayedParts(option, nowNanos);
         }
         place(
                 request,
                 upstreams,
-                placedParts,
+                option.placedParts(request, nowNanos),
                 option.reservedTokens(),
                 option.firstEventNanos(),
                 nowNanos);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/PlacementCodec.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/PlacementCodec.java
@@ -53,6 +53,7 @@
                 (target, upstream) -> target.writeString(upstream.value()));
         writer.writeBoolean(request.retry());
         writer.writeString(request.domain().map(FailureDomain::value).orElse(""));
+        writer.writeList(request.sharedParts(), MessagePackWriter::writeString);
     }
 
     static PlacementRequest read(MessagePackReader reader, InstanceId owner, long nowNanos)
@@ -74,6 +75,7 @@
         if (!domain.isEmpty()) {
             builder.domain(new FailureDomain(domain));
         }
+        builder.sharedParts(reader.readList(MessagePackReader::readString));
         return builder.build();
     }
 
--- a/program/src/test/java/dev/kumquatweir/program/fleet/PlacementCodecTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/PlacementCodecTest.java
@@ -41,6 +41,14 @@
         assertThat(read.retry(), is(true));
     }
 
+    /** Guards against crashes that can't be attributed because the scheduler has no parts. */
+    @Test
+    void sharedPartsRoundTrip() {
+        Bytes content = PlacementCodec.encode(request(0), 0);
+        PlacementRequest read = PlacementCodec.decodeRequest(OWNER, content, 0).get();
+        assertThat(read.sharedParts(), is(List.of("5c1e07a2", "91bd3f06")));
+    }
+
     /** Guards against grants that lose a helper or its reservation in the encoding. */
     @Test
     void decisionsRoundTrip() {
@@ -92,6 +100,7 @@
                         nowNanos + 2_000 * MILLISECOND_NANOS,
                         nowNanos + 10_000 * MILLISECOND_NANOS)
                 .generation(5_000, 1_610, 200)
+                .sharedParts(List.of("5c1e07a2", "91bd3f06"))
                 .previousAttempts(Set.of(new UpstreamId("i-9")), true)
                 .build();
     }
