Log which parts of prompts were on upstreams that broke off

No line told which parts of prompts the requests shared that were running when an upstream crashed. For each request that an upstream breaks off at the beginning of its answer the scheduler now counts a strike against the shared parts of its prompt; a complete answer with a part clears it, and progress of the same process from 250 ms to 2 s later takes the strike back, since the upstream has not crashed then. The leader logs upstream_crash_suspects and upstream_crash_refuted; an entry instance that schedules on its own logs them too. The scheduler returns them as data, since it does no I/O. No request is placed or rejected differently. All tables are bounded.

--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedPart.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedPart.java
@@ -12,6 +12,7 @@
     private final long mGrantedNanos;
     private final long mFirstEventNanos;
     private boolean mAnswerStarted;
+    private long mStartedNanos;
     private boolean mLate;
 
     /**
@@ -66,8 +67,14 @@
         return mAnswerStarted;
     }
 
-    void start() {
+    void start(long nowNanos) {
         mAnswerStarted = true;
+        mStartedNanos = nowNanos;
+    }
+
+    /** Returns the time of the first event; valid if the answer has started. */
+    long startedNanos() {
+        return mStartedNanos;
     }
 
     /** Returns whether the answer is already late, so that a further delay loses no value. */
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -42,6 +42,7 @@
     private final Map<PlacementKey, List<PlacementUpstream>> mPlacements = new HashMap<>();
     private final Map<ServiceName, SlidingRetryBudget> mRetries = new HashMap<>();
     private final CrashHistory mCrashes = new CrashHistory();
+    private final CrashAttribution mAttribution = new CrashAttribution();
     private final ComparisonBudget mComparisonBudget = new ComparisonBudget();
     private final List<PlacementAction> mActions = new ArrayList<>();
     private @Nullable RoutingTable mRouting;
@@ -114,7 +115,7 @@
                 new PlacedPart(request, true, prefill, request.memoryTokens(), nowNanos, nowNanos);
         part.markLate();
         if (started) {
-            part.start();
+            part.start(nowNanos);
         }
         known.add(part, nowNanos);
         mPlacements.put(request.key(), List.of(known));
@@ -132,6 +133,7 @@
             PlacementUpstream primary = upstreams.get(0);
             primary.answered(nowNanos);
             primary.health().recordProgress(nowNanos);
+            mAttribution.progressed(primary, nowNanos);
             if (upstreams.size() == 1) {
                 primary.find(key).ifPresent(part -> recordSlowdown(primary, part, nowNanos));
             }
@@ -182,10 +184,13 @@
                 primary.answered(nowNanos);
                 primary.health().answered(false, nowNanos);
                 mCrashes.answered(contentHash);
+                mAttribution.progressed(primary, nowNanos);
+                primaryPart.ifPresent(part -> mAttribution.answered(part.request(), nowNanos));
             }
             case UPSTREAM_ERROR -> {
                 primary.answered(nowNanos);
                 primary.health().answered(true, nowNanos);
+                mAttribution.progressed(primary, nowNanos);
             }
             case NOT_CONNECTED -> faulty.health().failed(nowNanos);
             case FULL -> faulty.health().recordFull(nowNanos);
@@ -193,6 +198,9 @@
             case BROKEN, SILENT -> {
                 faulty.health().recordLostAnswer(nowNanos);
                 mCrashes.recordCrash(contentHash, faulty.notice().id(), nowNanos);
+                if (outcome == PlacementOutcome.BROKEN && faulty == primary) {
+                    primaryPart.ifPresent(part -> mAttribution.brokenOff(primary, part, nowNanos));
+                }
             }
             case CANCELLED -> {}
         }
@@ -237,6 +245,11 @@
         mCrashes.addQuarantinedParts(parts, nowNanos);
     }
 
+    /** Returns what was concluded from crashes of upstreams since the last call. */
+    public List<CrashEvent> drainCrashEvents() {
+        return mAttribution.drainEvents();
+    }
+
     /** Returns the number of waiting requests. */
     public int waitingCount() {
         return mWaiting.size();
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
@@ -168,7 +168,7 @@
     void started(PlacementKey key, long nowNanos) {
         PlacedPart part = mParts.get(key);
         if (part != null && !part.started()) {
-            part.start();
+            part.start(nowNanos);
             addStartedAnswer(part);
             capPrefillEstimate(nowNanos);
         }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
@@ -8,6 +8,7 @@
 import dev.kumquatweir.core.routing.UpstreamStatus;
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.gateway.forward.PlacementPort;
+import dev.kumquatweir.policy.placement.CrashEvent;
 import dev.kumquatweir.policy.placement.PlacementAction;
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementLimits;
@@ -257,6 +258,10 @@
                 applyDecision(tracked, action);
             }
         }
+        List<CrashEvent> crashEvents = mLocalScheduler.drainCrashEvents();
+        if (mLeader == null) {
+            crashEvents.forEach(CrashEventLog::log);
+        }
     }
 
     private void applyDecision(TrackedRequest tracked, PlacementAction action) {
--- a/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -9,6 +9,7 @@
 import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.core.routing.UpstreamStatus;
 import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.policy.placement.CrashEvent;
 import dev.kumquatweir.policy.placement.PlacementAction;
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementLimits;
@@ -197,9 +198,17 @@
                 pending.responder().respond(PlacementCodec.encode(Optional.of(action)));
             }
         }
+        scheduler.drainCrashEvents().forEach(this::recordCrashEvent);
         mWaitingCount = scheduler.waitingCount();
     }
 
+    private void recordCrashEvent(CrashEvent event) {
+        CrashEventLog.log(event);
+        if (event instanceof CrashEvent.Suspects) {
+            mMetrics.counter("kumquatweir_crash_suspects").inc();
+        }
+    }
+
     private static Bytes notLeading() {
         return PlacementCodec.encode(Optional.empty());
     }
