Quarantine the part of prompts on which upstreams crash

Callers saw worker after worker end on requests that are no two alike but share one part of their prompt. Cause: a crash was counted only against the hash of a request's content, which never came a second time, so that nothing was ever quarantined.

A crash now gives a strike to the shared parts of the requests that had begun their answer there less than 400 ms before, or, if there were none, of those still waiting for their first event. Complete answers and answers that outlive their beginning clear the strikes of their parts, so that parts in use gather none. Strikes are independent trials: the request must have been placed after the previous independent strike, so that upstreams of one domain that lose power together count once. Three strikes quarantine a part of which no answer is known, five another one. A crash is explained by the part with the most strikes that was there, and parts left with too few are sound; parts with the same strikes are quarantined together, and a request with some of them runs as a probe, one at a time. Requests with a quarantined part are rejected as QUARANTINED when they are submitted, also as retries before the budget is charged, and while they wait. Five minutes after the last crash one probe at a time decides.

Ruled out: blaming all requests of an upstream (parts of bystanders reached three strikes at once), counting each strike after any other (with many requests at a time none was placed after the last one). The outcome of the replay moves into a file of its own, which renames a type in PlacementUnderLoadTest and changes no check.

--- a/policy/src/main/java/dev/kumquatweir/policy/placement/CrashEvent.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/CrashEvent.java
@@ -32,4 +32,26 @@
             parts = List.copyOf(parts);
         }
     }
+
+    /**
+     * A part of prompts is quarantined.
+     *
+     * @param part the part, see {@link QuarantinedPart#part}
+     * @param strikes number of independent strikes
+     * @param upstreams the upstreams that crashed
+     */
+    record Quarantined(String part, int strikes, List<String> upstreams) implements CrashEvent {
+        /** Copies the list. */
+        public Quarantined {
+            upstreams = List.copyOf(upstreams);
+        }
+    }
+
+    /**
+     * A part of prompts is no longer quarantined: it was in a complete answer, the crashes were
+     * refuted, or another part explains them.
+     *
+     * @param part the part, see {@link QuarantinedPart#part}
+     */
+    record Cleared(String part) implements CrashEvent {}
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/CrashHistory.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/CrashHistory.java
@@ -3,7 +3,6 @@
 import dev.kumquatweir.core.identity.UpstreamId;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -25,9 +24,6 @@
 
     private final Map<String, Crashes> mCrashes = new LinkedHashMap<>();
 
-    /** The quarantined parts, with the time of their last crash. */
-    private final Map<String, Long> mQuarantinedParts = new LinkedHashMap<>();
-
     private record Crashes(Set<UpstreamId> upstreams, long lastNanos) {}
 
     void recordCrash(String contentHash, UpstreamId upstream, long nowNanos) {
@@ -50,26 +46,6 @@
         mCrashes.remove(contentHash);
     }
 
-    List<QuarantinedPart> quarantinedParts(long nowNanos) {
-        return mQuarantinedParts.entrySet().stream()
-                .map(
-                        entry ->
-                                new QuarantinedPart(
-                                        entry.getKey(),
-                                        TimeUnit.NANOSECONDS.toMillis(nowNanos - entry.getValue())))
-                .toList();
-    }
-
-    void addQuarantinedParts(List<QuarantinedPart> parts, long nowNanos) {
-        for (QuarantinedPart part : parts) {
-            long crashedNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(part.ageMillis());
-            mQuarantinedParts.merge(part.part(), crashedNanos, Math::max);
-            if (mQuarantinedParts.size() > MAXIMUM_ENTRIES) {
-                mQuarantinedParts.remove(mQuarantinedParts.keySet().iterator().next());
-            }
-        }
-    }
-
     boolean quarantined(String contentHash, long nowNanos) {
         Crashes crashes = mCrashes.get(contentHash);
         return crashes != null
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/CrashSuspects.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/CrashSuspects.java
@@ -1,11 +1,14 @@
 package dev.kumquatweir.policy.placement;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -16,10 +19,13 @@
  */
 final class CrashSuspects {
     /**
-     * An answer that has been written for longer has outlived its beginning, which is when a part
-     * crashes an upstream.
+     * An upstream crashes on a part when it begins to write an answer. Answers that have been
+     * written for longer are not to blame.
      */
-    private static final long BEGINNING_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long BEGINNING_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+    /** An answer that has been written for so long shows that its parts are sound. */
+    private static final long OUTLIVED_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     /** A request that breaks off sooner met an upstream that had crashed before. */
     private static final long MINIMUM_RUN_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
@@ -34,6 +40,7 @@
     private static final int MAXIMUM_PARTS = 2_000;
     private static final int MAXIMUM_UPSTREAMS = 1_000;
     private static final int MAXIMUM_ANSWERED = 10_000;
+    private static final int MAXIMUM_BEGUN = 10_000;
 
     /** In the order of the last strike. */
     private final Map<String, SuspectPart> mParts = new LinkedHashMap<>();
@@ -44,31 +51,88 @@
     /** Time of the last complete answer by part, the most recent last. */
     private final Map<String, Long> mAnswered = new LinkedHashMap<>();
 
-    private record RecentCrash(UpstreamLife life, Set<String> parts, long lastNanos) {}
+    /** The running answers that are at their beginning, in the order of their first events. */
+    private final Map<PlacementKey, BegunAnswer> mBegun = new LinkedHashMap<>();
+
+    private record RecentCrash(
+            UpstreamLife life, boolean hadBegun, Set<String> parts, long lastNanos) {}
+
+    private record BegunAnswer(
+            PlacementRequest request,
+            PlacementUpstream upstream,
+            UpstreamLife life,
+            long begunNanos) {}
+
+    /** Records the first event of an answer. */
+    void begun(PlacementUpstream upstream, PlacementRequest request, long nowNanos) {
+        if (!request.sharedParts().isEmpty()) {
+            mBegun.putIfAbsent(
+                    request.key(),
+                    new BegunAnswer(request, upstream, UpstreamLife.of(upstream), nowNanos));
+            removeOldest(mBegun, MAXIMUM_BEGUN);
+        }
+    }
+
+    /** Records the end of a placement. */
+    void ended(PlacementKey key) {
+        mBegun.remove(key);
+    }
+
+    /**
+     * Clears the parts of running answers that have outlived their beginning.
+     *
+     * @return whether one of them was suspect
+     */
+    boolean clearOutlived(long nowNanos) {
+        boolean suspected = false;
+        Iterator<BegunAnswer> answers = mBegun.values().iterator();
+        while (answers.hasNext()) {
+            BegunAnswer answer = answers.next();
+            if (nowNanos - answer.begunNanos() < OUTLIVED_NANOS) {
+                break;
+            }
+            answers.remove();
+            // Without progress it may have crashed where a lost connection conceals it.
+            long progressNanos = answer.begunNanos() + OUTLIVED_NANOS / 2;
+            if (answer.life().equals(UpstreamLife.of(answer.upstream()))
+                    && answer.upstream().health().hasProgressSince(progressNanos)) {
+                for (String part : answer.request().sharedParts()) {
+                    suspected |= mParts.remove(part) != null;
+                }
+            }
+        }
+        return suspected;
+    }
 
     /**
-     * Records that an upstream broke off a request.
+     * Records that an upstream broke off a request. If answers were at their beginning there, only
+     * these are suspect.
      *
      * @return the parts that are suspect, with the number of their strikes
      */
     Map<String, Integer> brokenOff(PlacementUpstream upstream, PlacedPart placed, long nowNanos) {
         List<String> parts = placed.request().sharedParts();
-        if (parts.isEmpty() || !atBeginning(placed, nowNanos)) {
+        if (parts.isEmpty() || !placed.primary()) {
             return Map.of();
         }
         UpstreamLife life = UpstreamLife.of(upstream);
+        RecentCrash known = mRecentCrashes.remove(life.upstream());
+        RecentCrash previous = known != null && known.life().equals(life) ? known : null;
+        boolean hadBegun =
+                previous != null
+                        ? previous.hadBegun()
+                        : upstream.parts().stream().anyMatch(part -> atBeginning(part, nowNanos));
+        Set<String> struck = new HashSet<>(previous == null ? Set.of() : previous.parts());
         Map<String, Integer> strikes = new HashMap<>();
-        for (String part : parts) {
-            SuspectPart suspect = suspect(part);
-            suspect.strike(life, placed.grantedNanos(), nowNanos);
-            strikes.put(part, suspect.strikes());
-        }
-        RecentCrash previous = mRecentCrashes.remove(life.upstream());
-        Set<String> struck = new HashSet<>(parts);
-        if (previous != null && previous.life().equals(life)) {
-            struck.addAll(previous.parts());
+        if (hadBegun ? atBeginning(placed, nowNanos) : beforeBeginning(placed, nowNanos)) {
+            for (String part : parts) {
+                SuspectPart suspect = suspect(part);
+                suspect.strike(life, placed.grantedNanos(), nowNanos);
+                strikes.put(part, suspect.strikes());
+            }
+            struck.addAll(parts);
         }
-        mRecentCrashes.put(life.upstream(), new RecentCrash(life, struck, nowNanos));
+        mRecentCrashes.put(life.upstream(), new RecentCrash(life, hadBegun, struck, nowNanos));
         removeOldest(mRecentCrashes, MAXIMUM_UPSTREAMS);
         removeExpired(nowNanos);
         return strikes;
@@ -76,9 +140,12 @@
 
     private static boolean atBeginning(PlacedPart placed, long nowNanos) {
         return placed.primary()
-                && (placed.started()
-                        ? nowNanos - placed.startedNanos() < BEGINNING_NANOS
-                        : nowNanos - placed.grantedNanos() >= MINIMUM_RUN_NANOS);
+                && placed.started()
+                && nowNanos - placed.startedNanos() < BEGINNING_NANOS;
+    }
+
+    private static boolean beforeBeginning(PlacedPart placed, long nowNanos) {
+        return !placed.started() && nowNanos - placed.grantedNanos() >= MINIMUM_RUN_NANOS;
     }
 
     private SuspectPart suspect(String part) {
@@ -89,11 +156,23 @@
     }
 
     private void removeExpired(long nowNanos) {
-        mParts.values().removeIf(suspect -> nowNanos - suspect.lastNanos() > RETENTION_NANOS);
-        removeOldest(mParts, MAXIMUM_PARTS);
+        mParts.values()
+                .removeIf(
+                        suspect ->
+                                !suspect.convicted()
+                                        && nowNanos - suspect.lastNanos() > RETENTION_NANOS);
+        if (mParts.size() > MAXIMUM_PARTS) {
+            mParts.values().stream()
+                    .filter(suspect -> !suspect.convicted())
+                    .limit(mParts.size() - MAXIMUM_PARTS)
+                    .map(SuspectPart::part)
+                    .toList()
+                    .forEach(mParts::remove);
+            removeOldest(mParts, MAXIMUM_PARTS);
+        }
     }
 
-    private static void removeOldest(Map<String, ?> entries, int maximum) {
+    private static void removeOldest(Map<?, ?> entries, int maximum) {
         while (entries.size() > maximum) {
             entries.remove(entries.keySet().iterator().next());
         }
@@ -144,4 +223,32 @@
         removeOldest(mAnswered, MAXIMUM_ANSWERED);
         return suspected;
     }
+
+    /** Returns whether a complete answer of a part is known. */
+    boolean knownSound(String part, long nowNanos) {
+        Long answeredNanos = mAnswered.get(part);
+        return answeredNanos != null && nowNanos - answeredNanos < RETENTION_NANOS;
+    }
+
+    /** Returns whether a part was in a complete answer after the given time. */
+    boolean answeredAfter(String part, long nanos) {
+        Long answeredNanos = mAnswered.get(part);
+        return answeredNanos != null && answeredNanos - nanos > 0;
+    }
+
+    Optional<SuspectPart> find(String part) {
+        return Optional.ofNullable(mParts.get(part));
+    }
+
+    /** Returns the suspect parts. */
+    Collection<SuspectPart> parts() {
+        return mParts.values();
+    }
+
+    /** Adds the strikes that another scheduler has counted against parts. */
+    void addStrikes(List<String> parts, int count, long crashedNanos, long nowNanos) {
+        String name = String.join("+", parts);
+        parts.forEach(part -> suspect(part).addStrikes(name, count, crashedNanos));
+        removeExpired(nowNanos);
+    }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -89,14 +89,16 @@
                 mRetries.computeIfAbsent(request.service(), key -> new SlidingRetryBudget(mLimits));
         if (!request.retry()) {
             retries.recordFirstSend(nowNanos);
-        } else if (!retries.tryRetry(mInstances, nowNanos)) {
-            reject(request, PlacementRefusal.REPEAT_BUDGET, nowNanos);
-            return;
         }
-        if (mCrashes.quarantined(request.contentHash(), nowNanos)) {
+        if (mCrashes.quarantined(request.contentHash(), nowNanos)
+                || mAttribution.verdict(request, nowNanos) == PartVerdict.QUARANTINED) {
             reject(request, PlacementRefusal.QUARANTINED, nowNanos);
             return;
         }
+        if (request.retry() && !retries.tryRetry(mInstances, nowNanos)) {
+            reject(request, PlacementRefusal.REPEAT_BUDGET, nowNanos);
+            return;
+        }
         mWaiting.add(new WaitingRequest(request, engineCost(request.service()), nowNanos));
     }
 
@@ -133,9 +135,10 @@
             PlacementUpstream primary = upstreams.get(0);
             primary.answered(nowNanos);
             primary.health().recordProgress(nowNanos);
-            mAttribution.progressed(primary, nowNanos);
+            primary.find(key)
+                    .ifPresent(part -> mAttribution.begun(primary, part.request(), nowNanos));
             if (upstreams.size() == 1) {
-                primary.find(key).ifPresent(part -> recordSlowdown(primary, part, nowNanos));
+                primary.recordSlowdown(key, nowNanos);
             }
         }
         upstreams.forEach(upstream -> upstream.started(key, nowNanos));
@@ -171,6 +174,7 @@
         if (upstreams == null) {
             return;
         }
+        mAttribution.ended(key);
         PlacementUpstream primary = upstreams.get(0);
         PlacementUpstream faulty =
                 upstreams.stream()
@@ -234,7 +238,7 @@
 
     /** Returns the parts of prompts that are quarantined. */
     public List<QuarantinedPart> quarantinedParts(long nowNanos) {
-        return mCrashes.quarantinedParts(nowNanos);
+        return mAttribution.quarantinedParts(nowNanos);
     }
 
     /**
@@ -242,7 +246,7 @@
      * was in a complete answer after its last crash stays cleared.
      */
     public void addQuarantinedParts(List<QuarantinedPart> parts, long nowNanos) {
-        mCrashes.addQuarantinedParts(parts, nowNanos);
+        mAttribution.addQuarantinedParts(parts, nowNanos);
     }
 
     /** Returns what was concluded from crashes of upstreams since the last call. */
@@ -276,6 +280,14 @@
 
     private void decide(WaitingRequest waiting, Optional<ServiceRound> round, long nowNanos) {
         PlacementRequest request = waiting.request();
+        PartVerdict verdict = mAttribution.verdict(request, nowNanos);
+        if (verdict == PartVerdict.QUARANTINED) {
+            reject(request, PlacementRefusal.QUARANTINED, nowNanos);
+            return;
+        }
+        if (verdict == PartVerdict.WAIT && request.latestStartNanos() - nowNanos >= 0) {
+            return;
+        }
         if (round.isEmpty() || round.get().hasNoUpstream()) {
             boolean expired = request.latestStartNanos() - nowNanos < 0;
             reject(
@@ -390,6 +402,7 @@
             long firstEventNanos,
             long nowNanos) {
         withdraw(request.key());
+        mAttribution.placed(request);
         mPlacements.put(request.key(), upstreams);
         List<PlacementHelper> helpers = new ArrayList<>();
         for (int index = 0; index < upstreams.size(); index++) {
@@ -431,12 +444,4 @@
     private Optional<EngineCost> engineCost(ServiceName name) {
         return service(name).flatMap(RoutedService::engineCost);
     }
-
-    private static void recordSlowdown(PlacementUpstream upstream, PlacedPart part, long nowNanos) {
-        double expectedNanos = part.firstEventNanos() - part.grantedNanos();
-        if (!part.started() && expectedNanos > 0) {
-            upstream.health()
-                    .recordSlowdown((nowNanos - part.grantedNanos()) / expectedNanos, nowNanos);
-        }
-    }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
@@ -174,6 +174,18 @@
         }
     }
 
+    /** Compares the time of the first event of a placement with its estimate. */
+    void recordSlowdown(PlacementKey key, long nowNanos) {
+        PlacedPart part = mParts.get(key);
+        if (part == null || part.started()) {
+            return;
+        }
+        double expectedNanos = part.firstEventNanos() - part.grantedNanos();
+        if (expectedNanos > 0) {
+            mHealth.recordSlowdown((nowNanos - part.grantedNanos()) / expectedNanos, nowNanos);
+        }
+    }
+
     void ended(PlacementKey key, long nowNanos) {
         PlacedPart part = mParts.get(key);
         if (part != null) {
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/UpstreamHealth.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/UpstreamHealth.java
@@ -62,6 +62,11 @@
         mProgressNanos = nowNanos;
     }
 
+    /** Returns whether an answer has started or completed at or after the given time. */
+    boolean hasProgressSince(long nanos) {
+        return mHasProgress && mProgressNanos - nanos >= 0;
+    }
+
     /** Records a failure, such as a failed connection, and suspends the upstream. */
     void failed(long nowNanos) {
         if (mFailed && nowNanos - mFailedNanos < SAME_CAUSE_NANOS) {
--- a/policy/src/test/java/dev/kumquatweir/policy/placement/PlacementUnderLoadTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/PlacementUnderLoadTest.java
@@ -27,7 +27,7 @@
         int engines = 7;
         double perSecond = engines * SchedulerReplay.SLOTS / SHORT_SECONDS;
         SchedulerReplay replay = new SchedulerReplay(engines);
-        List<SchedulerReplay.Outcome> outcomes = shortRequests(replay, 1.4 * perSecond, 9.5, 1);
+        List<ReplayOutcome> outcomes = shortRequests(replay, 1.4 * perSecond, 9.5, 1);
         replay.run(14_000);
         double served = 9.5 * perSecond;
         assertThat((double) onTime(outcomes), greaterThan(0.75 * served));
@@ -37,11 +37,11 @@
     @Test
     void sustainedOverloadRejectsEarly() {
         SchedulerReplay replay = new SchedulerReplay(4);
-        List<SchedulerReplay.Outcome> outcomes = shortRequests(replay, 80, 9.5, 2);
+        List<ReplayOutcome> outcomes = shortRequests(replay, 80, 9.5, 2);
         replay.run(14_000);
         List<Double> rejected =
                 outcomes.stream()
-                        .map(SchedulerReplay.Outcome::rejectedMillis)
+                        .map(ReplayOutcome::rejectedMillis)
                         .filter(millis -> millis >= 0)
                         .sorted()
                         .toList();
@@ -60,7 +60,7 @@
         double seconds = 6;
         double perSecond = engines * SchedulerReplay.SLOTS / SHORT_SECONDS;
         SchedulerReplay replay = new SchedulerReplay(engines);
-        List<SchedulerReplay.Outcome> outcomes = shortRequests(replay, 1.3 * perSecond, seconds, 3);
+        List<ReplayOutcome> outcomes = shortRequests(replay, 1.3 * perSecond, seconds, 3);
         for (int number = 0; number < 60; number++) {
             outcomes.add(replay.arrive(100.0 * number, 250_000, 17, 3_000, 800));
         }
@@ -77,8 +77,8 @@
     @Test
     void longPromptsLeaveShortRequestsOnTime() {
         SchedulerReplay replay = new SchedulerReplay(14);
-        List<SchedulerReplay.Outcome> shorts = shortRequests(replay, 20, 10, 3);
-        List<SchedulerReplay.Outcome> longs = new ArrayList<>();
+        List<ReplayOutcome> shorts = shortRequests(replay, 20, 10, 3);
+        List<ReplayOutcome> longs = new ArrayList<>();
         for (int number = 0; number < 6; number++) {
             longs.add(replay.arrive(1_000 + 1_500 * number, 210_000, 17, 3_000, 800));
         }
@@ -91,7 +91,7 @@
     @Test
     void veryLongPromptIsSplitOverManyEngines() {
         SchedulerReplay replay = new SchedulerReplay(14);
-        SchedulerReplay.Outcome outcome = replay.arrive(100, 400_000, 17, 3_000, 800);
+        ReplayOutcome outcome = replay.arrive(100, 400_000, 17, 3_000, 800);
         replay.run(12_000);
         assertThat(outcome.engines(), greaterThan(3));
         assertThat(outcome.onTime(), is(true));
@@ -103,7 +103,7 @@
     @Test
     void simultaneousLongPromptsWaitForFreeEngines() {
         SchedulerReplay replay = new SchedulerReplay(12);
-        List<SchedulerReplay.Outcome> longs = new ArrayList<>();
+        List<ReplayOutcome> longs = new ArrayList<>();
         for (int number = 0; number < 4; number++) {
             longs.add(replay.arrive(100 + 20 * number, 300_000, 17, 3_000, 800));
         }
@@ -116,7 +116,7 @@
     void hugePromptDoesNotStallBurstOfShortRequests() {
         SchedulerReplay replay = new SchedulerReplay(7);
         double perSecond = 7 * SchedulerReplay.SLOTS / SHORT_SECONDS;
-        List<SchedulerReplay.Outcome> shorts = shortRequests(replay, 0.95 * perSecond, 9.5, 7);
+        List<ReplayOutcome> shorts = shortRequests(replay, 0.95 * perSecond, 9.5, 7);
         replay.arrive(3_000, 900_000, 17, 3_000, 800);
         replay.run(16_000);
         assertThat((double) onTime(shorts), greaterThan(0.8 * shorts.size()));
@@ -129,8 +129,8 @@
     @Test
     void hugePromptLeavesEnginesToShortRequests() {
         SchedulerReplay replay = new SchedulerReplay(14);
-        List<SchedulerReplay.Outcome> shorts = shortRequests(replay, 20, 10, 8);
-        SchedulerReplay.Outcome huge = replay.arrive(2_000, 900_000, 17, 3_000, 800);
+        List<ReplayOutcome> shorts = shortRequests(replay, 20, 10, 8);
+        ReplayOutcome huge = replay.arrive(2_000, 900_000, 17, 3_000, 800);
         replay.run(20_000);
         assertThat((double) onTime(shorts), greaterThan(0.85 * shorts.size()));
         assertThat(huge.firstEventMillis(), greaterThan(0.0));
@@ -152,8 +152,8 @@
     @Test
     void shiftFromShortToLongPromptsIsServedOnTime() {
         SchedulerReplay replay = new SchedulerReplay(14);
-        List<SchedulerReplay.Outcome> shorts = shortRequests(replay, 50, 9, 4);
-        List<SchedulerReplay.Outcome> longs = new ArrayList<>();
+        List<ReplayOutcome> shorts = shortRequests(replay, 50, 9, 4);
+        List<ReplayOutcome> longs = new ArrayList<>();
         Random random = new Random(5);
         for (double at = 9_000; at < 18_000; at += 700) {
             long tokens = (long) (210_000 * Math.exp(0.5 * random.nextGaussian() - 0.125));
@@ -169,15 +169,15 @@
     void slowEngineIsDetectedFromItsAnswers() {
         SchedulerReplay replay = new SchedulerReplay(10);
         replay.addEngine(0, 5);
-        List<SchedulerReplay.Outcome> outcomes = shortRequests(replay, 25, 12, 6);
+        List<ReplayOutcome> outcomes = shortRequests(replay, 25, 12, 6);
         replay.run(20_000);
         assertThat((double) onTime(outcomes), greaterThan(0.85 * outcomes.size()));
     }
 
-    private static List<SchedulerReplay.Outcome> shortRequests(
+    private static List<ReplayOutcome> shortRequests(
             SchedulerReplay replay, double perSecond, double seconds, long seed) {
         Random random = new Random(seed);
-        List<SchedulerReplay.Outcome> outcomes = new ArrayList<>();
+        List<ReplayOutcome> outcomes = new ArrayList<>();
         double at = 0;
         while (at < 1_000 * seconds) {
             at += -1_000 / perSecond * Math.log(1 - random.nextDouble());
@@ -186,7 +186,7 @@
         return outcomes;
     }
 
-    private static long onTime(List<SchedulerReplay.Outcome> outcomes) {
-        return outcomes.stream().filter(SchedulerReplay.Outcome::onTime).count();
+    private static long onTime(List<ReplayOutcome> outcomes) {
+        return outcomes.stream().filter(ReplayOutcome::onTime).count();
     }
 }
--- a/policy/src/test/java/dev/kumquatweir/policy/placement/SchedulerReplay.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/SchedulerReplay.java
@@ -11,6 +11,7 @@
 import dev.kumquatweir.core.routing.UpstreamPhase;
 import dev.kumquatweir.core.routing.UpstreamStatus;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,15 +32,18 @@
     static final EngineCost COST =
             new EngineCost(SLOTS, 450_000, 0.925, 0.007, 0.00254, 256, 0.0917, 2_048, 46, 0.1);
     private static final InstanceId OWNER = new InstanceId("entry");
+    private static final int MAXIMUM_SENDS = 3;
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final PlacementScheduler mScheduler =
             new PlacementScheduler(new PlacementLimits(0.2, 100, 10_000));
     private final PriorityQueue<ScheduledEvent> mEvents = new PriorityQueue<>();
     private final Map<UpstreamId, Engine> mEngines = new HashMap<>();
-    private final Map<PlacementKey, Outcome> mOutcomes = new HashMap<>();
+    private final Map<PlacementKey, ReplayOutcome> mOutcomes = new HashMap<>();
+    private final EngineFaults mFaults = new EngineFaults();
     private long mLastKeyNumber;
     private long mLastOrder;
+    private long mNowNanos;
 
     /** An action scheduled for a time. Actions with equal times keep their order. */
     private record ScheduledEvent(long nanos, long order, Runnable action)
@@ -51,54 +55,17 @@
         }
     }
 
-    /** The result of one request. Times are in milliseconds after its arrival, -1 for never. */
-    static final class Outcome {
-        private final PlacementRequest mRequest;
-        private final long mArrivedNanos;
-        private double mFirstEventMillis = -1;
-        private double mRejectedMillis = -1;
-        private double mLongestGapMillis;
-        private int mEngines;
-        private boolean mFinished;
-
-        Outcome(PlacementRequest request, long arrivedNanos) {
-            mRequest = request;
-            mArrivedNanos = arrivedNanos;
-        }
-
-        boolean onTime() {
-            long targetMillis = (mRequest.targetNanos() - mArrivedNanos) / MILLI;
-            long targetGapMillis = mRequest.targetGapMillis();
-            return mFinished
-                    && mFirstEventMillis <= targetMillis
-                    && (targetGapMillis == 0 || mLongestGapMillis <= targetGapMillis);
-        }
-
-        double rejectedMillis() {
-            return mRejectedMillis;
-        }
-
-        double firstEventMillis() {
-            return mFirstEventMillis;
-        }
-
-        int engines() {
-            return mEngines;
-        }
-
-        long promptTokens() {
-            return mRequest.promptTokens();
-        }
-    }
-
     /** A simulated engine, with the requests waiting for prefill and those that are decoding. */
     private final class Engine {
+        private final UpstreamId mId;
         private final double mSlowdown;
         private final List<PlacedRequest> mPrefillQueue = new ArrayList<>();
         private final List<PlacedRequest> mDecoding = new ArrayList<>();
         private boolean mBusy;
+        private boolean mDown;
 
-        Engine(double slowdown) {
+        Engine(UpstreamId id, double slowdown) {
+            mId = id;
             mSlowdown = slowdown;
         }
 
@@ -144,7 +111,22 @@
             }
         }
 
+        private void crash(long nowNanos) {
+            mDown = true;
+            List<PlacedRequest> running = new ArrayList<>(mPrefillQueue);
+            running.addAll(mDecoding);
+            mPrefillQueue.clear();
+            mDecoding.clear();
+            running.forEach(request -> endSend(request, PlacementOutcome.BROKEN, nowNanos));
+            long backNanos = nowNanos + EngineFaults.RESTART_MILLIS * MILLI;
+            UpstreamId next = new UpstreamId(mId.value() + "+");
+            schedule(backNanos, () -> addEngine(next, mSlowdown, backNanos));
+        }
+
         private void endPass(List<PlacedRequest> helperParts, long nowNanos) {
+            if (mDown) {
+                return;
+            }
             for (PlacedRequest request : helperParts) {
                 request.mPartsLeft--;
                 if (request.mPartsLeft == 0) {
@@ -182,12 +164,13 @@
         }
 
         void event(long nowNanos) {
-            Outcome outcome = Objects.requireNonNull(mOutcomes.get(mKey));
+            ReplayOutcome outcome = Objects.requireNonNull(mOutcomes.get(mKey));
             double ageMillis = (double) (nowNanos - outcome.mArrivedNanos) / MILLI;
             mEventsLeft--;
             if (mLastEventMillis < 0) {
                 outcome.mFirstEventMillis = ageMillis;
                 mScheduler.recordFirstEvent(mKey, nowNanos);
+                scheduleFaults(this, outcome, nowNanos);
             } else {
                 outcome.mLongestGapMillis =
                         Math.max(outcome.mLongestGapMillis, ageMillis - mLastEventMillis);
@@ -214,9 +197,103 @@
 
     /** Creates an engine whose passes take longer than the published cost by the given factor. */
     void addEngine(int number, double pace) {
-        UpstreamId id = new UpstreamId("engine-" + number);
-        mEngines.put(id, new Engine(pace));
-        heartbeat(id, 0);
+        addEngine(new UpstreamId("engine-" + number), pace, 0);
+    }
+
+    private void addEngine(UpstreamId id, double pace, long nowNanos) {
+        mEngines.put(id, new Engine(id, pace));
+        heartbeat(id, nowNanos);
+    }
+
+    /** Returns the faults of the engines. */
+    EngineFaults faults() {
+        return mFaults;
+    }
+
+    /** Returns the time that the simulation has reached. */
+    long nowNanos() {
+        return mNowNanos;
+    }
+
+    /** Returns the scheduler. */
+    PlacementScheduler scheduler() {
+        return mScheduler;
+    }
+
+    /** Lets engines crash together that have the given share of all numbers. */
+    void crashTogether(double atMillis, double share) {
+        long nowNanos = (long) (atMillis * MILLI);
+        schedule(
+                nowNanos,
+                () -> {
+                    List<Engine> up =
+                            mEngines.values().stream()
+                                    .filter(engine -> !engine.mDown)
+                                    .sorted(Comparator.comparing(engine -> !engine.mBusy))
+                                    .toList();
+                    up.subList(0, (int) (share * up.size()))
+                            .forEach(engine -> engine.crash(nowNanos));
+                });
+    }
+
+    /** Schedules the crash of the engine or the loss of the answer after its first event. */
+    private void scheduleFaults(PlacedRequest placed, ReplayOutcome outcome, long nowNanos) {
+        Engine engine = placed.mPrimary;
+        long lostAfterMillis = mFaults.lostAfterMillis();
+        if (mFaults.crashes(outcome.mRequest)) {
+            long crashNanos = nowNanos + EngineFaults.CRASH_AFTER_FIRST_EVENT_MILLIS * MILLI;
+            schedule(
+                    crashNanos,
+                    () -> {
+                        if (!engine.mDown) {
+                            mFaults.recordCrash(outcome.mRequest, (double) crashNanos / MILLI);
+                            engine.crash(crashNanos);
+                        }
+                    });
+        } else if (lostAfterMillis >= 0) {
+            long lostNanos = nowNanos + lostAfterMillis * MILLI;
+            schedule(
+                    lostNanos,
+                    () -> {
+                        if (engine.mDecoding.remove(placed)) {
+                            endSend(placed, PlacementOutcome.BROKEN, lostNanos);
+                        }
+                    });
+        }
+    }
+
+    /** Ends a send without a complete answer and submits the request again. */
+    private void endSend(PlacedRequest placed, PlacementOutcome result, long nowNanos) {
+        ReplayOutcome outcome = Objects.requireNonNull(mOutcomes.get(placed.mKey));
+        mScheduler.ended(placed.mKey, result, "", nowNanos);
+        boolean sent = result == PlacementOutcome.BROKEN;
+        outcome.mTried.add(placed.mPrimary.mId);
+        if (outcome.mSends < MAXIMUM_SENDS) {
+            mLastKeyNumber++;
+            PlacementRequest first = outcome.mRequest;
+            PlacementRequest next =
+                    builder(mLastKeyNumber, first.sharedParts())
+                            .times(
+                                    first.targetNanos(),
+                                    nowNanos + 2_000 * MILLI,
+                                    first.deadlineNanos())
+                            .generation(
+                                    first.promptTokens(),
+                                    46L * Math.max(1, placed.mEventsLeft),
+                                    first.targetGapMillis())
+                            .previousAttempts(outcome.mTried, sent)
+                            .build();
+            mOutcomes.put(next.key(), outcome);
+            mScheduler.submit(next, nowNanos);
+        }
+        decide(nowNanos);
+    }
+
+    private static PlacementRequest.Builder builder(long number, List<String> parts) {
+        String id = "request-" + number;
+        return PlacementRequest.builder(new PlacementKey(OWNER, number), id, SERVICE)
+                .contentHash(id)
+                .sharedParts(parts);
     }
 
     private void heartbeat(UpstreamId id, long nowNanos) {
@@ -245,21 +322,31 @@
     }
 
     /** Adds a request that arrives at the given time and generates 46 output tokens per event. */
-    Outcome arrive(
+    ReplayOutcome arrive(
             double atMillis, long promptTokens, int events, long targetMillis, long gapMillis) {
+        return arrive(atMillis, promptTokens, events, targetMillis, gapMillis, List.of());
+    }
+
+    /** Adds a request whose prompt has the given shared parts. */
+    ReplayOutcome arrive(
+            double atMillis,
+            long promptTokens,
+            int events,
+            long targetMillis,
+            long gapMillis,
+            List<String> parts) {
         long nowNanos = (long) (atMillis * MILLI);
         mLastKeyNumber++;
-        PlacementKey key = new PlacementKey(OWNER, mLastKeyNumber);
         PlacementRequest request =
-                PlacementRequest.builder(key, "request-" + mLastKeyNumber, SERVICE)
+                builder(mLastKeyNumber, parts)
                         .times(
                                 nowNanos + targetMillis * MILLI,
                                 nowNanos + Math.max(2_000, 4 * targetMillis) * MILLI,
                                 nowNanos + 15_000 * MILLI)
                         .generation(promptTokens, 46L * events, gapMillis)
                         .build();
-        Outcome outcome = new Outcome(request, nowNanos);
-        mOutcomes.put(key, outcome);
+        ReplayOutcome outcome = new ReplayOutcome(request, nowNanos);
+        mOutcomes.put(request.key(), outcome);
         schedule(
                 nowNanos,
                 () -> {
@@ -279,17 +366,24 @@
             long nowNanos = tick;
             schedule(nowNanos, () -> decide(nowNanos));
             if (tick % (1_000 * MILLI) == 0) {
-                schedule(nowNanos, () -> mEngines.keySet().forEach(id -> heartbeat(id, nowNanos)));
+                schedule(nowNanos, () -> sendHeartbeats(nowNanos));
             }
         }
         while (!mEvents.isEmpty() && mEvents.peek().nanos() <= untilNanos) {
             mEvents.remove().action().run();
         }
+        mNowNanos = untilNanos;
+    }
+
+    private void sendHeartbeats(long nowNanos) {
+        mEngines.values().stream()
+                .filter(engine -> !engine.mDown)
+                .forEach(engine -> heartbeat(engine.mId, nowNanos));
     }
 
     private void decide(long nowNanos) {
         for (PlacementAction action : mScheduler.decide(nowNanos)) {
-            Outcome outcome = Objects.requireNonNull(mOutcomes.get(action.key()));
+            ReplayOutcome outcome = Objects.requireNonNull(mOutcomes.get(action.key()));
             switch (action) {
                 case PlacementAction.Reject _ ->
                         outcome.mRejectedMillis =
@@ -299,7 +393,7 @@
         }
     }
 
-    private void start(Outcome outcome, PlacementAction.Grant grant, long nowNanos) {
+    private void start(ReplayOutcome outcome, PlacementAction.Grant grant, long nowNanos) {
         PlacementRequest request = outcome.mRequest;
         List<Engine> engines = new ArrayList<>();
         engines.add(engine(grant.grant().upstream()));
@@ -310,6 +404,14 @@
         PlacedRequest placed =
                 new PlacedRequest(
                         grant.key(), engines.get(0), prefillMillis, engines.size(), events);
+        if (engines.get(0).mDown) {
+            schedule(
+                    nowNanos + MILLI,
+                    () -> endSend(placed, PlacementOutcome.NOT_CONNECTED, nowNanos + MILLI));
+            return;
+        }
+        outcome.mSends++;
+        mFaults.recordSend(request, (double) nowNanos / MILLI);
         engines.forEach(engine -> engine.add(placed, nowNanos));
     }
 
--- a/program/src/main/java/dev/kumquatweir/program/fleet/CrashEventLog.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/CrashEventLog.java
@@ -27,6 +27,16 @@
                             refuted.upstream(),
                             "parts",
                             refuted.parts());
+            case CrashEvent.Quarantined quarantined ->
+                    LOG.warn(
+                            "part_quarantined",
+                            "part",
+                            quarantined.part(),
+                            "strikes",
+                            quarantined.strikes(),
+                            "upstreams",
+                            quarantined.upstreams());
+            case CrashEvent.Cleared cleared -> LOG.info("part_cleared", "part", cleared.part());
         }
     }
 }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -206,6 +206,8 @@
         CrashEventLog.log(event);
         if (event instanceof CrashEvent.Suspects) {
             mMetrics.counter("kumquatweir_crash_suspects").inc();
+        } else if (event instanceof CrashEvent.Quarantined) {
+            mMetrics.counter("kumquatweir_parts_quarantined").inc();
         }
     }
 
