Let strikes of parts expire and bound the work for each crash

Two faults showed. Strikes older than five minutes still counted for a part in use when a probe crashed, and it was quarantined together with the probed part (quarantineEndsByProbe failed); such strikes are now dropped, and a group is held as long as its longest member. With the tables full each crash went through all parts and each decision compared all pairs of them (tablesAreBounded took 17.0 s, now 1.0 s); expired parts are now taken from the oldest end, and the 200 youngest candidates are considered. PartQuarantineTest (9) and CrashingPartsTest (7) pass.

--- a/policy/src/main/java/dev/kumquatweir/policy/placement/Conviction.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/Conviction.java
@@ -31,8 +31,8 @@
                 parts,
                 first.strikes(),
                 first.upstreams().stream().map(UpstreamLife::upstream).toList(),
-                first.lastNanos(),
-                first.holdNanos());
+                group.stream().mapToLong(SuspectPart::lastNanos).max().orElse(0),
+                group.stream().mapToLong(SuspectPart::holdNanos).max().orElse(0));
     }
 
     /** Returns the parts as one text, see {@link QuarantinedPart#part}. */
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/CrashSuspects.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/CrashSuspects.java
@@ -126,7 +126,7 @@
         Map<String, Integer> strikes = new HashMap<>();
         if (hadBegun ? atBeginning(placed, nowNanos) : beforeBeginning(placed, nowNanos)) {
             for (String part : parts) {
-                SuspectPart suspect = suspect(part);
+                SuspectPart suspect = suspect(part, nowNanos);
                 suspect.strike(life, placed.grantedNanos(), nowNanos);
                 strikes.put(part, suspect.strikes());
             }
@@ -148,19 +148,28 @@
         return !placed.started() && nowNanos - placed.grantedNanos() >= MINIMUM_RUN_NANOS;
     }
 
-    private SuspectPart suspect(String part) {
+    private SuspectPart suspect(String part, long nowNanos) {
         SuspectPart known = mParts.remove(part);
-        SuspectPart suspect = known == null ? new SuspectPart(part) : known;
+        SuspectPart suspect =
+                known == null || expired(known, nowNanos) ? new SuspectPart(part) : known;
         mParts.put(part, suspect);
         return suspect;
     }
 
+    private static boolean expired(SuspectPart suspect, long nowNanos) {
+        return !suspect.convicted() && nowNanos - suspect.lastNanos() > RETENTION_NANOS;
+    }
+
     private void removeExpired(long nowNanos) {
-        mParts.values()
-                .removeIf(
-                        suspect ->
-                                !suspect.convicted()
-                                        && nowNanos - suspect.lastNanos() > RETENTION_NANOS);
+        Iterator<SuspectPart> oldestFirst = mParts.values().iterator();
+        while (oldestFirst.hasNext()) {
+            SuspectPart suspect = oldestFirst.next();
+            if (expired(suspect, nowNanos)) {
+                oldestFirst.remove();
+            } else if (!suspect.convicted()) {
+                break;
+            }
+        }
         if (mParts.size() > MAXIMUM_PARTS) {
             mParts.values().stream()
                     .filter(suspect -> !suspect.convicted())
@@ -248,7 +257,7 @@
     /** Adds the strikes that another scheduler has counted against parts. */
     void addStrikes(List<String> parts, int count, long crashedNanos, long nowNanos) {
         String name = String.join("+", parts);
-        parts.forEach(part -> suspect(part).addStrikes(name, count, crashedNanos));
+        parts.forEach(part -> suspect(part, nowNanos).addStrikes(name, count, crashedNanos));
         removeExpired(nowNanos);
     }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PartQuarantine.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PartQuarantine.java
@@ -23,6 +23,11 @@
     /** Strikes of a part of which a complete answer is known; more parts like it are in use. */
     private static final int STRIKES_ANSWERED = 5;
 
+    private static final int MAXIMUM_CANDIDATES = 200;
+
+    private static final Comparator<SuspectPart> YOUNGEST_FIRST =
+            Comparator.comparingLong(SuspectPart::lastNanos).reversed();
+
     private final CrashSuspects mSuspects;
     private final Map<String, Conviction> mConvictions = new LinkedHashMap<>();
     private final Map<String, Conviction> mByPart = new HashMap<>();
@@ -42,13 +47,14 @@
      * @return the convictions that are new
      */
     List<Conviction> update(long nowNanos) {
-        List<SuspectPart> candidates = new ArrayList<>();
-        for (SuspectPart suspect : mSuspects.parts()) {
-            suspect.setConvicted(false);
-            if (suspect.strikes() >= threshold(suspect, nowNanos)) {
-                candidates.add(suspect);
-            }
-        }
+        mSuspects.parts().forEach(suspect -> suspect.setConvicted(false));
+        List<SuspectPart> candidates =
+                new ArrayList<>(
+                        mSuspects.parts().stream()
+                                .filter(part -> part.strikes() >= threshold(part, nowNanos))
+                                .sorted(YOUNGEST_FIRST)
+                                .limit(MAXIMUM_CANDIDATES)
+                                .toList());
         Map<String, Conviction> previous = new HashMap<>(mConvictions);
         mConvictions.clear();
         mByPart.clear();
