Tell requests apart whose prompts are in the headers

A request that had been sent once was rejected as QUARANTINED, which takes three upstreams that failed with its content. Cause: the content of a request was a hash of body, target and key, and the bodies of different prompts may be alike, since the parts of the prompt are named in a header; crashes with other prompts were counted against it. The head of a request now has an identity of the prompt, which the dialect takes from that header with all parts, and the hash includes it. Requests without the header have the hash that they had before. ForwardedRequestTest failed without the line and passes with it; HttpDialectTest and ReturningCallersTest pass.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/CallerRequestHead.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/CallerRequestHead.java
@@ -17,6 +17,8 @@
  * @param lastEventId id of the last event that the caller received, -1 if none
  * @param sharedParts ids of the parts of the prompt that other requests may share, in order; empty
  *     if the prompt has none
+ * @param promptIdentity text that differs between different prompts; empty if the prompt is in the
+ *     body alone
  */
 public record CallerRequestHead(
         String requestId,
@@ -27,7 +29,8 @@
         long promptTokens,
         long expectedOutputTokens,
         long lastEventId,
-        List<String> sharedParts) {
+        List<String> sharedParts,
+        String promptIdentity) {
     /** Copies the list. */
     public CallerRequestHead {
         sharedParts = List.copyOf(sharedParts);
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardedRequest.java
@@ -40,9 +40,12 @@
         long firstAttemptNanos,
         long deadlineNanos) {
 
-    /** Returns a hash of body, target and API key, which identifies retries of one caller. */
+    /**
+     * Returns a hash of body, prompt, target and API key, which identifies retries of one caller.
+     */
     String contentHash() {
         CRC32C checksum = new CRC32C();
+        checksum.update(head.promptIdentity().getBytes(StandardCharsets.UTF_8));
         checksum.update(body.toArray());
         checksum.update(target.getBytes(StandardCharsets.UTF_8));
         checksum.update(head.apiKey().orElse("").getBytes(StandardCharsets.UTF_8));
