Replay crashing parts after a calm start and count rejected requests

The replays began with the crashing part and looked at quarantined parts at their end only. The part now also comes after six seconds of usual load, when answers of the other parts are known, and replays in which nothing may be quarantined check that no request was rejected as QUARANTINED at any time.

--- a/policy/src/test/java/dev/kumquatweir/policy/placement/CrashingPartsTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/CrashingPartsTest.java
@@ -10,7 +10,7 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * Replays requests of which some share a part of their prompt that crashes each engine that begins
@@ -31,12 +31,16 @@
     private final SchedulerReplay mReplay = new SchedulerReplay(ENGINES);
     private final List<ReplayOutcome> mOutcomes = new ArrayList<>();
 
-    /** Guards against engines that crash on a part as long as requests with it arrive. */
+    /**
+     * Guards against engines that crash on a part as long as requests with it arrive, with an empty
+     * history as after a change of leader and with one of some seconds.
+     */
     @ParameterizedTest
-    @ValueSource(doubles = {0.05, 0.2, 0.5})
-    void crashingPartIsTurnedAwayWithinFewCrashes(double share) {
+    @CsvSource({"0.05, 0", "0.2, 0", "0.5, 0", "0.05, 6", "0.2, 6", "0.5, 6"})
+    void crashingPartIsTurnedAwayWithinFewCrashes(double share, double fromSeconds) {
         mReplay.faults().addCrashingPart("bad");
-        load(share, "bad", 0, SECONDS, 1);
+        load(0, "bad", 0, fromSeconds, 9);
+        load(share, "bad", fromSeconds, SECONDS, 1);
         mReplay.run(1_000 * SECONDS + 5_000);
         assertFewCrashes("bad");
         assertSoundServed("bad", 0);
@@ -89,6 +93,7 @@
 
     private void assertNothingQuarantined() {
         assertThat(mReplay.scheduler().quarantinedParts(mReplay.nowNanos()), is(List.of()));
+        assertThat(mReplay.quarantinedCount(), is(0));
         long unserved = mOutcomes.stream().filter(outcome -> outcome.rejectedMillis() >= 0).count();
         assertThat((double) unserved, lessThanOrEqualTo(0.02 * mOutcomes.size()));
     }
--- a/policy/src/test/java/dev/kumquatweir/policy/placement/SchedulerReplay.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/SchedulerReplay.java
@@ -44,6 +44,7 @@
     private long mLastKeyNumber;
     private long mLastOrder;
     private long mNowNanos;
+    private int mQuarantined;
 
     /** An action scheduled for a time. Actions with equal times keep their order. */
     private record ScheduledEvent(long nanos, long order, Runnable action)
@@ -215,6 +216,11 @@
         return mNowNanos;
     }
 
+    /** Returns how many requests were rejected as quarantined. */
+    int quarantinedCount() {
+        return mQuarantined;
+    }
+
     /** Returns the scheduler. */
     PlacementScheduler scheduler() {
         return mScheduler;
@@ -385,9 +391,10 @@
         for (PlacementAction action : mScheduler.decide(nowNanos)) {
             ReplayOutcome outcome = Objects.requireNonNull(mOutcomes.get(action.key()));
             switch (action) {
-                case PlacementAction.Reject _ ->
-                        outcome.mRejectedMillis =
-                                (double) (nowNanos - outcome.mArrivedNanos) / MILLI;
+                case PlacementAction.Reject reject -> {
+                    outcome.mRejectedMillis = (double) (nowNanos - outcome.mArrivedNanos) / MILLI;
+                    mQuarantined += reject.reason() == PlacementRefusal.QUARANTINED ? 1 : 0;
+                }
                 case PlacementAction.Grant grant -> start(outcome, grant, nowNanos);
             }
         }
