--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -42,6 +42,7 @@
     private final Map<PlacementKey, List<PlacementUpstream>> mPlacements = new HashMap<>();
     private final Map<ServiceName, SlidingRetryBudget> mRetries = new HashMap<>();
     private final CrashHistory mCrashes = new CrashHistory();
+    private final CrashAttribution mAttribution = new CrashAttribution();
     private final ComparisonBudget mComparisonBudget = new ComparisonBudget();
     private final List<PlacementAction> mActions = new ArrayList<>();
     private @Nullable RoutingTable mRouting;
@@ -88,14 +89,16 @@
                 mRetries.computeIfAbsent(request.service(), key -> new SlidingRetryBudget(mLimits));
         if (!request.retry()) {
             retries.recordFirstSend(nowNanos);
-        } else if (!retries.tryRetry(mInstances, nowNanos)) {
-            reject(request, PlacementRefusal.REPEAT_BUDGET, nowNanos);
-            return;
         }
-        if (mCrashes.quarantined(request.contentHash(), nowNanos)) {
+        if (mCrashes.quarantined(request.contentHash(), nowNanos)
+                || mAttribution.verdict(request, nowNanos) == PartVerdict.QUARANTINED) {
             reject(request, PlacementRefusal.QUARANTINED, nowNanos);
             return;
         }
+        if (request.retry() && !retries.tryRetry(mInstances, nowNanos)) {
+            reject(request, PlacementRefusal.REPEAT_BUDGET, nowNanos);
+            return;
+        }
         mWaiting.add(new WaitingRequest(request, engineCost(request.service()), nowNanos));
     }
 
@@ -114,7 +117,7 @@
                 new PlacedPart(request, true, prefill, request.memoryTokens(), nowNanos, nowNanos);
         part.markLate();
         if (started) {
-            part.start();
+            part.start(nowNanos);
         }
         known.add(part, nowNanos);
         mPlacements.put(request.key(), List.of(known));
@@ -132,8 +135,10 @@
             PlacementUpstream primary = upstreams.get(0);
             primary.answered(nowNanos);
             primary.health().recordProgress(nowNanos);
+            primary.find(key)
+                    .ifPresent(part -> mAttribution.begun(primary, part.request(), nowNanos));
             if (upstreams.size() == 1) {
-                primary.find(key).ifPresent(part -> recordSlowdown(primary, part, nowNanos));
+                primary.recordSlowdown(key, nowNanos);
             }
         }
         upstreams.forEach(upstream -> upstream.started(key, nowNanos));
@@ -169,6 +174,7 @@
         if (upstreams == null) {
             return;
         }
+        mAttribution.ended(key);
         PlacementUpstream primary = upstreams.get(0);
         PlacementUpstream faulty =
                 upstreams.stream()
@@ -182,10 +188,13 @@
                 primary.answered(nowNanos);
                 primary.health().answered(false, nowNanos);
                 mCrashes.answered(contentHash);
+                mAttribution.progressed(primary, nowNanos);
+                primaryPart.ifPresent(part -> mAttribution.answered(part.request(), nowNanos));
             }
             case UPSTREAM_ERROR -> {
                 primary.answered(nowNanos);
                 primary.health().answered(true, nowNanos);
+                mAttribution.progressed(primary, nowNanos);
             }
             case NOT_CONNECTED -> faulty.health().failed(nowNanos);
             case FULL -> faulty.health().recordFull(nowNanos);
@@ -193,6 +202,9 @@
             case BROKEN, SILENT -> {
                 faulty.health().recordLostAnswer(nowNanos);
                 mCrashes.recordCrash(contentHash, faulty.notice().id(), nowNanos);
+                if (outcome == PlacementOutcome.BROKEN && faulty == primary) {
+                    primaryPart.ifPresent(part -> mAttribution.brokenOff(primary, part, nowNanos));
+                }
             }
             case CANCELLED -> {}
         }
@@ -224,6 +236,24 @@
         return actions;
     }
 
+    /** Returns the parts of prompts that are quarantined. */
+    public List<QuarantinedPart> quarantinedParts(long nowNanos) {
+        return mAttribution.quarantinedParts(nowNanos);
+    }
+
+    /**
+     * Adds parts that another scheduler has quarantined. Of two ages the younger holds; a part that
+     * was in a complete answer after its last crash stays cleared.
+     */
+    public void addQuarantinedParts(List<QuarantinedPart> parts, long nowNanos) {
+        mAttribution.addQuarantinedParts(parts, nowNanos);
+    }
+
+    /** Returns what was concluded from crashes of upstreams since the last call. */
+    public List<CrashEvent> drainCrashEvents() {
+        return mAttribution.drainEvents();
+    }
+
     /** Returns the number of waiting requests. */
     public int waitingCount() {
         return mWaiting.size();
@@ -250,6 +280,14 @@
 
     private void decide(WaitingRequest waiting, Optional<ServiceRound> round, long nowNanos) {
         PlacementRequest request = waiting.request();
+        PartVerdict verdict = mAttribution.verdict(request, nowNanos);
+        if (verdict == PartVerdict.QUARANTINED) {
+            reject(request, PlacementRefusal.QUARANTINED, nowNanos);
+            return;
+        }
+        if (verdict == PartVerdict.WAIT && request.latestStartNanos() - nowNanos >= 0) {
+            return;
+        }
         if (round.isEmpty() || round.get().hasNoUpstream()) {
             boolean expired = request.latestStartNanos() - nowNanos < 0;
             reject(
@@ -309,7 +347,7 @@
         if (option.isEmpty()) {
             mComparisonBudget.recordUnsuccessful(round.upstreamCount(), nowNanos);
             shedIfLate(waiting, cost, round, nowNanos);
-        } else if (!shouldWaitForTarget(waiting, option.get(), nowNanos)
+        } else if (!PlacementRules.shouldWaitForTarget(waiting, option.get(), nowNanos)
                 && PlacementRules.isWorthPlacing(request, option.get())) {
             round.adjustLateCount(waiting.late() ? -1 : 0);
             place(request, option.get(), nowNanos);
@@ -341,44 +379,16 @@
         }
     }
 
-    /**
-     * Returns whether to wait for a better placement: this one would miss the target, although
-     * engines that soon complete their present work may still meet it. This applies to long prompts
-     * that arrive together.
-     */
-    private static boolean shouldWaitForTarget(
-            WaitingRequest waiting, PlacementOption option, long nowNanos) {
-        return option.firstEventNanos() - waiting.request().targetNanos() > 0
-                && !waiting.willMissTarget(nowNanos);
-    }
-
     private void place(PlacementRequest request, PlacementOption option, long nowNanos) {
         List<PlacementUpstream> upstreams =
                 option.parts().stream().map(PartEstimate::upstream).toList();
-        long reserved = option.reservedTokens().stream().mapToLong(Long::longValue).sum();
-        List<PlacedPart> placedParts = new ArrayList<>();
-        for (int index = 0; index < option.parts().size(); index++) {
-            boolean primary = index == 0;
-            long memoryTokens =
-                    primary
-                            ? request.memoryTokens() - reserved
-                            : option.reservedTokens().get(index);
-            placedParts.add(
-                    new PlacedPart(
-                            request,
-                            primary,
-                            option.parts().get(index).prefillMillis(),
-                            memoryTokens,
-                            nowNanos,
-                            option.firstEventNanos()));
-        }
         if (option.lostValue() > 0) {
             PlacementRules.markDelayedParts(option, nowNanos);
         }
         place(
                 request,
                 upstreams,
-                placedParts,
+                option.placedParts(request, nowNanos),
                 option.reservedTokens(),
                 option.firstEventNanos(),
                 nowNanos);
@@ -392,6 +402,7 @@
             long firstEventNanos,
             long nowNanos) {
         withdraw(request.key());
+        mAttribution.placed(request);
         mPlacements.put(request.key(), upstreams);
         List<PlacementHelper> helpers = new ArrayList<>();
         for (int index = 0; index < upstreams.size(); index++) {
@@ -433,12 +444,4 @@
     private Optional<EngineCost> engineCost(ServiceName name) {
         return service(name).flatMap(RoutedService::engineCost);
     }
-
-    private static void recordSlowdown(PlacementUpstream upstream, PlacedPart part, long nowNanos) {
-        double expectedNanos = part.firstEventNanos() - part.grantedNanos();
-        if (!part.started() && expectedNanos > 0) {
-            upstream.health()
-                    .recordSlowdown((nowNanos - part.grantedNanos()) / expectedNanos, nowNanos);
-        }
-    }
 }
