Let a stand-in engine crash when an answer begins

The crash_on fault ends an engine in the first chunk of the prefill, so a neighbour loses its stream before the prompt has been read. Engines that crash on one part of a prompt do so when they begin to answer it, after the whole prefill. crash_on_answer does that: the engine crashes in place of the first token of an attempt whose prompt has the text, in whichever message the text stands, since an engine gets the messages as one prompt.

crash_on already matched any message; only the moment was missing. Resumed attempts count as well: their first token is the one at the offset.

--- a/standin/src/main/java/dev/kumquatweir/standin/EngineFaultSwitches.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/EngineFaultSwitches.java
@@ -92,6 +92,10 @@
                     value.isTextual()
                             ? onModel(order, model -> model.faults().crashOn(value.asText()))
                             : malformed();
+            case "crash_on_answer" ->
+                    value.isTextual()
+                            ? onModel(order, model -> model.faults().crashOnAnswer(value.asText()))
+                            : malformed();
             default -> malformed();
         };
     }
--- a/standin/src/main/java/dev/kumquatweir/standin/model/EngineFaults.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/model/EngineFaults.java
@@ -7,6 +7,7 @@
 /** Faults of the engine itself. They outlive a crash. Not thread-safe. */
 public final class EngineFaults {
     private final Set<String> mCrashContents = new LinkedHashSet<>();
+    private final Set<String> mAnswerCrashContents = new LinkedHashSet<>();
     private @Nullable EngineRefusal mRefusal;
     private boolean mHidesCold;
     private boolean mDropsCancels;
@@ -18,11 +19,15 @@
 
     /** Crashes in the prefill of each prompt that has this text; an empty text ends that. */
     public void crashOn(String content) {
-        if (content.isEmpty()) {
-            mCrashContents.clear();
-        } else {
-            mCrashContents.add(content);
-        }
+        change(mCrashContents, content);
+    }
+
+    /**
+     * Crashes when the answer to a prompt that has this text begins, in place of its first token;
+     * an empty text ends that.
+     */
+    public void crashOnAnswer(String content) {
+        change(mAnswerCrashContents, content);
     }
 
     /** Hides in load reports that the engine is cold. */
@@ -48,7 +53,19 @@
         return mCrashContents.stream().anyMatch(prompt::contains);
     }
 
+    boolean crashesOnAnswer(String prompt) {
+        return mAnswerCrashContents.stream().anyMatch(prompt::contains);
+    }
+
     boolean hidesCold() {
         return mHidesCold;
     }
+
+    private static void change(Set<String> contents, String content) {
+        if (content.isEmpty()) {
+            contents.clear();
+        } else {
+            contents.add(content);
+        }
+    }
 }
--- a/standin/src/main/java/dev/kumquatweir/standin/model/EngineModel.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/model/EngineModel.java
@@ -271,6 +271,10 @@
         }
         for (RunningAttempt attempt : step.decoding()) {
             if (isHere(attempt)) {
+                if (attempt.beginsAnswer() && mFaults.crashesOnAnswer(attempt.mRequest.prompt())) {
+                    mPendingCrash = "content";
+                    return;
+                }
                 long index = attempt.mNextIndex++;
                 String text = StandinTokens.text(attempt.mSeed, index);
                 events.add(new EngineEvent.Token(attempt.mRequest.attempt(), index, text));
--- a/standin/src/main/java/dev/kumquatweir/standin/model/RunningAttempt.java
+++ b/standin/src/main/java/dev/kumquatweir/standin/model/RunningAttempt.java
@@ -34,8 +34,7 @@
         mReservedTokens = reservedTokens;
         mDeadlineNanos = deadlineNanos;
         mAnswerTokens = StandinTokens.answerLength(seed, request.maxTokens());
-        GenerateRequest.Resume resume = request.resume();
-        mNextIndex = resume == null ? 0 : resume.offset();
+        mNextIndex = firstIndex(request);
         mPrefillLeft = Math.max(0, mPromptTokens + mNextIndex - cachedTokens);
     }
 
@@ -47,6 +46,11 @@
         return prefillDone() && mNextIndex >= mAnswerTokens;
     }
 
+    /** Returns whether no token of this attempt has been generated yet. */
+    boolean beginsAnswer() {
+        return mNextIndex == firstIndex(mRequest);
+    }
+
     boolean decoding() {
         return prefillDone() && mNextIndex < mAnswerTokens;
     }
@@ -60,4 +64,9 @@
                 mCachedTokens,
                 mAnswerTokens);
     }
+
+    private static long firstIndex(GenerateRequest request) {
+        GenerateRequest.Resume resume = request.resume();
+        return resume == null ? 0 : resume.offset();
+    }
 }
--- a/standin/src/test/java/dev/kumquatweir/standin/EngineFaultTest.java
+++ b/standin/src/test/java/dev/kumquatweir/standin/EngineFaultTest.java
@@ -91,6 +91,24 @@
         mCalls.generate(Calls.request("a", "question", 5)).end().join();
     }
 
+    @Test
+    void crashOnAnswerComesForTextInAnyMessageOfPrompt() {
+        long before = mEngine.incarnation();
+        Calls.Reading neighbour = running("a", 3_000);
+        mCalls.fault("crash_on_answer", "\"poison\"");
+        Calls.Reading culprit =
+                mCalls.generate(
+                        Calls.request("b", "system: rules user: some poison user: question", 10));
+        assertBroken(neighbour);
+        assertBroken(culprit);
+        assertThat(culprit.hasLine("index"), is(false));
+        Calls.await("new incarnation", () -> mEngine.incarnation() > before);
+        assertThat(state("counts", "crashes").asInt(), is(1));
+
+        mCalls.fault("crash_on_answer", "\"\"");
+        mCalls.generate(Calls.request("c", "user: some poison user: question", 5)).end().join();
+    }
+
     @Test
     void coldEngineUnderMoreThanItsLimitFallsOver() {
         mCalls.fault("cold", "true");
--- a/standin/src/test/java/dev/kumquatweir/standin/model/EngineModelTest.java
+++ b/standin/src/test/java/dev/kumquatweir/standin/model/EngineModelTest.java
@@ -154,6 +154,17 @@
         assertThat(run(SECOND), hasItem(new EngineEvent.Crashed("content")));
     }
 
+    /** Guards against a crash that comes in the prefill or that spares an answer that has begun. */
+    @Test
+    void crashOnAnswerComesInPlaceOfTheFirstToken() {
+        mModel.faults().crashOnAnswer("poison");
+        String prompt = prompt("some poison before the last message ", 2_000);
+        submit("culprit", prompt, 10);
+        assertThat(run(10 * MILLI), is(List.of()));
+        assertThat(mModel.load().prefillBacklogTokens(), greaterThan(0L));
+        assertThat(run(5 * SECOND), is(List.of(new EngineEvent.Crashed("content"))));
+    }
+
     @Test
     void promptBeyondTwiceOneEnginesMemoryRunsOverExportsOfOthers() {
         String whole = prompt("whole", 25_000);
