Test chats that share a message on which engines crash

Chats that are no two alike share one message, never the last, and each engine crashes when it begins to answer one.

Cause: marks of the quarantine are kept by the hash of the whole content, so no chat matches the mark of an earlier one and each crashes engines of its own. Sound chats that run on two of these engines get two marks and are refused, which callers see as 422 quarantined.

--- a/program/src/test/java/dev/kumquatweir/program/system/Caller.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/Caller.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.kumquatweir.standin.model.StandinTokens;
 import java.io.IOException;
@@ -12,6 +13,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -117,6 +119,33 @@
                         .POST(HttpRequest.BodyPublishers.ofString(body(prompt, tokens, false))));
     }
 
+    /** Completes a chat whose first message is of the system and all others of the user. */
+    static Answer chat(String url, List<String> messages, int tokens) {
+        ObjectNode body = JSON.createObjectNode();
+        body.put("model", "quote-7b").put("max_tokens", tokens);
+        ArrayNode list = body.putArray("messages");
+        for (int number = 0; number < messages.size(); number++) {
+            list.addObject().put("role", role(number)).put("content", messages.get(number));
+        }
+        return sendOrFail(
+                request(url + "/v1/chat/completions")
+                        .header("Kumquatweir-Profile", "quick")
+                        .POST(HttpRequest.BodyPublishers.ofString(body.toString())));
+    }
+
+    /** Returns the answer that every stand-in engine gives to a chat. */
+    static String expectedChat(List<String> messages, int tokens) {
+        StringBuilder prompt = new StringBuilder();
+        for (int number = 0; number < messages.size(); number++) {
+            prompt.append(role(number)).append(": ").append(messages.get(number)).append('\n');
+        }
+        return expected(prompt.toString(), tokens);
+    }
+
+    private static String role(int number) {
+        return number == 0 ? "system" : "user";
+    }
+
     /** Streams a completion; the consumer is told of each piece of text as it comes. */
     static Streamed stream(
             String url, String profile, String prompt, int tokens, Consumer<String> onText) {
