Refuse prompts that share a message on which engines crash

Callers whose chats shared such a message, no two alike, crashed two engines with each of them, and sound chats that ran there twice got 422 quarantined.

Cause: the quarantine knew prompts only by the hash of their whole content. It now counts strikes for each message but the last as well. A crash is a strike for the messages of an attempt at the beginning of its answer, if the attempt was placed after the message's previous strike. A complete answer clears its messages, a later report of the same incarnation takes a strike back. A prompt is refused with 3 strikes against one of its messages, or 5 if that message was answered before. Strikes that a struck message explains which the prompt does not have do not count, so the shared first message refuses nobody. Strikes travel as marks do, since verdicts alone would need 3 crashes through each instance.

Ruled out: prefix blocks of the cache index, which cover all text before and need not end with a message; CrashHistory of the placement scheduler, which is bound to its types and knows only the life of a process, while serve knows incarnations and terminations.

Prompts sent as one text have no shared part.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/caller/CompletionParser.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/CompletionParser.java
@@ -9,6 +9,7 @@
 import dev.kumquatweir.gateway.dispatch.Work;
 import dev.kumquatweir.gateway.http.JsonBodies;
 import io.vavr.control.Either;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.StreamSupport;
@@ -36,16 +37,16 @@
         return model(body)
                 .flatMap(
                         model ->
-                                prompt(format, body)
+                                messages(format, body)
                                         .flatMap(
-                                                prompt ->
+                                                messages ->
                                                         maximumTokens(body)
                                                                 .map(
                                                                         tokens ->
                                                                                 request(
                                                                                         format,
                                                                                         body, model,
-                                                                                        prompt,
+                                                                                        messages,
                                                                                         tokens))));
     }
 
@@ -53,7 +54,7 @@
             CompletionFormat format,
             ObjectNode body,
             ModelName model,
-            String prompt,
+            List<String> messages,
             long maximumTokens) {
         ObjectNode parameters = JsonBodies.object();
         SAMPLING_PARAMETERS.stream()
@@ -61,7 +62,8 @@
                 .forEach(name -> parameters.set(name, body.get(name)));
         return new CompletionRequest(
                 format,
-                new Work.Generation(model, prompt, maximumTokens, parameters),
+                new Work.Generation(model, String.join("", messages), maximumTokens, parameters),
+                messages.subList(0, messages.size() - 1),
                 body.path("stream").asBoolean(false),
                 body.path("stream_options").path("include_usage").asBoolean(false));
     }
@@ -99,15 +101,17 @@
                                 + " inclusive");
     }
 
-    private static Either<RequestFailure, String> prompt(CompletionFormat format, ObjectNode body) {
-        Either<RequestFailure, String> prompt =
+    /** Returns the messages as they stand in the prompt; a text is a single one. */
+    private static Either<RequestFailure, List<String>> messages(
+            CompletionFormat format, ObjectNode body) {
+        Either<RequestFailure, List<String>> messages =
                 switch (format) {
-                    case CHAT -> chatPrompt(body.path("messages"));
-                    case TEXT -> textPrompt(body.path("prompt"));
+                    case CHAT -> chatMessages(body.path("messages"));
+                    case TEXT -> textPrompt(body.path("prompt")).map(List::of);
                 };
-        return prompt.filterOrElse(
-                text -> !text.isEmpty(),
-                text -> new RequestFailure.Malformed("prompt", "must not be empty"));
+        return messages.filterOrElse(
+                list -> !list.getFirst().isEmpty(),
+                list -> new RequestFailure.Malformed("prompt", "must not be empty"));
     }
 
     private static Either<RequestFailure, String> textPrompt(JsonNode prompt) {
@@ -120,11 +124,11 @@
         return malformed("prompt", "must be a single text string");
     }
 
-    private static Either<RequestFailure, String> chatPrompt(JsonNode messages) {
+    private static Either<RequestFailure, List<String>> chatMessages(JsonNode messages) {
         if (!(messages instanceof ArrayNode list) || list.isEmpty()) {
             return malformed("messages", "must be a list of at least one message");
         }
-        StringBuilder prompt = new StringBuilder();
+        List<String> texts = new ArrayList<>();
         for (int position = 0; position < list.size(); position++) {
             JsonNode message = list.get(position);
             JsonNode content = message.path("content");
@@ -132,10 +136,9 @@
                     || !(content.isTextual() || content instanceof ArrayNode)) {
                 return malformed("messages[" + position + "]", "must have role and content");
             }
-            prompt.append(message.path("role").textValue()).append(": ");
-            prompt.append(contentText(content)).append('\n');
+            texts.add(message.path("role").textValue() + ": " + contentText(content) + "\n");
         }
-        return Either.right(prompt.toString());
+        return Either.right(texts);
     }
 
     private static String contentText(JsonNode content) {
--- a/gateway/src/main/java/dev/kumquatweir/gateway/caller/SubmissionFactory.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/SubmissionFactory.java
@@ -28,6 +28,9 @@
 
 /** Creates submissions from callers' requests. Thread-safe. */
 final class SubmissionFactory {
+    /** Bounds what one long conversation adds to the tables of the quarantine. */
+    private static final int MAXIMUM_SHARED_PARTS = 256;
+
     private final String mIdPrefix;
     private final AtomicLong mRequestCounter = new AtomicLong();
 
@@ -64,7 +67,8 @@
                                         work.model(),
                                         profile.repeatable(),
                                         completion.canonicalContent(),
-                                        nowNanos));
+                                        nowNanos))
+                .map(submission -> submission.withSharedParts(sharedParts(completion)));
     }
 
     /** Creates the submission of a request for a plain service. */
@@ -191,6 +195,16 @@
         };
     }
 
+    /** Hashes messages together with the model, since another model may not crash on them. */
+    private static List<String> sharedParts(CompletionRequest completion) {
+        return completion.sharedMessages().stream()
+                .limit(MAXIMUM_SHARED_PARTS)
+                .map(message -> completion.generation().model() + "\n" + message)
+                .map(message -> sha256(message.getBytes(StandardCharsets.UTF_8)))
+                .distinct()
+                .toList();
+    }
+
     private static String bodyHash(Work.ServiceCall work) {
         return sha256(work.body().toArray());
     }
--- a/gateway/src/test/java/dev/kumquatweir/gateway/caller/SubmissionFactoryTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/caller/SubmissionFactoryTest.java
@@ -107,7 +107,7 @@
         Work.Generation work =
                 new Work.Generation(new ModelName("quote-7b"), "lobby", 10, JsonBodies.object());
         CompletionRequest request =
-                new CompletionRequest(CompletionFormat.TEXT, work, false, false);
+                new CompletionRequest(CompletionFormat.TEXT, work, List.of(), false, false);
         CallerHeaders headers = new CallerHeaders("", Optional.empty(), timeoutMillis, key);
         return mFactory.completion(mFactory.nextId(), document, TEAM, headers, request, 0).get();
     }
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/AttemptTracker.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/AttemptTracker.java
@@ -61,7 +61,7 @@
      *
      * @param alone whether its upstream is reserved for it
      */
-    void started(TrackedRequest tracked, RunningAttempt attempt, boolean alone) {
+    void started(TrackedRequest tracked, RunningAttempt attempt, boolean alone, long nowNanos) {
         mCurrent.put(attempt.mId, tracked);
         Announcement announcement = attempt.mPlacement.upstream().state().announcement();
         mRecovery.started(
@@ -69,7 +69,8 @@
                 attempt.mId,
                 new UpstreamIncarnation(announcement.id(), announcement.incarnation()),
                 announcement.domain(),
-                alone);
+                alone,
+                nowNanos);
         mQueues.held(tracked);
         tracked.mAvoidedUpstreams = Set.of();
     }
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/IsolationPolicy.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/IsolationPolicy.java
@@ -53,7 +53,8 @@
             AttemptId attempt,
             UpstreamIncarnation incarnation,
             FailureDomain domain,
-            boolean alone) {}
+            boolean alone,
+            long nowNanos) {}
 
     /**
      * Records the progress of an attempt.
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/PolicyDispatcher.java
@@ -243,14 +243,15 @@
         }
         DispatchAction start =
                 mPlacer.place(tracked, mRecovery.reservedUpstreams(nowNanos), nowNanos);
-        return start != null && started(tracked, start, false);
+        return start != null && started(tracked, start, false, nowNanos);
     }
 
-    private boolean started(TrackedRequest tracked, DispatchAction start, boolean alone) {
+    private boolean started(
+            TrackedRequest tracked, DispatchAction start, boolean alone, long nowNanos) {
         if (tracked.mCurrent == null) {
             return false;
         }
-        mAttempts.started(tracked, tracked.mCurrent, alone);
+        mAttempts.started(tracked, tracked.mCurrent, alone, nowNanos);
         return mPendingActions.add(start);
     }
 
@@ -260,7 +261,8 @@
                 // Offered again by a later call.
             }
             case SuspectQueue.Step.Queues queues -> mQueues.requeue(tracked, true, nowNanos);
-            case SuspectQueue.Step.Starts starts -> started(tracked, starts.action(), true);
+            case SuspectQueue.Step.Starts starts ->
+                    started(tracked, starts.action(), true, nowNanos);
             case SuspectQueue.Step.Fails fails -> fail(tracked, fails.failure(), nowNanos);
         }
     }
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/QuarantinedRecovery.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/QuarantinedRecovery.java
@@ -52,14 +52,15 @@
 
     @Override
     public void finished(WorkRequest request, AttemptId attempt, long nowNanos) {
-        mQuarantine.attemptFinished(attempt);
+        mQuarantine.attemptFinished(attempt, nowNanos);
         mNext.finished(request, attempt, nowNanos);
     }
 
     @Override
     public QuarantineDecision decide(WorkRequest request, int liveUpstreams, long nowNanos) {
         return quarantined(request)
-                ? mQuarantine.decide(request.contentHash(), liveUpstreams, nowNanos)
+                ? mQuarantine.decide(
+                        request.contentHash(), request.sharedParts(), liveUpstreams, nowNanos)
                 : new QuarantineDecision.RunUnrestricted();
     }
 
@@ -84,12 +85,14 @@
             AttemptId attempt,
             UpstreamIncarnation incarnation,
             FailureDomain domain,
-            boolean alone) {
+            boolean alone,
+            long nowNanos) {
         if (alone) {
             mQuarantine.attemptStartedAlone(attempt, request.contentHash(), incarnation, domain);
         } else if (quarantined(request)) {
             mQuarantine.attemptStarted(attempt, request.contentHash(), incarnation, domain);
         }
+        mQuarantine.attemptShares(attempt, request.sharedParts(), nowNanos);
     }
 
     @Override
--- a/policy/src/main/java/dev/kumquatweir/policy/dispatch/WorkRequest.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/dispatch/WorkRequest.java
@@ -18,6 +18,7 @@
  * @param maximumOutputTokens maximum length of the answer, in tokens
  * @param prefixHashes chained hashes of the prompt's blocks of 256 tokens, first block first
  * @param contentHash hash of the content, identical for repetitions of the request
+ * @param sharedParts hashes of the parts of the prompt that other prompts may have too, in order
  * @param repeatable false if it may be executed at most once
  * @param arrivedNanos when the request arrived
  * @param deadlineNanos deadline by which it has to end
@@ -31,12 +32,59 @@
         long maximumOutputTokens,
         List<Long> prefixHashes,
         String contentHash,
+        List<String> sharedParts,
         boolean repeatable,
         long arrivedNanos,
         long deadlineNanos) {
 
-    /** Copies the list, so that the record is immutable. */
+    /** Copies the lists, so that the record is immutable. */
     public WorkRequest {
         prefixHashes = List.copyOf(prefixHashes);
+        sharedParts = List.copyOf(sharedParts);
+    }
+
+    /** Creates a request that shares no part of its prompt. */
+    public WorkRequest(
+            RequestId id,
+            TeamName team,
+            Profile profile,
+            @Nullable ModelName model,
+            long promptTokens,
+            long maximumOutputTokens,
+            List<Long> prefixHashes,
+            String contentHash,
+            boolean repeatable,
+            long arrivedNanos,
+            long deadlineNanos) {
+        this(
+                id,
+                team,
+                profile,
+                model,
+                promptTokens,
+                maximumOutputTokens,
+                prefixHashes,
+                contentHash,
+                List.of(),
+                repeatable,
+                arrivedNanos,
+                deadlineNanos);
+    }
+
+    /** Returns this request with the parts of its prompt that others may share. */
+    public WorkRequest withSharedParts(List<String> parts) {
+        return new WorkRequest(
+                id,
+                team,
+                profile,
+                model,
+                promptTokens,
+                maximumOutputTokens,
+                prefixHashes,
+                contentHash,
+                parts,
+                repeatable,
+                arrivedNanos,
+                deadlineNanos);
     }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/quarantine/MarkStore.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/quarantine/MarkStore.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -62,6 +63,25 @@
         return count;
     }
 
+    /** Returns the incarnations that count against a content. */
+    Set<UpstreamIncarnation> strikes(String hash, long nowNanos) {
+        return mMarks.getOrDefault(hash, Map.of()).entrySet().stream()
+                .filter(entry -> entry.getValue().live(nowNanos))
+                .filter(entry -> entry.getValue().mState != SuspicionState.EXCUSED)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+    }
+
+    /** Returns whether a suspicion against a content was excused. */
+    boolean excused(String hash, long nowNanos) {
+        return count(hash, SuspicionState.EXCUSED, nowNanos) > 0;
+    }
+
+    /** Returns the contents that have marks. The view changes with the store. */
+    Set<String> hashes() {
+        return mMarks.keySet();
+    }
+
     Set<UpstreamId> suspectedUpstreams(String hash, long nowNanos) {
         Set<UpstreamId> upstreams = new TreeSet<>();
         mMarks.getOrDefault(hash, Map.of())
--- a/policy/src/main/java/dev/kumquatweir/policy/quarantine/Quarantine.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/quarantine/Quarantine.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -32,39 +33,57 @@
     private final long mRetryNanos;
     private final long mRetentionNanos;
     private final MarkStore mMarks;
+    private final PartStrikes mPartStrikes;
     private final DomainLossDetector mDomainLosses;
-    private final Map<AttemptId, Run> mRuns = new LinkedHashMap<>();
-    private final Map<UpstreamId, Run> mAlone = new HashMap<>();
-    private final Map<UpstreamIncarnation, List<Run>> mBrokenRuns = new HashMap<>();
+    private final Map<AttemptId, QuarantineRun> mRuns = new LinkedHashMap<>();
+    private final Map<UpstreamId, QuarantineRun> mAlone = new HashMap<>();
+    private final Map<UpstreamIncarnation, List<QuarantineRun>> mBrokenRuns = new HashMap<>();
     private final Map<UpstreamIncarnation, Long> mPlannedStops = new HashMap<>();
     private final Map<String, Long> mTokensAtCrash = new HashMap<>();
     private final ExclusiveUseTable mExclusiveUses;
     private long mChangeCount;
 
-    private Quarantine(Builder builder) {
+    Quarantine(QuarantineBuilder builder) {
         mCrashLimit = builder.mCrashLimit;
         mExclusiveShare = builder.mExclusiveShare;
         mClearTokens = builder.mClearTokens;
         mRetryNanos = TimeUnit.MILLISECONDS.toNanos(100);
         mRetentionNanos = TimeUnit.SECONDS.toNanos(15);
         mExclusiveUses = new ExclusiveUseTable(builder.mOwner);
-        mMarks =
-                new MarkStore(
-                        builder.mMaximumMarks,
-                        builder.mLifetimeNanos,
-                        Math.min(mRetentionNanos, builder.mLifetimeNanos),
-                        Math.min(TimeUnit.SECONDS.toNanos(5), builder.mLifetimeNanos / 4));
+        mMarks = markStore(builder);
+        mPartStrikes = new PartStrikes(markStore(builder), builder.mLifetimeNanos);
         mDomainLosses =
                 new DomainLossDetector(builder.mDomainLossUpstreams, builder.mDomainLossNanos);
     }
 
+    private MarkStore markStore(QuarantineBuilder builder) {
+        return new MarkStore(
+                builder.mMaximumMarks,
+                builder.mLifetimeNanos,
+                Math.min(mRetentionNanos, builder.mLifetimeNanos),
+                Math.min(TimeUnit.SECONDS.toNanos(5), builder.mLifetimeNanos / 4));
+    }
+
     /**
      * Returns a builder for a quarantine that refuses requests after 2 crashes, for 15 minutes,
      * with up to 10,000 marks. At most a quarter of the upstreams run suspects alone. The
      * termination of 3 upstreams of a domain within 5 s is a domain loss.
      */
-    public static Builder builder() {
-        return new Builder();
+    public static QuarantineBuilder builder() {
+        return new QuarantineBuilder();
+    }
+
+    /**
+     * Decides how a request may run, also by the parts of its prompt that others share. Called
+     * before each attempt.
+     */
+    public QuarantineDecision decide(
+            String contentHash, List<String> sharedParts, int liveUpstreams, long nowNanos) {
+        int strikes = mPartStrikes.strikesToRefuse(sharedParts, nowNanos);
+        return strikes > 0
+                ? new QuarantineDecision.Refuse(
+                        new RequestFailure.Quarantined(strikes, Executed.NO))
+                : decide(contentHash, liveUpstreams, nowNanos);
     }
 
     /**
@@ -139,7 +158,7 @@
             String contentHash,
             UpstreamIncarnation incarnation,
             FailureDomain domain) {
-        mRuns.put(attempt, new Run(contentHash, incarnation, domain, false));
+        mRuns.put(attempt, new QuarantineRun(contentHash, incarnation, domain, false));
     }
 
     /** Records the start of a suspect that runs alone on its upstream. */
@@ -148,13 +167,22 @@
             String contentHash,
             UpstreamIncarnation incarnation,
             FailureDomain domain) {
-        Run run = new Run(contentHash, incarnation, domain, true);
+        QuarantineRun run = new QuarantineRun(contentHash, incarnation, domain, true);
         mRuns.put(attempt, run);
         mExclusiveUses.release(incarnation.upstream());
         mAlone.put(incarnation.upstream(), run);
         mChangeCount++;
     }
 
+    /** Records the parts of the prompt of a started attempt that other prompts may share. */
+    public void attemptShares(AttemptId attempt, List<String> sharedParts, long nowNanos) {
+        QuarantineRun run = mRuns.get(attempt);
+        if (run != null) {
+            run.mSharedParts = sharedParts;
+            run.mStartedNanos = nowNanos;
+        }
+    }
+
     /**
      * Records the progress of an attempt. A suspect that runs alone is cleared once it has passed
      * the token count at which the upstream crashed.
@@ -162,20 +190,27 @@
      * @param tokens total tokens of the answer so far
      */
     public void attemptProgressed(AttemptId attempt, long tokens) {
-        Run run = mRuns.get(attempt);
+        QuarantineRun run = mRuns.get(attempt);
         if (run == null) {
             return;
         }
         run.mTokens = tokens;
+        run.mFirstTokens = Math.min(run.mFirstTokens, tokens);
         Long tokensAtCrash = mTokensAtCrash.get(run.mContentHash);
         if (run.mAlone && tokensAtCrash != null && tokens >= tokensAtCrash + mClearTokens) {
             clear(run);
         }
     }
 
-    /** Records a complete answer. A request that ran alone is no longer a suspect. */
-    public void attemptFinished(AttemptId attempt) {
-        Run run = mRuns.remove(attempt);
+    /**
+     * Records a complete answer. A request that ran alone is no longer a suspect, nor are the parts
+     * that its prompt shares with others.
+     */
+    public void attemptFinished(AttemptId attempt, long nowNanos) {
+        QuarantineRun run = mRuns.remove(attempt);
+        if (run != null && mPartStrikes.answered(run.mSharedParts, nowNanos)) {
+            mChangeCount++;
+        }
         if (run != null && run.mAlone) {
             clear(run);
         }
@@ -191,7 +226,7 @@
 
     /** Records a broken attempt. Whether its upstream crashed is often known only later. */
     public void attemptBroken(AttemptId attempt, AttemptEvent.BreakCause how, long nowNanos) {
-        Run run = mRuns.remove(attempt);
+        QuarantineRun run = mRuns.remove(attempt);
         endIsolation(run);
         if (run == null || planned(run.mIncarnation, nowNanos)) {
             return;
@@ -200,6 +235,7 @@
         switch (how) {
             case CONNECTION_LOST, UPSTREAM_GONE -> {
                 remember(run);
+                strikeParts(run, SuspicionState.PROVISIONAL, nowNanos);
                 if (recordLoss(run.mIncarnation, run.mDomain, nowNanos).isEmpty()) {
                     blame(run, SuspicionState.PROVISIONAL, nowNanos);
                 }
@@ -218,6 +254,7 @@
     public void upstreamAlive(UpstreamIncarnation incarnation) {
         if (mBrokenRuns.remove(incarnation) != null) {
             mMarks.excuse(incarnation);
+            mPartStrikes.excuse(incarnation);
             mDomainLosses.remove(incarnation);
         }
     }
@@ -227,7 +264,7 @@
      * broke so recently that it may have been sent before and relayed by another instance.
      */
     public void upstreamAlive(UpstreamIncarnation incarnation, long nowNanos) {
-        List<Run> broken = mBrokenRuns.get(incarnation);
+        List<QuarantineRun> broken = mBrokenRuns.get(incarnation);
         if (broken != null
                 && broken.stream()
                         .allMatch(run -> nowNanos - run.mBrokenNanos >= REPORT_DELAY_NANOS)) {
@@ -241,6 +278,7 @@
     public void upstreamLeaving(UpstreamIncarnation incarnation, long nowNanos) {
         mPlannedStops.put(incarnation, nowNanos);
         mMarks.excuse(incarnation);
+        mPartStrikes.excuse(incarnation);
     }
 
     /**
@@ -249,11 +287,13 @@
      */
     public TerminationVerdict upstreamTerminated(
             UpstreamIncarnation incarnation, FailureDomain domain, long nowNanos) {
-        List<Run> victims = new ArrayList<>(mBrokenRuns.getOrDefault(incarnation, List.of()));
+        List<QuarantineRun> victims =
+                new ArrayList<>(mBrokenRuns.getOrDefault(incarnation, List.of()));
         victims.removeIf(run -> nowNanos - run.mBrokenNanos > mRetentionNanos);
         mBrokenRuns.remove(incarnation);
-        for (Run run : List.copyOf(mRuns.values())) {
+        for (QuarantineRun run : List.copyOf(mRuns.values())) {
             if (run.mIncarnation.equals(incarnation)) {
+                run.mBrokenNanos = nowNanos;
                 victims.add(run);
                 endIsolation(run);
             }
@@ -262,12 +302,13 @@
         if (planned(incarnation, nowNanos)) {
             return new TerminationVerdict.Planned();
         }
+        victims.forEach(run -> strikeParts(run, SuspicionState.CONFIRMED, nowNanos));
         List<UpstreamIncarnation> lost = recordLoss(incarnation, domain, nowNanos);
         if (!lost.isEmpty()) {
             return new TerminationVerdict.DomainLoss(domain, lost.size());
         }
         Set<String> hashes = new HashSet<>();
-        for (Run run : victims) {
+        for (QuarantineRun run : victims) {
             blame(run, SuspicionState.CONFIRMED, nowNanos);
             hashes.add(run.mContentHash);
         }
@@ -276,12 +317,18 @@
 
     /** Returns the marks to send to other instances, periodically and on each change. */
     public List<QuarantineMark> marks(long nowNanos) {
-        return mMarks.spread(nowNanos);
+        return Stream.concat(
+                        mMarks.spread(nowNanos).stream(), mPartStrikes.spread(nowNanos).stream())
+                .toList();
     }
 
     /** Merges a mark received from another instance. */
     public void mergeRemote(QuarantineMark mark, long nowNanos) {
-        mMarks.absorb(mark, nowNanos);
+        if (mark.ofPart()) {
+            mPartStrikes.absorb(mark, nowNanos);
+        } else {
+            mMarks.absorb(mark, nowNanos);
+        }
     }
 
     /** Returns the upstreams that this instance uses for suspects, to send frequently. */
@@ -309,6 +356,7 @@
     /** Removes expired state. Called periodically. */
     public void expire(long nowNanos) {
         mMarks.expire(nowNanos);
+        mPartStrikes.expire(nowNanos);
         mDomainLosses.expire(nowNanos - 2 * mRetentionNanos);
         mPlannedStops.values().removeIf(time -> nowNanos - time > mRetentionNanos);
         mExclusiveUses.expire(nowNanos);
@@ -329,17 +377,24 @@
         return mMarks.size();
     }
 
-    private void remember(Run run) {
+    private void remember(QuarantineRun run) {
         mBrokenRuns.computeIfAbsent(run.mIncarnation, key -> new ArrayList<>()).add(run);
     }
 
-    private void blame(Run run, SuspicionState state, long nowNanos) {
+    private void blame(QuarantineRun run, SuspicionState state, long nowNanos) {
         mChangeCount++;
         mMarks.blame(run.mContentHash, run.mIncarnation, state, nowNanos);
         mTokensAtCrash.merge(run.mContentHash, run.mTokens, Math::max);
     }
 
-    private void clear(Run run) {
+    private void strikeParts(QuarantineRun run, SuspicionState state, long nowNanos) {
+        if (run.beginsAnswer(mClearTokens)) {
+            mChangeCount++;
+            mPartStrikes.strike(run, state, nowNanos);
+        }
+    }
+
+    private void clear(QuarantineRun run) {
         endIsolation(run);
         mChangeCount++;
         mMarks.excuse(run.mContentHash);
@@ -353,7 +408,7 @@
         return lost;
     }
 
-    private void endIsolation(@Nullable Run run) {
+    private void endIsolation(@Nullable QuarantineRun run) {
         if (run != null && run.mAlone) {
             run.mAlone = false;
             mChangeCount++;
@@ -369,75 +424,4 @@
         Long since = mPlannedStops.get(incarnation);
         return since != null && nowNanos - since <= mRetentionNanos;
     }
-
-    private static final class Run {
-        private final String mContentHash;
-        private final UpstreamIncarnation mIncarnation;
-        private final FailureDomain mDomain;
-        private boolean mAlone;
-        private long mTokens;
-        private long mBrokenNanos;
-
-        Run(
-                String contentHash,
-                UpstreamIncarnation incarnation,
-                FailureDomain domain,
-                boolean alone) {
-            mContentHash = contentHash;
-            mIncarnation = incarnation;
-            mDomain = domain;
-            mAlone = alone;
-        }
-    }
-
-    /** Builds a {@link Quarantine}. Not thread-safe. */
-    public static final class Builder {
-        private String mOwner = "";
-        private int mCrashLimit = 2;
-        private int mMaximumMarks = 10_000;
-        private long mLifetimeNanos = TimeUnit.MINUTES.toNanos(15);
-        private double mExclusiveShare = 0.25;
-        private long mClearTokens = 16;
-        private int mDomainLossUpstreams = 3;
-        private long mDomainLossNanos = TimeUnit.SECONDS.toNanos(5);
-
-        private Builder() {}
-
-        /** Sets the unique name of this instance. */
-        public Builder owner(String name) {
-            mOwner = name;
-            return this;
-        }
-
-        /** Sets the maximum number of marks and their lifetime. */
-        public Builder marks(int maximum, long lifetimeNanos) {
-            mMaximumMarks = maximum;
-            mLifetimeNanos = lifetimeNanos;
-            return this;
-        }
-
-        /** Sets the maximum share of upstreams that run suspects, 0 to 1. */
-        public Builder exclusiveShare(double value) {
-            mExclusiveShare = value;
-            return this;
-        }
-
-        /** Sets how many tokens beyond the token count at the crash clear a suspect. */
-        public Builder clearTokens(long value) {
-            mClearTokens = value;
-            return this;
-        }
-
-        /** Sets how many upstreams of a domain terminate within the window of a domain loss. */
-        public Builder domainLoss(int upstreams, long windowNanos) {
-            mDomainLossUpstreams = upstreams;
-            mDomainLossNanos = windowNanos;
-            return this;
-        }
-
-        /** Builds a quarantine without marks. */
-        public Quarantine build() {
-            return new Quarantine(this);
-        }
-    }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/quarantine/QuarantineMark.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/quarantine/QuarantineMark.java
@@ -7,15 +7,32 @@
  * Suspicions against a request, exchanged between instances. Merging is commutative, associative
  * and idempotent. Immutable.
  *
- * @param contentHash content hash of the request
+ * @param contentHash content hash of the request, or name of a part that prompts share
  * @param suspicions suspicions by the upstream incarnation on which the request ran
  */
 public record QuarantineMark(String contentHash, Map<UpstreamIncarnation, Suspicion> suspicions) {
+    private static final String PART_PREFIX = "part:";
+
     /** Copies the map, so that the record is immutable. */
     public QuarantineMark {
         suspicions = Map.copyOf(suspicions);
     }
 
+    /** Returns a mark against a part that prompts share instead of a whole request. */
+    static QuarantineMark ofPart(String part, Map<UpstreamIncarnation, Suspicion> suspicions) {
+        return new QuarantineMark(PART_PREFIX + part, suspicions);
+    }
+
+    /** Returns whether this is a mark against a part that prompts share. */
+    public boolean ofPart() {
+        return contentHash.startsWith(PART_PREFIX);
+    }
+
+    /** Returns the hash of the part of {@link #ofPart()}. */
+    String part() {
+        return contentHash.substring(PART_PREFIX.length());
+    }
+
     /** Returns the union of two marks of the same request. */
     public QuarantineMark merge(QuarantineMark other) {
         if (!contentHash.equals(other.contentHash)) {
--- a/program/src/main/java/dev/kumquatweir/program/spread/QuarantineSynchronizer.java
+++ b/program/src/main/java/dev/kumquatweir/program/spread/QuarantineSynchronizer.java
@@ -34,6 +34,7 @@
     private static final long REPEAT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final int MARKS_PER_REPEAT = 100;
     private static final int CONFIRMED_SUSPICION_LIMIT = 2;
+    private static final int PART_STRIKE_LIMIT = 3;
 
     private final Quarantine mQuarantine;
     private final Consumer<LongConsumer> mDispatchExecutor;
@@ -43,6 +44,7 @@
     private final Map<String, Map<UpstreamIncarnation, SuspicionState>> mSentStates =
             new HashMap<>();
     private final Set<String> mRefusedContents = new HashSet<>();
+    private final Set<String> mStruckParts = new HashSet<>();
     private long mSentChangeCount;
     private long mLastRepeatNanos = Long.MIN_VALUE;
     private String mLastRepeatedHash = "";
@@ -122,7 +124,8 @@
         if (repeatDue) {
             mLastRepeatNanos = nowNanos;
             due.addAll(nextRepeatedMarks(marks));
-            updateCounts(marks);
+            updateCounts(marks.stream().filter(mark -> !mark.ofPart()).toList());
+            logStruckParts(marks.stream().filter(QuarantineMark::ofPart).toList());
         }
         send(due.stream().distinct().flatMap(mark -> splitMark(mark).stream()).toList(), nowNanos);
     }
@@ -205,6 +208,27 @@
         mRefusedCount = refused.size();
     }
 
+    /** Logs the parts of prompts that have reached the strikes for which prompts are refused. */
+    private void logStruckParts(List<QuarantineMark> marks) {
+        Set<String> struck = new HashSet<>();
+        for (QuarantineMark mark : marks) {
+            List<String> upstreams =
+                    mark.suspicions().entrySet().stream()
+                            .filter(entry -> entry.getValue().state() != SuspicionState.EXCUSED)
+                            .map(entry -> entry.getKey().upstream().value())
+                            .sorted()
+                            .toList();
+            if (upstreams.size() >= PART_STRIKE_LIMIT) {
+                struck.add(mark.contentHash());
+                if (!mStruckParts.contains(mark.contentHash())) {
+                    LOG.warn("part_struck", "part", mark.contentHash(), "upstreams", upstreams);
+                }
+            }
+        }
+        mStruckParts.clear();
+        mStruckParts.addAll(struck);
+    }
+
     private static List<QuarantineMark> splitMark(QuarantineMark mark) {
         if (mark.suspicions().size() <= QuarantineCodec.MAXIMUM_SUSPICIONS) {
             return List.of(mark);
