Carry quarantined parts in watch messages

The verdict that a part of prompts crashes upstreams exists only in the memory of the leader's scheduler: a new leader, a control instance that comes back or an entry instance that schedules alone starts with none. This adds the soft state for it, which nothing fills yet: QuarantineDirectory keeps for each part the last verdict and its time on the clock of the process; watch responses carry what changed since the watcher's revision, watch requests what the control instance may lack, so that control instances that lost their memory all at once learn it from their watchers.

Ages alone can't order verdicts: each message makes an age younger by the time that it takes, so that two instances which keep the younger age would pass a verdict to each other for ever and a withdrawn one would come back. Each verdict therefore has a stamp that is carried unchanged, the higher one holds, and a withdrawal is a verdict with a stamp above the one that it withdraws, whatever the wall clocks of the two machines say. An entry stays for twice its retention, so that a copy that ends a little later doesn't revive it. At most 256 parts are kept; without verdicts a message is two bytes longer.

--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
@@ -57,6 +57,7 @@
     private final Function<Bytes, ? extends Either<? extends Failure, RoutingTable>> mRoutingReader;
     private final UpstreamDirectory mLocalUpstreams = new UpstreamDirectory();
     private final UpstreamDirectory mUpstreams = new UpstreamDirectory();
+    private final QuarantineDirectory mQuarantine = new QuarantineDirectory();
     private final WatchServer mWatchServer;
     private final WatchClient mWatchClient;
     private final LeaderScheduler mScheduler;
@@ -80,7 +81,7 @@
         mClocks = clocks;
         mControlInstances = controlInstances;
         mRoutingReader = routingReader;
-        mWatchServer = new WatchServer(mLocalUpstreams, clocks.nowMillis());
+        mWatchServer = new WatchServer(mLocalUpstreams, mQuarantine, clocks.nowMillis());
         mScheduler = new LeaderScheduler(limits, metrics, clocks);
         mEventLoop =
                 new EventLoop(
@@ -93,6 +94,7 @@
                 new WatchClient(
                         self,
                         false,
+                        mQuarantine,
                         network,
                         clocks,
                         mEventLoop::offer,
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleetView.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleetView.java
@@ -37,6 +37,7 @@
     private final ControlInstanceDirectory mControlInstances;
     private final Function<Bytes, ? extends Either<? extends Failure, RoutingTable>> mRoutingReader;
     private final UpstreamDirectory mUpstreams = new UpstreamDirectory();
+    private final QuarantineDirectory mQuarantine = new QuarantineDirectory();
     private final WatchClient mWatchClient;
     private final EntryPlacement mPlacement;
     private RoutingImage mRoutingImage = RoutingImage.EMPTY;
@@ -65,6 +66,7 @@
                 new WatchClient(
                         self,
                         true,
+                        mQuarantine,
                         network,
                         clocks,
                         executor,
--- /dev/null
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/QuarantineDirectory.java
@@ -0,0 +1,232 @@
+package dev.kumquatweir.program.fleet;
+
+import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.policy.placement.QuarantinedPart;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/**
+ * Verdicts on parts of prompts that are known to this process, with the times of their last crash
+ * or withdrawal on its own monotonic clock. Every instance keeps one, so that quarantines outlive
+ * the scheduler that decided on them. Not thread-safe, except for the count.
+ *
+ * <p>Of two verdicts on one part, the one with the higher stamp holds. A scheduler stamps its
+ * verdict with its wall clock, or just above the verdict that it replaces if that is higher, so
+ * that a withdrawal prevails over the quarantine that it withdraws on machines whose clocks differ.
+ * An entry stays for some time after its retention, so that a copy elsewhere that ends a little
+ * later doesn't revive it.
+ */
+final class QuarantineDirectory {
+    private static final EventLog LOG = EventLog.of(QuarantineDirectory.class);
+
+    /** Time since the last crash after which a part is no longer quarantined. */
+    static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(60);
+
+    private static final long REMOVAL_NANOS = 2 * RETENTION_NANOS;
+    static final int MAXIMUM_PARTS = 256;
+    static final int MAXIMUM_PART_LENGTH = 256;
+
+    /** A crash that is later by less is not published, so that each crash is not a message. */
+    private static final long REFRESH_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final Map<String, Entry> mEntries = new LinkedHashMap<>();
+    private long mRevision;
+    private volatile int mQuarantinedCount;
+
+    private record Entry(String part, long stamp, boolean cleared, long eventNanos, long revision) {
+        boolean retained(long nowNanos) {
+            return nowNanos - eventNanos < RETENTION_NANOS;
+        }
+
+        boolean quarantined(long nowNanos) {
+            return !cleared && retained(nowNanos);
+        }
+
+        long ageMillis(long nowNanos) {
+            return Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - eventNanos));
+        }
+
+        QuarantineVerdict verdict(long nowNanos) {
+            return new QuarantineVerdict(part, stamp, cleared, ageMillis(nowNanos));
+        }
+    }
+
+    /**
+     * Merges the verdicts that another instance knows.
+     *
+     * @return the verdicts that are new here
+     */
+    List<QuarantineVerdict> merge(
+            InstanceId peer, List<QuarantineVerdict> verdicts, long nowNanos) {
+        List<QuarantineVerdict> learned =
+                verdicts.stream().filter(verdict -> store(verdict, nowNanos)).toList();
+        learned.forEach(
+                verdict ->
+                        LOG.info(
+                                "quarantine_learned",
+                                "part",
+                                verdict.part(),
+                                "peer",
+                                peer,
+                                "cleared",
+                                verdict.cleared(),
+                                "age_ms",
+                                verdict.ageMillis()));
+        updateCount(nowNanos);
+        return learned;
+    }
+
+    /**
+     * Takes over the verdicts of the scheduler of this process, which knows all that is quarantined
+     * here: what it no longer reports, it has withdrawn.
+     *
+     * @param parts parts that the scheduler has in quarantine
+     * @param wallMillis present time of the wall clock
+     * @return whether anything has changed
+     */
+    boolean update(List<QuarantinedPart> parts, long nowNanos, long wallMillis) {
+        if (parts.isEmpty() && mEntries.isEmpty()) {
+            return false;
+        }
+        List<QuarantineVerdict> verdicts = new ArrayList<>();
+        parts.stream()
+                .filter(part -> isNewer(part, nowNanos))
+                .map(
+                        part ->
+                                new QuarantineVerdict(
+                                        part.part(),
+                                        nextStamp(part.part(), wallMillis),
+                                        false,
+                                        part.ageMillis()))
+                .forEach(verdicts::add);
+        Set<String> reported =
+                parts.stream().map(QuarantinedPart::part).collect(Collectors.toSet());
+        mEntries.values().stream()
+                .filter(entry -> entry.quarantined(nowNanos) && !reported.contains(entry.part()))
+                .map(
+                        entry ->
+                                new QuarantineVerdict(
+                                        entry.part(), nextStamp(entry.part(), wallMillis), true, 0))
+                .forEach(verdicts::add);
+        List<QuarantineVerdict> changes =
+                verdicts.stream().filter(verdict -> store(verdict, nowNanos)).toList();
+        changes.forEach(
+                verdict ->
+                        LOG.info(
+                                "quarantine_decided",
+                                "part",
+                                verdict.part(),
+                                "cleared",
+                                verdict.cleared(),
+                                "age_ms",
+                                verdict.ageMillis()));
+        updateCount(nowNanos);
+        return !changes.isEmpty();
+    }
+
+    /** Returns the parts in quarantine. */
+    List<QuarantinedPart> quarantinedParts(long nowNanos) {
+        return mEntries.values().stream()
+                .filter(entry -> entry.quarantined(nowNanos))
+                .map(entry -> new QuarantinedPart(entry.part(), entry.ageMillis(nowNanos)))
+                .toList();
+    }
+
+    /** Returns whether a part is in quarantine. */
+    boolean isQuarantined(String part, long nowNanos) {
+        Entry entry = mEntries.get(part);
+        return entry != null && entry.quarantined(nowNanos);
+    }
+
+    /** Returns the revision, which increases with each stored verdict. */
+    long revision() {
+        return mRevision;
+    }
+
+    /** Returns the verdicts stored after a revision, 0 for all. */
+    List<QuarantineVerdict> changedSince(long revision, long nowNanos) {
+        if (revision >= mRevision) {
+            return List.of();
+        }
+        return mEntries.values().stream()
+                .filter(entry -> entry.revision() > revision && entry.retained(nowNanos))
+                .map(entry -> entry.verdict(nowNanos))
+                .toList();
+    }
+
+    /** Removes entries that no copy elsewhere can revive any more. */
+    void expire(long nowNanos) {
+        mEntries.values().removeIf(entry -> nowNanos - entry.eventNanos() >= REMOVAL_NANOS);
+        updateCount(nowNanos);
+    }
+
+    /** Returns the number of parts in quarantine at the last change; from any thread. */
+    int quarantinedCount() {
+        return mQuarantinedCount;
+    }
+
+    private boolean store(QuarantineVerdict verdict, long nowNanos) {
+        long eventNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(verdict.ageMillis());
+        Entry known = mEntries.get(verdict.part());
+        boolean outdated = known != null && !verdict.overrules(known.stamp(), known.cleared());
+        if (outdated
+                || verdict.part().length() > MAXIMUM_PART_LENGTH
+                || nowNanos - eventNanos >= RETENTION_NANOS
+                || (known == null && !makeRoom(eventNanos, nowNanos))) {
+            return false;
+        }
+        mRevision++;
+        mEntries.put(
+                verdict.part(),
+                new Entry(
+                        verdict.part(), verdict.stamp(), verdict.cleared(), eventNanos, mRevision));
+        return true;
+    }
+
+    /**
+     * Removes the oldest entry of a full directory, unless the new one is as old. Without a margin,
+     * two entries of nearly the same age would replace each other in turn.
+     */
+    private boolean makeRoom(long eventNanos, long nowNanos) {
+        if (mEntries.size() < MAXIMUM_PARTS) {
+            return true;
+        }
+        Entry oldest =
+                mEntries.values().stream()
+                        .max(Comparator.comparingLong(entry -> nowNanos - entry.eventNanos()))
+                        .orElseThrow();
+        if (eventNanos - oldest.eventNanos() <= REFRESH_NANOS) {
+            return false;
+        }
+        mEntries.remove(oldest.part());
+        return true;
+    }
+
+    private boolean isNewer(QuarantinedPart part, long nowNanos) {
+        Entry known = mEntries.get(part.part());
+        long crashNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(part.ageMillis());
+        return known == null
+                || !known.quarantined(nowNanos)
+                || crashNanos - known.eventNanos() > REFRESH_NANOS;
+    }
+
+    private long nextStamp(String part, long wallMillis) {
+        Entry known = mEntries.get(part);
+        return known == null ? wallMillis : Math.max(wallMillis, known.stamp() + 1);
+    }
+
+    private void updateCount(long nowNanos) {
+        mQuarantinedCount =
+                (int)
+                        mEntries.values().stream()
+                                .filter(entry -> entry.quarantined(nowNanos))
+                                .count();
+    }
+}
--- a/program/src/main/java/dev/kumquatweir/program/fleet/WatchClient.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchClient.java
@@ -34,6 +34,7 @@
 
     private final InstanceId mSelf;
     private final boolean mIsEntry;
+    private final QuarantineDirectory mQuarantine;
     private final PeerNetwork mNetwork;
     private final Clocks mClocks;
     private final Executor mExecutor;
@@ -46,8 +47,7 @@
         private boolean mRequestPending;
         private boolean mLeading;
         private boolean mUnreachable;
-        private long mIncarnation;
-        private long mRevision;
+        private final WatchProgress mProgress = new WatchProgress();
         private long mNextRequestNanos;
     }
 
@@ -55,6 +55,7 @@
      * Creates a client that does not watch any instance yet.
      *
      * @param isEntry whether this instance serves callers
+     * @param quarantine verdicts on parts of prompts known to this instance
      * @param executor runs response handlers
      * @param routingChangeCount change count of the routing image known to this instance
      * @param listener called with each response
@@ -62,6 +63,7 @@
     WatchClient(
             InstanceId self,
             boolean isEntry,
+            QuarantineDirectory quarantine,
             PeerNetwork network,
             Clocks clocks,
             Executor executor,
@@ -69,6 +71,7 @@
             BiConsumer<InstanceId, WatchResponse> listener) {
         mSelf = self;
         mIsEntry = isEntry;
+        mQuarantine = quarantine;
         mNetwork = network;
         mClocks = clocks;
         mExecutor = executor;
@@ -97,19 +100,18 @@
         mStates.forEach(
                 (peer, state) -> {
                     if (!state.mRequestPending && nowNanos - state.mNextRequestNanos >= 0) {
-                        sendRequest(peer, state);
+                        sendRequest(peer, state, nowNanos);
                     }
                 });
     }
 
-    private void sendRequest(InstanceId peer, WatchState state) {
+    private void sendRequest(InstanceId peer, WatchState state, long nowNanos) {
         state.mRequestPending = true;
         long waitMillis = state.mLeading ? LEADER_WAIT_MILLIS : WAIT_MILLIS;
         WatchRequest request =
-                new WatchRequest(
+                state.mProgress.nextRequest(
                         mRoutingChangeCount.getAsLong(),
-                        state.mIncarnation,
-                        state.mRevision,
+                        mQuarantine.changedSince(0, nowNanos),
                         mIsEntry,
                         waitMillis);
         CompletionStage<Either<TransportFailure, Bytes>> response =
@@ -119,11 +121,14 @@
                         request.encode(),
                         TimeUnit.MILLISECONDS.toNanos(waitMillis + RESPONSE_MARGIN_MILLIS));
         response.thenAccept(
-                content -> mExecutor.execute(() -> handleResponse(peer, state, content)));
+                content -> mExecutor.execute(() -> handleResponse(peer, state, request, content)));
     }
 
     private void handleResponse(
-            InstanceId peer, WatchState state, Either<TransportFailure, Bytes> content) {
+            InstanceId peer,
+            WatchState state,
+            WatchRequest request,
+            Either<TransportFailure, Bytes> content) {
         state.mRequestPending = false;
         if (mStates.get(peer) != state) {
             return;
@@ -144,17 +149,17 @@
             LOG.info("control_regained", "peer", peer, "term", response.get().term());
         }
         state.mLeading = response.get().leading();
-        state.mIncarnation = response.get().directoryIncarnation();
-        state.mRevision = response.get().directoryRevision();
+        state.mProgress.recordResponse(request, response.get());
         mListener.accept(peer, response.get());
         if (mStates.get(peer) == state) {
-            sendRequest(peer, state);
+            sendRequest(peer, state, mClocks.nowNanos());
         }
     }
 
     private void handleFailure(InstanceId peer, WatchState state, TransportFailure failure) {
         state.mNextRequestNanos = mClocks.nowNanos() + RETRY_DELAY_NANOS;
         state.mLeading = false;
+        state.mProgress.recordFailure();
         if (!state.mUnreachable) {
             state.mUnreachable = true;
             LOG.failure("control_lost", failure, "peer", peer);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/WatchRequest.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchRequest.java
@@ -5,6 +5,7 @@
 import dev.kumquatweir.core.pack.MessagePackReader;
 import dev.kumquatweir.core.pack.MessagePackWriter;
 import io.vavr.control.Either;
+import java.util.List;
 
 /**
  * Long-poll request to a control instance for changes since its last response. Answered at once if
@@ -13,6 +14,9 @@
  * @param routingChangeCount change count of the routing image known to the sender
  * @param directoryIncarnation start of the receiving process to which the revision belongs
  * @param directoryRevision revision of its directory up to which the sender has the statuses
+ * @param quarantineRevision revision of its quarantine directory up to which the sender has the
+ *     verdicts
+ * @param verdicts verdicts on parts of prompts that the receiver may lack
  * @param fromEntry whether the sender is an entry instance, which serves callers
  * @param maximumWaitMillis time after which it is answered at the latest
  */
@@ -20,13 +24,21 @@
         long routingChangeCount,
         long directoryIncarnation,
         long directoryRevision,
+        long quarantineRevision,
+        List<QuarantineVerdict> verdicts,
         boolean fromEntry,
         long maximumWaitMillis) {
+    WatchRequest {
+        verdicts = List.copyOf(verdicts);
+    }
+
     Bytes encode() {
         return new MessagePackWriter()
                 .writeLong(routingChangeCount)
                 .writeLong(directoryIncarnation)
                 .writeLong(directoryRevision)
+                .writeLong(quarantineRevision)
+                .writeList(verdicts, QuarantineVerdict::write)
                 .writeBoolean(fromEntry)
                 .writeLong(maximumWaitMillis)
                 .toBytes();
@@ -40,6 +52,8 @@
                                 reader.readLong(),
                                 reader.readLong(),
                                 reader.readLong(),
+                                reader.readLong(),
+                                reader.readList(QuarantineVerdict::read),
                                 reader.readBoolean(),
                                 reader.readLong()));
     }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/WatchResponse.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchResponse.java
@@ -31,6 +31,8 @@
  * @param directoryIncarnation start of the process to which the revision belongs
  * @param directoryRevision revision of its directory, included in {@code statuses}
  * @param statuses statuses that it received after the watcher's revision
+ * @param quarantineRevision revision of its quarantine directory, included in {@code verdicts}
+ * @param verdicts verdicts on parts of prompts that it learned after the watcher's revision
  */
 record WatchResponse(
         long term,
@@ -41,10 +43,13 @@
         Optional<RoutingImage> newerRouting,
         long directoryIncarnation,
         long directoryRevision,
-        List<AgedUpstreamStatus> statuses) {
+        List<AgedUpstreamStatus> statuses,
+        long quarantineRevision,
+        List<QuarantineVerdict> verdicts) {
     WatchResponse {
         members = List.copyOf(members);
         statuses = List.copyOf(statuses);
+        verdicts = List.copyOf(verdicts);
     }
 
     Bytes encode() {
@@ -54,6 +59,8 @@
         writer.writeList(newerRouting.stream().toList(), StateCodec::writeRouting);
         writer.writeLong(directoryIncarnation).writeLong(directoryRevision);
         writer.writeList(statuses, WatchResponse::write);
+        writer.writeLong(quarantineRevision);
+        writer.writeList(verdicts, QuarantineVerdict::write);
         return writer.toBytes();
     }
 
@@ -70,7 +77,9 @@
                                 reader.readList(StateCodec::readRouting).stream().findFirst(),
                                 reader.readLong(),
                                 reader.readLong(),
-                                reader.readList(WatchResponse::read)));
+                                reader.readList(WatchResponse::read),
+                                reader.readLong(),
+                                reader.readList(QuarantineVerdict::read)));
     }
 
     private static void write(MessagePackWriter writer, AgedUpstreamStatus aged) {
--- a/program/src/main/java/dev/kumquatweir/program/fleet/WatchServer.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchServer.java
@@ -33,6 +33,7 @@
     private static final long CONFIRMATION_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final UpstreamDirectory mLocalUpstreams;
+    private final QuarantineDirectory mQuarantine;
     private final long mIncarnation;
     private final Map<InstanceId, PendingWatch> mPendingWatches = new LinkedHashMap<>();
     private final Map<InstanceId, EntryProgress> mEntries = new HashMap<>();
@@ -67,10 +68,13 @@
 
     /**
      * @param localUpstreams statuses received by this instance directly from upstreams
+     * @param quarantine verdicts on parts of prompts known to this instance
      * @param incarnation number that identifies this start of the process
      */
-    WatchServer(UpstreamDirectory localUpstreams, long incarnation) {
+    WatchServer(
+            UpstreamDirectory localUpstreams, QuarantineDirectory quarantine, long incarnation) {
         mLocalUpstreams = localUpstreams;
+        mQuarantine = quarantine;
         mIncarnation = incarnation;
     }
 
@@ -90,7 +94,7 @@
         // until the next one.
         boolean missedNotification =
                 mLastNotificationByPeer.getOrDefault(peer, -1L) != mNotificationCount;
-        if (missedNotification || hasNews(pending)) {
+        if (missedNotification || hasNews(pending, nowNanos)) {
             respond(peer, pending, nowNanos);
         } else {
             mPendingWatches.put(peer, pending);
@@ -160,8 +164,19 @@
         return silentEntries;
     }
 
-    private boolean hasNews(PendingWatch pending) {
-        return includesRouting(pending) || pending.request().directoryIncarnation() != mIncarnation;
+    private boolean hasNews(PendingWatch pending, long nowNanos) {
+        return includesRouting(pending)
+                || pending.request().directoryIncarnation() != mIncarnation
+                || !newVerdicts(pending.request(), nowNanos).isEmpty();
+    }
+
+    /** Returns the verdicts that the watcher lacks; those in its request it has. */
+    private List<QuarantineVerdict> newVerdicts(WatchRequest request, long nowNanos) {
+        long knownRevision =
+                request.directoryIncarnation() == mIncarnation ? request.quarantineRevision() : 0;
+        return mQuarantine.changedSince(knownRevision, nowNanos).stream()
+                .filter(verdict -> request.verdicts().stream().noneMatch(verdict::isSameAs))
+                .toList();
     }
 
     private boolean includesRouting(PendingWatch pending) {
@@ -187,7 +202,9 @@
                         includesRouting(pending) ? Optional.of(routing) : Optional.empty(),
                         mIncarnation,
                         mLocalUpstreams.revision(),
-                        mLocalUpstreams.changedSince(knownRevision, nowNanos));
+                        mLocalUpstreams.changedSince(knownRevision, nowNanos),
+                        mQuarantine.revision(),
+                        newVerdicts(request, nowNanos));
         pending.responder().respond(response.encode());
     }
 
--- a/program/src/test/java/dev/kumquatweir/program/fleet/WatchServerTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/WatchServerTest.java
@@ -7,6 +7,7 @@
 import dev.kumquatweir.agreement.state.RoutingImage;
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.policy.placement.QuarantinedPart;
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,7 +21,8 @@
     private static final RoutingImage ROUTING =
             new RoutingImage(7, Bytes.ofText("routes"), Set.of(), 3);
 
-    private final WatchServer mServer = new WatchServer(new UpstreamDirectory(), 1);
+    private final QuarantineDirectory mQuarantine = new QuarantineDirectory();
+    private final WatchServer mServer = new WatchServer(new UpstreamDirectory(), mQuarantine, 1);
     private final List<WatchResponse> mResponses = new ArrayList<>();
 
     /** Guards against sending the whole document to each watcher from every control instance. */
@@ -52,14 +54,57 @@
         assertThat(mResponses.get(mResponses.size() - 1).newerRouting().isPresent(), is(true));
     }
 
+    /** Guards against a watcher that learns of a crashing part only when its wait ends. */
+    @Test
+    void newVerdictIsSentToPendingWatchersAtOnce() {
+        sendFirstRequest();
+        sendRequest(MILLISECOND_NANOS);
+        assertThat(mResponses, hasSize(0));
+        mQuarantine.update(List.of(new QuarantinedPart("5c1e", 0)), 2 * MILLISECOND_NANOS, 1_000);
+        mServer.notifyWatchers(2 * MILLISECOND_NANOS);
+        assertThat(
+                mResponses.get(0).verdicts(),
+                is(List.of(new QuarantineVerdict("5c1e", 1_000, false, 0))));
+    }
+
+    /** Guards against a verdict that waits for the next poll of a watcher that lacks it. */
+    @Test
+    void requestOfWatcherThatLacksVerdictIsAnsweredAtOnce() {
+        sendFirstRequest();
+        mQuarantine.update(List.of(new QuarantinedPart("5c1e", 0)), 0, 1_000);
+        sendRequest(MILLISECOND_NANOS);
+        assertThat(mResponses, hasSize(1));
+        assertThat(mResponses.get(0).verdicts(), hasSize(1));
+    }
+
+    /** Guards against returning a verdict to the watcher that it came from. */
+    @Test
+    void verdictsInTheRequestAreNotSentBack() {
+        sendFirstRequest();
+        mQuarantine.update(List.of(new QuarantinedPart("5c1e", 0)), 0, 1_000);
+        sendRequest(List.of(new QuarantineVerdict("5c1e", 1_000, false, 5)), 1, MILLISECOND_NANOS);
+        assertThat(mResponses, hasSize(0));
+    }
+
     private static WatchServer.State state(boolean leading) {
         return new WatchServer.State(1, leading, List.of(), 1, ROUTING);
     }
 
+    /** Sends the first request of the watcher, which is always answered at once. */
+    private void sendFirstRequest() {
+        sendRequest(0);
+        mResponses.clear();
+    }
+
     private void sendRequest(long nowNanos) {
+        sendRequest(List.of(), 0, nowNanos);
+    }
+
+    private void sendRequest(
+            List<QuarantineVerdict> verdicts, long quarantineRevision, long nowNanos) {
         mServer.watch(
                 ENTRY,
-                new WatchRequest(0, 1, 0, true, 1_000),
+                new WatchRequest(0, 1, 0, quarantineRevision, verdicts, true, 1_000),
                 content -> {
                     mResponses.add(WatchResponse.decode(content).get());
                     return Option.none();
