Keep quarantined parts beyond the scheduler that found them

A part that crashes upstreams was known to one scheduler only: after a change of leader, a restart of the control instances or the loss of the leader by an entry instance, the next scheduler started with none and the part could crash upstreams again.

- The leader reports what its scheduler has in quarantine with each tick.
A part that it no longer reports is withdrawn; a crash that is later by less than a second is no message.
Changes go to all watchers at once.
- A scheduler that starts to lead gets the content of the directory before it gets a request.
Verdicts of others, and withdrawals (PlacementScheduler.removeQuarantinedParts), are applied to the scheduler as they come.
- An entry instance rejects a request with a quarantined part itself, without asking the leader.
It goes by the directory, which is the leader's verdict, and not by its own scheduler, which has seen only its own answers.
- An entry instance without a leader adds verdicts on crashes since the leader was lost.
It withdraws none: it lacks later crashes that others saw, and its withdrawal, being the newest, would hold for all.

Followers pass a verdict on with their next response rather than at once; otherwise each verdict would make every control instance send to every watcher. Log: quarantine_decided, quarantine_learned. Gauges: kumquatweir_fleet_quarantined_parts, kumquatweir_forward_quarantined_parts.

--- a/policy/src/main/java/dev/kumquatweir/policy/placement/CrashHistory.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/CrashHistory.java
@@ -70,6 +70,10 @@
         }
     }
 
+    void removeQuarantinedParts(List<String> parts) {
+        parts.forEach(mQuarantinedParts::remove);
+    }
+
     boolean quarantined(String contentHash, long nowNanos) {
         Crashes crashes = mCrashes.get(contentHash);
         return crashes != null
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -237,6 +237,11 @@
         mCrashes.addQuarantinedParts(parts, nowNanos);
     }
 
+    /** Removes parts from quarantine that another scheduler has released. */
+    public void removeQuarantinedParts(List<String> parts) {
+        mCrashes.removeQuarantinedParts(parts);
+    }
+
     /** Returns the number of waiting requests. */
     public int waitingCount() {
         return mWaiting.size();
--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
@@ -105,6 +105,8 @@
         network.handle(FrameType.PLACEMENT_EVENT.number(), this::handleEvent);
         Gauge<Integer> upstreams = mUpstreams::size;
         metrics.register("kumquatweir_fleet_upstreams", upstreams);
+        Gauge<Integer> quarantinedParts = mQuarantine::quarantinedCount;
+        metrics.register("kumquatweir_fleet_quarantined_parts", quarantinedParts);
     }
 
     // Lifecycle.
@@ -242,15 +244,24 @@
     private void handleWatch(InstanceId peer, Bytes payload, Responder responder) {
         WatchRequest.decode(payload)
                 .peekLeft(fault -> LOG.failure("frame_malformed", fault, "peer", peer))
-                .peek(
-                        request ->
-                                mEventLoop.offer(
-                                        () ->
-                                                mWatchServer.watch(
-                                                        peer,
-                                                        request,
-                                                        responder,
-                                                        mClocks.nowNanos())));
+                .peek(request -> mEventLoop.offer(() -> handleWatch(peer, request, responder)));
+    }
+
+    private void handleWatch(InstanceId peer, WatchRequest request, Responder responder) {
+        long nowNanos = mClocks.nowNanos();
+        learnVerdicts(peer, request.verdicts(), nowNanos);
+        mWatchServer.watch(peer, request, responder, nowNanos);
+    }
+
+    /**
+     * Learns verdicts of another instance. Only the leader, which all instances watch, passes them
+     * on at once.
+     */
+    private void learnVerdicts(InstanceId peer, List<QuarantineVerdict> verdicts, long nowNanos) {
+        List<QuarantineVerdict> learned = mQuarantine.merge(peer, verdicts, nowNanos);
+        if (mScheduler.applyVerdicts(learned, nowNanos)) {
+            mWatchServer.notifyWatchers(nowNanos);
+        }
     }
 
     private void handlePlace(InstanceId peer, Bytes payload, Responder responder) {
@@ -286,6 +297,7 @@
 
     private void handleWatchResponse(InstanceId peer, WatchResponse response) {
         long nowNanos = mClocks.nowNanos();
+        learnVerdicts(peer, response.verdicts(), nowNanos);
         response.statuses()
                 .forEach(
                         aged -> {
@@ -335,8 +347,11 @@
 
     private void tick() {
         long nowNanos = mClocks.nowNanos();
-        mScheduler.setLeading(group().status().leading(), mUpstreams, nowNanos);
+        mScheduler.setLeading(group().status().leading(), mUpstreams, mQuarantine, nowNanos);
         mScheduler.decide(nowNanos);
+        if (mScheduler.reportVerdicts(mQuarantine, nowNanos, mClocks.nowMillis())) {
+            mWatchServer.notifyWatchers(nowNanos);
+        }
         publishState(nowNanos);
         mWatchServer.tick(nowNanos);
         if (nowNanos - mLastWatchTickNanos >= WATCH_TICK_INTERVAL_NANOS) {
@@ -348,6 +363,7 @@
             mLastExpiryNanos = nowNanos;
             mLocalUpstreams.expire(nowNanos);
             mUpstreams.expire(nowNanos);
+            mQuarantine.expire(nowNanos);
             mScheduler.removeSilent(
                     mWatchServer.removeSilentEntries(ENTRY_TIMEOUT_NANOS, nowNanos), nowNanos);
         }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleetView.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleetView.java
@@ -1,5 +1,7 @@
 package dev.kumquatweir.program.fleet;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import dev.kumquatweir.agreement.state.RoutingImage;
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.event.EventLog;
@@ -55,13 +57,14 @@
             ControlInstanceDirectory controlInstances,
             PlacementLimits limits,
             Function<Bytes, ? extends Either<? extends Failure, RoutingTable>> routingReader,
+            MetricRegistry metrics,
             Clocks clocks,
             Executor executor) {
         mDomain = domain;
         mClocks = clocks;
         mControlInstances = controlInstances;
         mRoutingReader = routingReader;
-        mPlacement = new EntryPlacement(self, network, limits, clocks, executor);
+        mPlacement = new EntryPlacement(self, network, mQuarantine, limits, clocks, executor);
         mWatchClient =
                 new WatchClient(
                         self,
@@ -72,6 +75,8 @@
                         executor,
                         () -> mRoutingImage.changeCount(),
                         this::handleWatchResponse);
+        Gauge<Integer> quarantinedParts = mQuarantine::quarantinedCount;
+        metrics.register("kumquatweir_forward_quarantined_parts", quarantinedParts);
     }
 
     /** Returns the placement client that requests upstreams. */
@@ -94,6 +99,7 @@
         if (nowNanos - mLastExpiryNanos >= EXPIRY_INTERVAL_NANOS) {
             mLastExpiryNanos = nowNanos;
             mUpstreams.expire(nowNanos);
+            mQuarantine.expire(nowNanos);
         }
     }
 
@@ -133,6 +139,7 @@
         long nowNanos = mClocks.nowNanos();
         mControlInstances.updateRemoteMembers(response.membersIndex(), response.members());
         response.newerRouting().ifPresent(this::updateRouting);
+        mPlacement.applyVerdicts(mQuarantine.merge(peer, response.verdicts(), nowNanos), nowNanos);
         response.statuses()
                 .forEach(
                         aged -> {
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
@@ -12,8 +12,10 @@
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementLimits;
 import dev.kumquatweir.policy.placement.PlacementOutcome;
+import dev.kumquatweir.policy.placement.PlacementRefusal;
 import dev.kumquatweir.policy.placement.PlacementRequest;
 import dev.kumquatweir.policy.placement.PlacementScheduler;
+import dev.kumquatweir.policy.placement.QuarantinedPart;
 import dev.kumquatweir.program.instance.FrameType;
 import dev.kumquatweir.transport.PeerNetwork;
 import dev.kumquatweir.transport.TransportFailure;
@@ -39,13 +41,18 @@
     private static final EventLog LOG = EventLog.of(EntryPlacement.class);
     private static final long RESPONSE_MARGIN_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** Quarantined requests get no time after which to come back. */
+    private static final long NO_RETRY = 0;
+
     private final InstanceId mSelf;
     private final PeerNetwork mNetwork;
+    private final QuarantineDirectory mQuarantine;
     private final Clocks mClocks;
     private final Executor mExecutor;
     private final PlacementScheduler mLocalScheduler;
     private final Map<PlacementKey, TrackedRequest> mRequests = new LinkedHashMap<>();
     private @Nullable InstanceId mLeader;
+    private long mLeaderLostNanos;
     private long mLastKeyNumber;
 
     /** Request that is waiting for an upstream or running on one. */
@@ -65,15 +72,18 @@
     EntryPlacement(
             InstanceId self,
             PeerNetwork network,
+            QuarantineDirectory quarantine,
             PlacementLimits limits,
             Clocks clocks,
             Executor executor) {
         mSelf = self;
         mNetwork = network;
+        mQuarantine = quarantine;
         mClocks = clocks;
         mExecutor = executor;
         mLocalScheduler = new PlacementScheduler(limits);
         mLocalScheduler.configureStandalone(1, self.hashCode());
+        mLeaderLostNanos = clocks.nowNanos();
         mLastKeyNumber = TimeUnit.MILLISECONDS.toNanos(clocks.nowMillis());
     }
 
@@ -88,6 +98,12 @@
         mLocalScheduler.updateUpstream(status, lastSeenNanos);
     }
 
+    void applyVerdicts(List<QuarantineVerdict> verdicts, long nowNanos) {
+        if (!verdicts.isEmpty()) {
+            QuarantineVerdict.apply(verdicts, mLocalScheduler, nowNanos);
+        }
+    }
+
     void setLeader(InstanceId leader, int entryCount) {
         mLeader = leader;
         mLocalScheduler.configureStandalone(entryCount, mSelf.hashCode());
@@ -108,6 +124,7 @@
 
     void clearLeader() {
         mLeader = null;
+        mLeaderLostNanos = mClocks.nowNanos();
         List<TrackedRequest> waiting =
                 mRequests.values().stream()
                         .filter(tracked -> tracked.mGrant == null && tracked.mScheduler != null)
@@ -121,6 +138,9 @@
             decideLocally();
         }
         mLocalScheduler.removeSilentUpstreams(nowNanos);
+        if (mLeader == null) {
+            reportVerdicts(nowNanos);
+        }
     }
 
     // PlacementPort.
@@ -139,6 +159,11 @@
         if (leader == null) {
             submitLocally(tracked);
             decideLocally();
+        } else if (isQuarantined(request)) {
+            applyDecision(
+                    tracked,
+                    new PlacementAction.Reject(
+                            request.key(), PlacementRefusal.QUARANTINED, NO_RETRY));
         } else {
             submitToLeader(leader, tracked);
         }
@@ -184,6 +209,23 @@
 
     // Helpers.
 
+    private boolean isQuarantined(PlacementRequest request) {
+        return mQuarantine.findQuarantined(request.sharedParts(), mClocks.nowNanos()).isPresent();
+    }
+
+    /**
+     * Reports to the directory what the local scheduler has in quarantine. Crashes from before the
+     * loss of the leader were judged by it, with the answers that other entry instances received.
+     */
+    private void reportVerdicts(long nowNanos) {
+        long aloneMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - mLeaderLostNanos);
+        List<QuarantinedPart> parts =
+                mLocalScheduler.quarantinedParts(nowNanos).stream()
+                        .filter(part -> part.ageMillis() <= aloneMillis)
+                        .toList();
+        mQuarantine.add(parts, nowNanos, mClocks.nowMillis());
+    }
+
     private void submitLocally(TrackedRequest tracked) {
         tracked.mScheduler = null;
         mLocalScheduler.submit(tracked.mRequest, mClocks.nowNanos());
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -199,6 +199,7 @@
                         mControlInstances,
                         placementLimits(),
                         mRoutingReader,
+                        mMetrics,
                         mClocks,
                         mExecutor::execute);
         UpstreamClients clients = new UpstreamClients(mExecutor);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -67,7 +67,11 @@
     }
 
     /** Starts or stops scheduling when leadership is gained or lost. */
-    void setLeading(boolean leading, UpstreamDirectory upstreams, long nowNanos) {
+    void setLeading(
+            boolean leading,
+            UpstreamDirectory upstreams,
+            QuarantineDirectory quarantine,
+            long nowNanos) {
         if (leading == (mScheduler != null)) {
             return;
         }
@@ -93,9 +97,36 @@
                                         aged.status(),
                                         nowNanos
                                                 - TimeUnit.MILLISECONDS.toNanos(aged.ageMillis())));
+        scheduler.addQuarantinedParts(quarantine.quarantinedParts(nowNanos), nowNanos);
         mScheduler = scheduler;
     }
 
+    /**
+     * Applies verdicts of other instances while this instance is the leader.
+     *
+     * @return whether there were any
+     */
+    boolean applyVerdicts(List<QuarantineVerdict> verdicts, long nowNanos) {
+        PlacementScheduler scheduler = mScheduler;
+        if (scheduler == null || verdicts.isEmpty()) {
+            return false;
+        }
+        QuarantineVerdict.apply(verdicts, scheduler, nowNanos);
+        return true;
+    }
+
+    /**
+     * Reports to the directory what the scheduler has in quarantine, while this instance is the
+     * leader.
+     *
+     * @return whether that has changed the directory
+     */
+    boolean reportVerdicts(QuarantineDirectory quarantine, long nowNanos, long wallMillis) {
+        PlacementScheduler scheduler = mScheduler;
+        return scheduler != null
+                && quarantine.update(scheduler.quarantinedParts(nowNanos), nowNanos, wallMillis);
+    }
+
     void place(InstanceId owner, Bytes payload, Responder responder) {
         PlacementScheduler scheduler = mScheduler;
         if (scheduler == null) {
--- a/program/src/main/java/dev/kumquatweir/program/fleet/QuarantineDirectory.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/QuarantineDirectory.java
@@ -3,11 +3,11 @@
 import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.policy.placement.QuarantinedPart;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -79,56 +79,47 @@
                                 verdict.cleared(),
                                 "age_ms",
                                 verdict.ageMillis()));
-        updateCount(nowNanos);
+        if (!learned.isEmpty()) {
+            updateCount(nowNanos);
+        }
         return learned;
     }
 
     /**
-     * Takes over the verdicts of the scheduler of this process, which knows all that is quarantined
-     * here: what it no longer reports, it has withdrawn.
+     * Takes over the verdicts of the leader's scheduler. It knows all that is quarantined here:
+     * what it no longer reports, it has withdrawn.
      *
      * @param parts parts that the scheduler has in quarantine
      * @param wallMillis present time of the wall clock
      * @return whether anything has changed
      */
     boolean update(List<QuarantinedPart> parts, long nowNanos, long wallMillis) {
-        if (parts.isEmpty() && mEntries.isEmpty()) {
-            return false;
-        }
-        List<QuarantineVerdict> verdicts = new ArrayList<>();
-        parts.stream()
-                .filter(part -> isNewer(part, nowNanos))
-                .map(
-                        part ->
-                                new QuarantineVerdict(
-                                        part.part(),
-                                        nextStamp(part.part(), wallMillis),
-                                        false,
-                                        part.ageMillis()))
-                .forEach(verdicts::add);
+        boolean added = add(parts, nowNanos, wallMillis);
         Set<String> reported =
                 parts.stream().map(QuarantinedPart::part).collect(Collectors.toSet());
-        mEntries.values().stream()
-                .filter(entry -> entry.quarantined(nowNanos) && !reported.contains(entry.part()))
-                .map(
-                        entry ->
-                                new QuarantineVerdict(
-                                        entry.part(), nextStamp(entry.part(), wallMillis), true, 0))
-                .forEach(verdicts::add);
-        List<QuarantineVerdict> changes =
-                verdicts.stream().filter(verdict -> store(verdict, nowNanos)).toList();
-        changes.forEach(
-                verdict ->
-                        LOG.info(
-                                "quarantine_decided",
-                                "part",
-                                verdict.part(),
-                                "cleared",
-                                verdict.cleared(),
-                                "age_ms",
-                                verdict.ageMillis()));
-        updateCount(nowNanos);
-        return !changes.isEmpty();
+        List<QuarantineVerdict> withdrawals =
+                mEntries.values().stream()
+                        .filter(entry -> entry.quarantined(nowNanos))
+                        .filter(entry -> !reported.contains(entry.part()))
+                        .map(entry -> newVerdict(entry.part(), true, 0, wallMillis))
+                        .toList();
+        boolean withdrawn = decide(withdrawals, nowNanos);
+        return added || withdrawn;
+    }
+
+    /**
+     * Adds what the scheduler of an entry instance has in quarantine. What it no longer reports
+     * stays: without a leader it lacks the later crashes that others saw.
+     *
+     * @return whether anything has changed
+     */
+    boolean add(List<QuarantinedPart> parts, long nowNanos, long wallMillis) {
+        return decide(
+                parts.stream()
+                        .filter(part -> isNewer(part, nowNanos))
+                        .map(part -> newVerdict(part.part(), false, part.ageMillis(), wallMillis))
+                        .toList(),
+                nowNanos);
     }
 
     /** Returns the parts in quarantine. */
@@ -145,6 +136,21 @@
         return entry != null && entry.quarantined(nowNanos);
     }
 
+    /**
+     * Returns a part that is in quarantine and that a prompt with these parts contains. A verdict
+     * on several parts applies to prompts with all of them.
+     */
+    Optional<String> findQuarantined(List<String> promptParts, long nowNanos) {
+        if (mEntries.isEmpty() || promptParts.isEmpty()) {
+            return Optional.empty();
+        }
+        return mEntries.values().stream()
+                .filter(entry -> entry.quarantined(nowNanos))
+                .map(Entry::part)
+                .filter(part -> promptParts.containsAll(List.of(part.split("\\+"))))
+                .findFirst();
+    }
+
     /** Returns the revision, which increases with each stored verdict. */
     long revision() {
         return mRevision;
@@ -217,9 +223,30 @@
                 || crashNanos - known.eventNanos() > REFRESH_NANOS;
     }
 
-    private long nextStamp(String part, long wallMillis) {
+    private QuarantineVerdict newVerdict(
+            String part, boolean cleared, long ageMillis, long wallMillis) {
         Entry known = mEntries.get(part);
-        return known == null ? wallMillis : Math.max(wallMillis, known.stamp() + 1);
+        long stamp = known == null ? wallMillis : Math.max(wallMillis, known.stamp() + 1);
+        return new QuarantineVerdict(part, stamp, cleared, ageMillis);
+    }
+
+    private boolean decide(List<QuarantineVerdict> verdicts, long nowNanos) {
+        List<QuarantineVerdict> changes =
+                verdicts.stream().filter(verdict -> store(verdict, nowNanos)).toList();
+        changes.forEach(
+                verdict ->
+                        LOG.info(
+                                "quarantine_decided",
+                                "part",
+                                verdict.part(),
+                                "cleared",
+                                verdict.cleared(),
+                                "age_ms",
+                                verdict.ageMillis()));
+        if (!changes.isEmpty()) {
+            updateCount(nowNanos);
+        }
+        return !changes.isEmpty();
     }
 
     private void updateCount(long nowNanos) {
