Leave old quarantines to the leader and apply withdrawals first

A group of parts that can't be told apart is withdrawn when one of them is found. Applied after the new verdict, the withdrawal of the group would have released that one as well. Withdrawals are now applied first, and what the directory still has in quarantine is added again.

--- a/policy/src/main/java/dev/kumquatweir/policy/placement/CrashHistory.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/CrashHistory.java
@@ -70,7 +70,7 @@
         }
     }
 
-    void removeQuarantinedParts(List<String> parts) {
+    void removeQuarantinedParts(List<String> parts, long nowNanos) {
         parts.forEach(mQuarantinedParts::remove);
     }
 
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -246,8 +246,8 @@
     }
 
     /** Removes parts from quarantine that another scheduler has released. */
-    public void removeQuarantinedParts(List<String> parts) {
-        mCrashes.removeQuarantinedParts(parts);
+    public void removeQuarantinedParts(List<String> parts, long nowNanos) {
+        mCrashes.removeQuarantinedParts(parts, nowNanos);
     }
 
     /** Returns what was concluded from crashes of upstreams since the last call. */
--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
@@ -259,7 +259,7 @@
      */
     private void learnVerdicts(InstanceId peer, List<QuarantineVerdict> verdicts, long nowNanos) {
         List<QuarantineVerdict> learned = mQuarantine.merge(peer, verdicts, nowNanos);
-        if (mScheduler.applyVerdicts(learned, nowNanos)) {
+        if (mScheduler.applyVerdicts(learned, mQuarantine, nowNanos)) {
             mWatchServer.notifyWatchers(nowNanos);
         }
     }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
@@ -42,6 +42,13 @@
     private static final EventLog LOG = EventLog.of(EntryPlacement.class);
     private static final long RESPONSE_MARGIN_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /**
+     * Time since the last crash on a part in which requests with it are rejected here. Later the
+     * leader decides, which lets one of them run from time to time to see whether the part is
+     * sound.
+     */
+    private static final long LOCAL_REJECTION_NANOS = TimeUnit.MINUTES.toNanos(5);
+
     /** Quarantined requests get no time after which to come back. */
     private static final long NO_RETRY = 0;
 
@@ -99,10 +106,9 @@
         mLocalScheduler.updateUpstream(status, lastSeenNanos);
     }
 
-    void applyVerdicts(List<QuarantineVerdict> verdicts, long nowNanos) {
-        if (!verdicts.isEmpty()) {
-            QuarantineVerdict.apply(verdicts, mLocalScheduler, nowNanos);
-        }
+    /** Applies verdicts on parts of prompts that the directory has learned. */
+    void applyVerdicts(List<QuarantineVerdict> learned, long nowNanos) {
+        mQuarantine.apply(learned, mLocalScheduler, nowNanos);
     }
 
     void setLeader(InstanceId leader, int entryCount) {
@@ -211,7 +217,9 @@
     // Helpers.
 
     private boolean isQuarantined(PlacementRequest request) {
-        return mQuarantine.findQuarantined(request.sharedParts(), mClocks.nowNanos()).isPresent();
+        return mQuarantine
+                .findQuarantined(request.sharedParts(), LOCAL_REJECTION_NANOS, mClocks.nowNanos())
+                .isPresent();
     }
 
     /**
--- a/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -107,12 +107,13 @@
      *
      * @return whether there were any
      */
-    boolean applyVerdicts(List<QuarantineVerdict> verdicts, long nowNanos) {
+    boolean applyVerdicts(
+            List<QuarantineVerdict> verdicts, QuarantineDirectory quarantine, long nowNanos) {
         PlacementScheduler scheduler = mScheduler;
         if (scheduler == null || verdicts.isEmpty()) {
             return false;
         }
-        QuarantineVerdict.apply(verdicts, scheduler, nowNanos);
+        quarantine.apply(verdicts, scheduler, nowNanos);
         return true;
     }
 
--- a/program/src/main/java/dev/kumquatweir/program/fleet/QuarantineDirectory.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/QuarantineDirectory.java
@@ -2,6 +2,7 @@
 
 import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.policy.placement.PlacementScheduler;
 import dev.kumquatweir.policy.placement.QuarantinedPart;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -122,6 +123,23 @@
                 nowNanos);
     }
 
+    /**
+     * Applies learned verdicts to the scheduler of this process. What is withdrawn may be a group
+     * of parts of which one is in quarantine by itself, so that all that remains is added again.
+     */
+    void apply(List<QuarantineVerdict> learned, PlacementScheduler scheduler, long nowNanos) {
+        if (learned.isEmpty()) {
+            return;
+        }
+        scheduler.removeQuarantinedParts(
+                learned.stream()
+                        .filter(QuarantineVerdict::cleared)
+                        .map(QuarantineVerdict::part)
+                        .toList(),
+                nowNanos);
+        scheduler.addQuarantinedParts(quarantinedParts(nowNanos), nowNanos);
+    }
+
     /** Returns the parts in quarantine. */
     List<QuarantinedPart> quarantinedParts(long nowNanos) {
         return mEntries.values().stream()
@@ -139,13 +157,17 @@
     /**
      * Returns a part that is in quarantine and that a prompt with these parts contains. A verdict
      * on several parts applies to prompts with all of them.
+     *
+     * @param maximumAgeNanos time since the last crash up to which a verdict counts
      */
-    Optional<String> findQuarantined(List<String> promptParts, long nowNanos) {
+    Optional<String> findQuarantined(
+            List<String> promptParts, long maximumAgeNanos, long nowNanos) {
         if (mEntries.isEmpty() || promptParts.isEmpty()) {
             return Optional.empty();
         }
         return mEntries.values().stream()
                 .filter(entry -> entry.quarantined(nowNanos))
+                .filter(entry -> nowNanos - entry.eventNanos() < maximumAgeNanos)
                 .map(Entry::part)
                 .filter(part -> promptParts.containsAll(List.of(part.split("\\+"))))
                 .findFirst();
--- a/program/src/main/java/dev/kumquatweir/program/fleet/QuarantineVerdict.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/QuarantineVerdict.java
@@ -3,15 +3,12 @@
 import dev.kumquatweir.core.pack.MalformedContentException;
 import dev.kumquatweir.core.pack.MessagePackReader;
 import dev.kumquatweir.core.pack.MessagePackWriter;
-import dev.kumquatweir.policy.placement.PlacementScheduler;
-import dev.kumquatweir.policy.placement.QuarantinedPart;
 import java.io.IOException;
-import java.util.List;
 
 /**
  * Verdict of a scheduler on a part of prompts, as instances pass it to each other. Immutable.
  *
- * @param part part, see {@link QuarantinedPart#part}
+ * @param part part, see {@link dev.kumquatweir.policy.placement.QuarantinedPart#part}
  * @param stamp order of the verdicts on one part: the higher one holds. It is carried unchanged,
  *     unlike the age, which each message makes younger by the time that it takes
  * @param cleared whether the quarantine has been withdrawn
@@ -37,22 +34,6 @@
         return new QuarantineVerdict(part, stamp, cleared, ageMillis);
     }
 
-    /** Applies verdicts of other instances to the scheduler of this one. */
-    static void apply(
-            List<QuarantineVerdict> verdicts, PlacementScheduler scheduler, long nowNanos) {
-        scheduler.addQuarantinedParts(
-                verdicts.stream()
-                        .filter(verdict -> !verdict.cleared())
-                        .map(verdict -> new QuarantinedPart(verdict.part(), verdict.ageMillis()))
-                        .toList(),
-                nowNanos);
-        scheduler.removeQuarantinedParts(
-                verdicts.stream()
-                        .filter(QuarantineVerdict::cleared)
-                        .map(QuarantineVerdict::part)
-                        .toList());
-    }
-
     /** Returns whether this is the same verdict as another one, whatever their ages. */
     boolean isSameAs(QuarantineVerdict other) {
         return part.equals(other.part) && stamp == other.stamp && cleared == other.cleared;
