--- a/program/src/main/java/dev/kumquatweir/program/fleet/QuarantineDirectory.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/QuarantineDirectory.java
@@ -124,20 +124,28 @@
     }
 
     /**
-     * Applies learned verdicts to the scheduler of this process. What is withdrawn may be a group
-     * of parts of which one is in quarantine by itself, so that all that remains is added again.
+     * Applies learned verdicts to the scheduler of this process. Where a group of parts is
+     * withdrawn of which some are in quarantine by themselves, these are added again.
      */
     void apply(List<QuarantineVerdict> learned, PlacementScheduler scheduler, long nowNanos) {
         if (learned.isEmpty()) {
             return;
         }
-        scheduler.removeQuarantinedParts(
+        List<String> withdrawn =
                 learned.stream()
                         .filter(QuarantineVerdict::cleared)
                         .map(QuarantineVerdict::part)
+                        .toList();
+        Set<String> touched =
+                learned.stream()
+                        .flatMap(verdict -> members(verdict.part()).stream())
+                        .collect(Collectors.toSet());
+        scheduler.removeQuarantinedParts(withdrawn, nowNanos);
+        scheduler.addQuarantinedParts(
+                quarantinedParts(nowNanos).stream()
+                        .filter(part -> members(part.part()).stream().anyMatch(touched::contains))
                         .toList(),
                 nowNanos);
-        scheduler.addQuarantinedParts(quarantinedParts(nowNanos), nowNanos);
     }
 
     /** Returns the parts in quarantine. */
@@ -169,7 +177,7 @@
                 .filter(entry -> entry.quarantined(nowNanos))
                 .filter(entry -> nowNanos - entry.eventNanos() < maximumAgeNanos)
                 .map(Entry::part)
-                .filter(part -> promptParts.containsAll(List.of(part.split("\\+"))))
+                .filter(part -> promptParts.containsAll(members(part)))
                 .findFirst();
     }
 
@@ -255,22 +263,16 @@
     private boolean decide(List<QuarantineVerdict> verdicts, long nowNanos) {
         List<QuarantineVerdict> changes =
                 verdicts.stream().filter(verdict -> store(verdict, nowNanos)).toList();
-        changes.forEach(
-                verdict ->
-                        LOG.info(
-                                "quarantine_decided",
-                                "part",
-                                verdict.part(),
-                                "cleared",
-                                verdict.cleared(),
-                                "age_ms",
-                                verdict.ageMillis()));
         if (!changes.isEmpty()) {
             updateCount(nowNanos);
         }
         return !changes.isEmpty();
     }
 
+    private static List<String> members(String part) {
+        return List.of(part.split("\\+"));
+    }
+
     private void updateCount(long nowNanos) {
         mQuarantinedCount =
                 (int)
--- a/program/src/test/java/dev/kumquatweir/program/fleet/QuarantineSpreadTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/QuarantineSpreadTest.java
@@ -143,6 +143,24 @@
         assertThat(fleet.control(1).scheduledQuarantine(), is(List.of(SECOND)));
     }
 
+    /** Guards against releasing a part with the group in which it was found first. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void groupThatIsNarrowedDownToOnePartStaysQuarantinedThere(long seed) {
+        QuarantineSimulation fleet = startFleet(seed);
+        Instance alone = fleet.entry(2);
+        alone.startScheduling();
+        fleet.control(0).quarantine(SECOND);
+        fleet.run(2_000);
+        assertThat(alone.scheduledQuarantine(), is(List.of(SECOND)));
+        fleet.control(0).release(SECOND);
+        fleet.control(0).quarantine("91bd3f06");
+        fleet.run(2_000);
+        assertThat(alone.scheduledQuarantine(), is(List.of("91bd3f06")));
+        assertThat(quarantinedAt(fleet.all(), "91bd3f06"), everyItem(is(true)));
+        assertThat(quarantinedAt(fleet.all(), SECOND), everyItem(is(false)));
+    }
+
     /** Guards against an instance that was alone and withdraws what crashed upstreams since. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
