Let the test of returned verdicts meet the filter

verdictsInTheRequestAreNotSentBack sent the revision of the server, with which nothing is due anyway, so that it passed without the filter as well. It now sends revision 0. WatchServerTest (6) passes.

--- a/program/src/test/java/dev/kumquatweir/program/fleet/WatchServerTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/WatchServerTest.java
@@ -82,7 +82,7 @@
     void verdictsInTheRequestAreNotSentBack() {
         sendFirstRequest();
         mQuarantine.update(List.of(new QuarantinedPart("5c1e", 0)), 0, 1_000);
-        sendRequest(List.of(new QuarantineVerdict("5c1e", 1_000, false, 5)), 1, MILLISECOND_NANOS);
+        sendRequest(List.of(new QuarantineVerdict("5c1e", 1_000, false, 5)), 0, MILLISECOND_NANOS);
         assertThat(mResponses, hasSize(0));
     }
 
