--- a/policy/src/main/java/dev/kumquatweir/policy/placement/CrashAttribution.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/CrashAttribution.java
@@ -120,6 +120,14 @@
         }
     }
 
+    /** Forgets the strikes of parts that another scheduler has released. */
+    void removeQuarantinedParts(List<String> names, long nowNanos) {
+        names.forEach(name -> mSuspects.forget(Conviction.parseName(name)));
+        if (!names.isEmpty()) {
+            update(nowNanos);
+        }
+    }
+
     /** Records a first event or an answer of an upstream. */
     void progressed(PlacementUpstream upstream, long nowNanos) {
         List<String> takenBack = mSuspects.progressed(upstream, nowNanos);
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/CrashSuspects.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/CrashSuspects.java
@@ -254,6 +254,11 @@
         return mParts.values();
     }
 
+    /** Forgets the strikes of parts. */
+    void forget(List<String> parts) {
+        parts.forEach(mParts::remove);
+    }
+
     /** Adds the strikes that another scheduler has counted against parts. */
     void addStrikes(List<String> parts, int count, long crashedNanos, long nowNanos) {
         String name = String.join("+", parts);
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -241,14 +241,16 @@
         return mAttribution.quarantinedParts(nowNanos);
     }
 
-    /**
-     * Adds parts that another scheduler has quarantined. Of two ages the younger holds; a part that
-     * was in a complete answer after its last crash stays cleared.
-     */
+    /** Adds parts that another scheduler has quarantined, unless they were answered since. */
     public void addQuarantinedParts(List<QuarantinedPart> parts, long nowNanos) {
         mAttribution.addQuarantinedParts(parts, nowNanos);
     }
 
+    /** Removes parts from quarantine that another scheduler has released. */
+    public void removeQuarantinedParts(List<String> parts, long nowNanos) {
+        mAttribution.removeQuarantinedParts(parts, nowNanos);
+    }
+
     /** Returns what was concluded from crashes of upstreams since the last call. */
     public List<CrashEvent> drainCrashEvents() {
         return mAttribution.drainEvents();
--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
@@ -57,6 +57,7 @@
     private final Function<Bytes, ? extends Either<? extends Failure, RoutingTable>> mRoutingReader;
     private final UpstreamDirectory mLocalUpstreams = new UpstreamDirectory();
     private final UpstreamDirectory mUpstreams = new UpstreamDirectory();
+    private final QuarantineDirectory mQuarantine = new QuarantineDirectory();
     private final WatchServer mWatchServer;
     private final WatchClient mWatchClient;
     private final LeaderScheduler mScheduler;
@@ -80,7 +81,7 @@
         mClocks = clocks;
         mControlInstances = controlInstances;
         mRoutingReader = routingReader;
-        mWatchServer = new WatchServer(mLocalUpstreams, clocks.nowMillis());
+        mWatchServer = new WatchServer(mLocalUpstreams, mQuarantine, clocks.nowMillis());
         mScheduler = new LeaderScheduler(limits, metrics, clocks);
         mEventLoop =
                 new EventLoop(
@@ -93,6 +94,7 @@
                 new WatchClient(
                         self,
                         false,
+                        mQuarantine,
                         network,
                         clocks,
                         mEventLoop::offer,
@@ -103,6 +105,8 @@
         network.handle(FrameType.PLACEMENT_EVENT.number(), this::handleEvent);
         Gauge<Integer> upstreams = mUpstreams::size;
         metrics.register("kumquatweir_fleet_upstreams", upstreams);
+        Gauge<Integer> quarantinedParts = mQuarantine::quarantinedCount;
+        metrics.register("kumquatweir_fleet_quarantined_parts", quarantinedParts);
     }
 
     // Lifecycle.
@@ -240,15 +244,24 @@
     private void handleWatch(InstanceId peer, Bytes payload, Responder responder) {
         WatchRequest.decode(payload)
                 .peekLeft(fault -> LOG.failure("frame_malformed", fault, "peer", peer))
-                .peek(
-                        request ->
-                                mEventLoop.offer(
-                                        () ->
-                                                mWatchServer.watch(
-                                                        peer,
-                                                        request,
-                                                        responder,
-                                                        mClocks.nowNanos())));
+                .peek(request -> mEventLoop.offer(() -> handleWatch(peer, request, responder)));
+    }
+
+    private void handleWatch(InstanceId peer, WatchRequest request, Responder responder) {
+        long nowNanos = mClocks.nowNanos();
+        learnVerdicts(peer, request.verdicts(), nowNanos);
+        mWatchServer.watch(peer, request, responder, nowNanos);
+    }
+
+    /**
+     * Learns verdicts of another instance. Only the leader, which all instances watch, passes them
+     * on at once.
+     */
+    private void learnVerdicts(InstanceId peer, List<QuarantineVerdict> verdicts, long nowNanos) {
+        List<QuarantineVerdict> learned = mQuarantine.merge(peer, verdicts, nowNanos);
+        if (mScheduler.applyVerdicts(learned, mQuarantine, nowNanos)) {
+            mWatchServer.notifyWatchers(nowNanos);
+        }
     }
 
     private void handlePlace(InstanceId peer, Bytes payload, Responder responder) {
@@ -284,6 +297,7 @@
 
     private void handleWatchResponse(InstanceId peer, WatchResponse response) {
         long nowNanos = mClocks.nowNanos();
+        learnVerdicts(peer, response.verdicts(), nowNanos);
         response.statuses()
                 .forEach(
                         aged -> {
@@ -333,8 +347,11 @@
 
     private void tick() {
         long nowNanos = mClocks.nowNanos();
-        mScheduler.setLeading(group().status().leading(), mUpstreams, nowNanos);
+        mScheduler.setLeading(group().status().leading(), mUpstreams, mQuarantine, nowNanos);
         mScheduler.decide(nowNanos);
+        if (mScheduler.reportVerdicts(mQuarantine, nowNanos, mClocks.nowMillis())) {
+            mWatchServer.notifyWatchers(nowNanos);
+        }
         publishState(nowNanos);
         mWatchServer.tick(nowNanos);
         if (nowNanos - mLastWatchTickNanos >= WATCH_TICK_INTERVAL_NANOS) {
@@ -346,6 +363,7 @@
             mLastExpiryNanos = nowNanos;
             mLocalUpstreams.expire(nowNanos);
             mUpstreams.expire(nowNanos);
+            mQuarantine.expire(nowNanos);
             mScheduler.removeSilent(
                     mWatchServer.removeSilentEntries(ENTRY_TIMEOUT_NANOS, nowNanos), nowNanos);
         }
