--- a/program/src/test/java/dev/kumquatweir/program/system/LocalProcess.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LocalProcess.java
@@ -69,6 +69,11 @@
         signal("CONT");
     }
 
+    /** Tells the process that its settings file has changed. */
+    void hangUp() {
+        signal("HUP");
+    }
+
     void startAgain() {
         mProcess = launch(mCommand, mLog);
     }
