Close kept connections of serve after their next answer in a planned stop

A caller on a kept connection could send one request after the other to an instance that was stopping, and got a 503 for each. Its connection was closed only when the process ended, possibly while a request was on it.

Cause: answers during the stop didn't say that the connection closes, and the listener closes connections only after the drain time.

Evidence: PlannedStopIt asks on a kept connection during a stop in which a generation runs. Without the change the connection stayed open until that generation was cut; with it the connection closes after the answer while the generation runs.

Ruled out: that new requests are admitted there; they are refused with ran=no.

Each answer that begins during the stop now says Connection: close, so the caller's next connection goes where the load balancer sends it. Streams that began before still close with the listener.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/CallerServer.java
@@ -22,6 +22,8 @@
 import dev.kumquatweir.gateway.http.HttpResponses;
 import dev.kumquatweir.gateway.http.JsonBodies;
 import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpHeaderNames;
+import io.servicetalk.http.api.HttpHeaderValues;
 import io.servicetalk.http.api.HttpServiceContext;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
@@ -94,9 +96,13 @@
             HttpServiceContext context,
             StreamingHttpRequest request,
             StreamingHttpResponseFactory responseFactory) {
-        HttpResponses responses = new HttpResponses(context, responseFactory);
-        String path = request.path();
-        return switch (path) {
+        return answer(request, new HttpResponses(context, responseFactory))
+                .map(response -> mHealth.draining() ? closing(response) : response);
+    }
+
+    private Single<StreamingHttpResponse> answer(
+            StreamingHttpRequest request, HttpResponses responses) {
+        return switch (request.path()) {
             case "/health/live" -> responses.json(200, JsonBodies.object().put("live", true));
             case "/health/ready" -> ready(responses);
             case "/metrics" -> responses.text(200, "text/plain; version=0.0.4", mHealth.metrics());
@@ -104,6 +110,11 @@
         };
     }
 
+    /** Closes the connection after the response, so that its caller turns to another instance. */
+    private static StreamingHttpResponse closing(StreamingHttpResponse response) {
+        return response.setHeader(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+
     private Single<StreamingHttpResponse> ready(HttpResponses responses) {
         boolean ready = mHealth.ready(mClocks.nowNanos());
         return responses.json(ready ? 200 : 503, JsonBodies.object().put("ready", ready));
--- a/program/src/test/java/dev/kumquatweir/program/system/PlannedStopIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/PlannedStopIt.java
@@ -122,4 +122,30 @@
             assertThat(rest, containsString("\"ran\":\"no\""));
         }
     }
+
+    /**
+     * Guards against a kept connection that stays open during the whole planned stop: its caller
+     * comes back to it, and may meet its close at the end.
+     */
+    @Test
+    void keptConnectionIsClosedAfterItsNextAnswer() throws IOException, InterruptedException {
+        CountDownLatch begun = new CountDownLatch(1);
+        String url = sCluster.url(STOPPED);
+        CompletableFuture<Caller.Streamed> running =
+                Caller.streamLater(url, "quick", PROMPT, TOKENS, text -> begun.countDown());
+        try (Socket kept =
+                new Socket(InetAddress.getLoopbackAddress(), URI.create(url).getPort())) {
+            kept.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+            assertThat(begun.await(LIMIT_SECONDS, TimeUnit.SECONDS), is(true));
+            sCluster.instance(STOPPED).beginTermination();
+            Waiting.until("the instance stops", () -> Caller.status(url + "/health/ready") == 503);
+            String request = "GET /health/live HTTP/1.1\r\nHost: test\r\n\r\n";
+            kept.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            String answer =
+                    new String(kept.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertThat(answer, startsWith("HTTP/1.1 200"));
+            assertThat(running.isDone(), is(false));
+        }
+        running.orTimeout(LIMIT_SECONDS, TimeUnit.SECONDS).join();
+    }
 }
