--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/PlainDialect.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/PlainDialect.java
@@ -4,6 +4,7 @@
 import io.servicetalk.http.api.HttpHeaders;
 import io.servicetalk.http.api.HttpRequestMetaData;
 import io.servicetalk.http.api.HttpResponseMetaData;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -25,7 +26,9 @@
                 OptionalLong.empty(),
                 0,
                 0,
-                text(request.headers(), RESUME_AFTER).map(Long::parseLong).orElse(-1L));
+                text(request.headers(), RESUME_AFTER).map(Long::parseLong).orElse(-1L),
+                List.of(),
+                "");
     }
 
     @Override
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/StopAdmissionTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/StopAdmissionTest.java
@@ -13,6 +13,7 @@
 import dev.kumquatweir.policy.stop.StopAction;
 import io.servicetalk.http.api.DefaultHttpHeadersFactory;
 import io.servicetalk.http.api.HttpRequestMethod;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -66,7 +67,16 @@
         Route route = Route.builder("route", "host", "/").times(15_000, 300, 200).build();
         CallerRequestHead head =
                 new CallerRequestHead(
-                        "request", "host", "/", Optional.empty(), OptionalLong.empty(), 0, 0, -1);
+                        "request",
+                        "host",
+                        "/",
+                        Optional.empty(),
+                        OptionalLong.empty(),
+                        0,
+                        0,
+                        -1,
+                        List.of(),
+                        "");
         return new ForwardedRequest(
                 head,
                 HttpRequestMethod.POST,
