Blame requests whose first event was lost in the crash of their upstream

Cause: if answers had begun on the crashed upstream less than 400 ms before, only these were struck. A request often crashes its upstream before its first event reaches us; the bystanders that had begun took its blame, and their next answers took it back.

Change: a request without a first event is struck as well once it ran for half of its estimated time. The test failed before (nothing quarantined) and passes; CrashingPartsTest passes unchanged, parts of domains that crash and lost answers included.

--- a/policy/src/main/java/dev/kumquatweir/policy/placement/CrashSuspects.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/CrashSuspects.java
@@ -30,6 +30,9 @@
     /** A request that breaks off sooner met an upstream that had crashed before. */
     private static final long MINIMUM_RUN_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
+    /** First events come at this share of their estimated time at the earliest. */
+    private static final double MINIMUM_SHARE_OF_ESTIMATE = 0.5;
+
     /** Events that were on their way when an upstream crashed arrive within this time. */
     private static final long IN_FLIGHT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
@@ -54,8 +57,7 @@
     /** The running answers that are at their beginning, in the order of their first events. */
     private final Map<PlacementKey, BegunAnswer> mBegun = new LinkedHashMap<>();
 
-    private record RecentCrash(
-            UpstreamLife life, boolean hadBegun, Set<String> parts, long lastNanos) {}
+    private record RecentCrash(UpstreamLife life, Set<String> parts, long lastNanos) {}
 
     private record BegunAnswer(
             PlacementRequest request,
@@ -105,8 +107,8 @@
     }
 
     /**
-     * Records that an upstream broke off a request. If answers were at their beginning there, only
-     * these are suspect.
+     * Records that an upstream broke off a request. Its parts are suspect if the answer was at its
+     * beginning.
      *
      * @return the parts that are suspect, with the number of their strikes
      */
@@ -118,13 +120,9 @@
         UpstreamLife life = UpstreamLife.of(upstream);
         RecentCrash known = mRecentCrashes.remove(life.upstream());
         RecentCrash previous = known != null && known.life().equals(life) ? known : null;
-        boolean hadBegun =
-                previous != null
-                        ? previous.hadBegun()
-                        : upstream.parts().stream().anyMatch(part -> atBeginning(part, nowNanos));
         Set<String> struck = new HashSet<>(previous == null ? Set.of() : previous.parts());
         Map<String, Integer> strikes = new HashMap<>();
-        if (hadBegun ? atBeginning(placed, nowNanos) : beforeBeginning(placed, nowNanos)) {
+        if (atBeginning(placed, nowNanos) || mayHaveBegun(placed, nowNanos)) {
             for (String part : parts) {
                 SuspectPart suspect = suspect(part, nowNanos);
                 suspect.strike(life, placed.grantedNanos(), nowNanos);
@@ -132,7 +130,7 @@
             }
             struck.addAll(parts);
         }
-        mRecentCrashes.put(life.upstream(), new RecentCrash(life, hadBegun, struck, nowNanos));
+        mRecentCrashes.put(life.upstream(), new RecentCrash(life, struck, nowNanos));
         removeOldest(mRecentCrashes, MAXIMUM_UPSTREAMS);
         removeExpired(nowNanos);
         return strikes;
@@ -144,8 +142,13 @@
                 && nowNanos - placed.startedNanos() < BEGINNING_NANOS;
     }
 
-    private static boolean beforeBeginning(PlacedPart placed, long nowNanos) {
-        return !placed.started() && nowNanos - placed.grantedNanos() >= MINIMUM_RUN_NANOS;
+    /** Returns whether its first event may have been lost in the crash. */
+    private static boolean mayHaveBegun(PlacedPart placed, long nowNanos) {
+        long ranNanos = nowNanos - placed.grantedNanos();
+        long expectedNanos = placed.firstEventNanos() - placed.grantedNanos();
+        return !placed.started()
+                && ranNanos >= MINIMUM_RUN_NANOS
+                && ranNanos >= MINIMUM_SHARE_OF_ESTIMATE * expectedNanos;
     }
 
     private SuspectPart suspect(String part, long nowNanos) {
--- a/policy/src/test/java/dev/kumquatweir/policy/placement/PartQuarantineTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/PartQuarantineTest.java
@@ -13,6 +13,7 @@
 import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.core.routing.UpstreamPhase;
 import dev.kumquatweir.core.routing.UpstreamStatus;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -80,6 +81,29 @@
         assertThat(mGranted.contains(retry.key()), is(true));
     }
 
+    /**
+     * Guards against crashes that come before the first event reaches the scheduler, while answers
+     * of bystanders have just begun on the same upstream.
+     */
+    @Test
+    void crashBeforeFirstEventIsBlamedBesideBegunBystanders() {
+        for (int time = 0; time < 4; time++) {
+            List<PlacementKey> keys = new ArrayList<>();
+            for (int number = 0; number < 4; number++) {
+                keys.add(submit("caller", "tool-" + time));
+            }
+            advance(150);
+            keys.forEach(key -> mScheduler.recordFirstEvent(key, mNowNanos));
+            keys.add(submit("caller", "bad"));
+            advance(100);
+            keys.forEach(key -> mScheduler.ended(key, PlacementOutcome.BROKEN, "", mNowNanos));
+            advance(3_000);
+            heartbeats();
+            answer(submit("caller"));
+        }
+        assertThat(quarantined(), is(List.of("bad")));
+    }
+
     /** Guards against blaming a part for upstreams that lose power together. */
     @Test
     void requestsThatBreakOffTogetherCountOnce() {
