Check the limits of each request on its own

Found by a reviewer, by reading: a fault in the check of one request ended the check of all requests after it, in this round and in each later one, so that at the end of a planned stop these would be cut without a final response. No run has shown such a fault, hence no test; each check now logs its own fault as exchange_tick_fault and the others go on.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
@@ -110,11 +110,19 @@
         try {
             long nowNanos = mPorts.clocks().nowNanos();
             mHeld.tick(mPorts.state().routing().isPresent(), nowNanos);
-            List.copyOf(mExchanges).forEach(exchange -> exchange.tick(nowNanos));
+            List.copyOf(mExchanges).forEach(exchange -> tick(exchange, nowNanos));
         } catch (RuntimeException fault) {
             LOG.error("forward_tick_fault", fault);
         } finally {
             start();
         }
     }
+
+    private static void tick(Exchange exchange, long nowNanos) {
+        try {
+            exchange.tick(nowNanos);
+        } catch (RuntimeException fault) {
+            LOG.error("exchange_tick_fault", fault);
+        }
+    }
 }
