Publish the caller server to the thread that stops the process

Found by a reviewer, by reading: SIGTERM shortly after the start may come while the main thread still assigns the server of callers; the stop runs on another thread and could see none, skip the drain and cut requests. The two fields are volatile now. Not shown by a run; the soak stops instances right after their start and saw no harm from it.

--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -71,8 +71,8 @@
     private final Runnable mOnFatal;
     private final List<HttpServerContext> mServers = new ArrayList<>();
     private @Nullable GroupControl mGroup;
-    private @Nullable HttpServerContext mCallerServer;
-    private @Nullable ExchangeRegistry mForwarding;
+    private volatile @Nullable HttpServerContext mCallerServer;
+    private volatile @Nullable ExchangeRegistry mForwarding;
     private @Nullable EntryFleetView mEntry;
     private volatile boolean mDraining;
 
