--- a/review/platform/Fleet.java
+++ b/review/platform/Fleet.java
@@ -78,13 +78,18 @@
         long untilNanos = System.nanoTime() + millis * 1_000_000;
         while (System.nanoTime() - untilNanos < 0) {
             Thread.sleep(100);
-            for (Node entry : entries) {
-                if (!entry.alive()) {
-                    mJournal.add(entry.name + " ended by itself with " + entry.exitStatus());
-                    entry.mEnds++;
-                    Thread.sleep(500);
-                    entry.start(false);
-                }
+            restartEnded(entries);
+        }
+    }
+
+    /** Starts instances again that have ended by themselves, as the platform does. */
+    void restartEnded(List<Node> nodes) throws IOException, InterruptedException {
+        for (Node node : nodes) {
+            if (!node.alive()) {
+                mJournal.add(node.name + " ended by itself with " + node.exitStatus());
+                node.mEnds++;
+                Thread.sleep(500);
+                node.start(false);
             }
         }
     }
--- a/review/platform/Site.java
+++ b/review/platform/Site.java
@@ -15,8 +15,17 @@
 
     /** Returns a configuration with a route that runs once and one that may be repeated. */
     static String configuration(long version) {
+        return configuration(version, 2);
+    }
+
+    /** Returns a configuration with so many routes, most of which nobody uses. */
+    static String configuration(long version, int routes) {
+        StringBuilder idle = new StringBuilder();
+        for (int number = 2; number < routes; number++) {
+            idle.append(',').append(route("r-idle" + number, "/idle" + number + "/", "streaming", 2));
+        }
         return """
-                {"version":%d,"route_table":[%s,%s],
+                {"version":%d,"route_table":[%s,%s%s],
                 "services":[{"name":"%s","health_check_path":"/healthz","max_connections":110,
                 "protocol":"h1","tls_enabled":false,"cold_start_s":0.0,"cold_per_s":0.0}],
                 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
@@ -26,6 +35,7 @@
                         version,
                         route("r-hold", HOLD, "non_idempotent", 1),
                         route("r-read", READ, "idempotent", 2),
+                        idle,
                         SERVICE,
                         KEY);
     }
@@ -33,8 +43,10 @@
     private static String route(String name, String prefix, String kind, int attempts) {
         return """
                 {"name":"%s","hostname":"%s","path_prefix":"%s","route_kind":"%s",
-                "timeout_ms":%d,"target_latency_ms":150,"priority":2,"service":"%s",
-                "max_attempts":%d,"public":false}"""
+                "timeout_ms":%d,"target_latency_ms":150,"priority":2,
+                "traffic_split":[{"service":"%s","weight":100}],"max_attempts":%d,
+                "public":false,"session_affinity":true,"stream_resumption":true,
+                "target_gap_ms":200}"""
                 .formatted(name, HOST, prefix, kind, TIMEOUT_MILLIS, SERVICE, attempts);
     }
 
