--- a/review/platform/Clients.java
+++ b/review/platform/Clients.java
@@ -24,34 +24,23 @@
     private static final AtomicLong NUMBER = new AtomicLong();
 
     private final Journal mJournal;
-    final Queue<Outcome> outcomes;
+    final Queue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
     private volatile boolean mStopped;
 
     Clients(Journal journal) {
-        this(journal, new ConcurrentLinkedQueue<>());
-    }
-
-    /** Creates clients that add their outcomes to those of others. */
-    Clients(Journal journal, Queue<Outcome> outcomes) {
         mJournal = journal;
-        this.outcomes = outcomes;
     }
 
     /** Starts a client of an entry instance that sends a request every so often. */
     void start(InetSocketAddress entry, String path, int intervalMillis) {
-        start(entry, path, "{}", intervalMillis);
-    }
-
-    /** Starts a client that sends the given body. */
-    void start(InetSocketAddress entry, String path, String body, int intervalMillis) {
-        Thread.ofVirtual().start(() -> run(entry, path, body, intervalMillis));
+        Thread.ofVirtual().start(() -> run(entry, path, intervalMillis));
     }
 
     long count(int status) {
         return outcomes.stream().filter(outcome -> outcome.status() == status).count();
     }
 
-    private void run(InetSocketAddress entry, String path, String body, int intervalMillis) {
+    private void run(InetSocketAddress entry, String path, int intervalMillis) {
         Http.Channel channel = null;
         boolean kept = false;
         while (!mStopped) {
@@ -66,7 +55,7 @@
                 }
                 status = 0;
                 Http.Message answer =
-                        channel.exchange("POST", path, Site.headers(id), body, WAIT_MILLIS);
+                        channel.exchange("POST", path, Site.headers(id), "{}", WAIT_MILLIS);
                 status = answer.status();
                 close = answer.header("Connection").equalsIgnoreCase("close");
             } catch (java.net.SocketTimeoutException late) {
--- a/review/platform/Fleet.java
+++ b/review/platform/Fleet.java
@@ -78,18 +78,12 @@
         long untilNanos = System.nanoTime() + millis * 1_000_000;
         while (System.nanoTime() - untilNanos < 0) {
             Thread.sleep(100);
-            restartEnded(entries);
-        }
-    }
-
-    /** Starts instances again that have ended by themselves, as the platform does. */
-    void restartEnded(List<Node> nodes) throws IOException, InterruptedException {
-        for (Node node : nodes) {
-            if (!node.alive()) {
-                mJournal.add(node.name + " ended by itself with " + node.exitStatus());
-                node.mEnds++;
-                Thread.sleep(500);
-                node.start(false);
+            for (Node entry : entries) {
+                if (!entry.alive()) {
+                    mJournal.add(entry.name + " ended by itself with " + entry.exitStatus());
+                    Thread.sleep(500);
+                    entry.start(false);
+                }
             }
         }
     }
@@ -176,7 +170,6 @@
         private final boolean mControl;
         private final Path mLog;
         private Process mProcess;
-        private int mEnds;
 
         private Node(String name, String ip, String zone, boolean isControl) {
             this.name = name;
@@ -198,11 +191,6 @@
             return mProcess.isAlive();
         }
 
-        /** Returns how often the process has ended by itself. */
-        int ends() {
-            return mEnds;
-        }
-
         int exitStatus() {
             return mProcess.exitValue();
         }
--- a/review/platform/Site.java
+++ b/review/platform/Site.java
@@ -15,17 +15,8 @@
 
     /** Returns a configuration with a route that runs once and one that may be repeated. */
     static String configuration(long version) {
-        return configuration(version, 2);
-    }
-
-    /** Returns a configuration with so many routes, most of which nobody uses. */
-    static String configuration(long version, int routes) {
-        StringBuilder idle = new StringBuilder();
-        for (int number = 2; number < routes; number++) {
-            idle.append(',').append(route("r-idle" + number, "/idle" + number + "/", "streaming", 2));
-        }
         return """
-                {"version":%d,"route_table":[%s,%s%s],
+                {"version":%d,"route_table":[%s,%s],
                 "services":[{"name":"%s","health_check_path":"/healthz","max_connections":110,
                 "protocol":"h1","tls_enabled":false,"cold_start_s":0.0,"cold_per_s":0.0}],
                 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
@@ -35,7 +26,6 @@
                         version,
                         route("r-hold", HOLD, "non_idempotent", 1),
                         route("r-read", READ, "idempotent", 2),
-                        idle,
                         SERVICE,
                         KEY);
     }
