Give up answers without end before they fill the memory

Cause: what an upstream sends was bounded by the request's deadline only, not in size. Three hypotheses: the collected body (heap), bytes that wait in the HTTP library (direct memory), callers' bodies. EndlessAnswerTest on the code before ends its process with "Java heap space" at the first body without end, no caller sends a body: the first, neither of the others. There it also shows that the connection of a refusal without end is never closed; UpstreamAnswerEndTest fails at a failed generation without end, which serve reads for good.

Now a collected body has a limit of 4 MiB, bodies over 64 KiB share an eighth of the heap, and a filter closes a connection that carries 256 KiB which are neither head nor body: headers, interim responses, chunk sizes, trailers. What is read only to reuse its connection ends after 64 KiB or one second. The same for answers to orders for memory, the rest of a finished generation and the operator's client.

Ruled out: reading with back-pressure alone, since a collected answer has to be whole before it is passed on.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
@@ -1,12 +1,12 @@
 package dev.kumquatweir.gateway.forward;
 
 import dev.kumquatweir.core.bytes.Bytes;
+import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.gateway.http.ResponseFraming;
 import dev.kumquatweir.policy.placement.PlacementOutcome;
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
-import java.io.ByteArrayOutputStream;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -67,6 +67,8 @@
         void attemptFailed(PlacementOutcome outcome, String culprit, boolean mayHaveExecuted);
     }
 
+    private static final EventLog LOG = EventLog.of(Attempt.class);
+
     private final ForwardedRequest mRequest;
     private final RequestDialect mDialect;
     private final Owner mOwner;
@@ -74,7 +76,7 @@
     private final long mSentNanos;
     private final long mFirstEventLimitMillis;
     private final EventStreamSplitter mEventSplitter = new EventStreamSplitter();
-    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private final ResponseCollector mBody;
     private @Nullable UpstreamCall mCall;
     private @Nullable StreamingHttpResponse mResponse;
     private @Nullable UpstreamResponseHead mHead;
@@ -93,14 +95,15 @@
      */
     Attempt(
             ForwardedRequest request,
-            RequestDialect dialect,
+            ForwardingPorts ports,
             Owner owner,
             boolean resumed,
             long expectedMillis,
             long nowNanos) {
         mRequest = request;
-        mDialect = dialect;
+        mDialect = ports.dialect();
         mOwner = owner;
+        mBody = new ResponseCollector(ports.responseMemory());
         mResumed = resumed;
         mSentNanos = nowNanos;
         mLastPartNanos = nowNanos;
@@ -116,6 +119,7 @@
 
     /** Closes the connection, so that the upstream cancels the request. */
     void close() {
+        mBody.release();
         call().close();
     }
 
@@ -163,7 +167,7 @@
         mLastPartNanos = mOwner.nowNanos();
         if (!mStreaming) {
             mResponseStarted = true;
-            mBody.write(part, 0, part.length);
+            collect(part);
             return;
         }
         for (EventStreamSplitter.Event event : mEventSplitter.feed(part)) {
@@ -182,10 +186,11 @@
     @Override
     public void bodyCompleted() {
         if (!mOwner.isCurrent(this)) {
+            mBody.release();
             return;
         }
         if (!mStreaming) {
-            Bytes body = Bytes.copyOf(mBody.toByteArray());
+            Bytes body = mBody.complete();
             mOwner.responseCompleted(
                     Objects.requireNonNull(mResponse), Objects.requireNonNull(mHead), body);
         } else if (!mEventSplitter.hasPartialEvent() && (mResponseStarted || hasNoEventsLeft())) {
@@ -197,6 +202,7 @@
 
     @Override
     public void callFailed(boolean sent, Throwable exception) {
+        mBody.release();
         if (mOwner.isCurrent(this)) {
             mOwner.connectionFailed(sent, exception);
         }
@@ -213,6 +219,20 @@
                         mRequest.method(), Objects.requireNonNull(mResponse));
     }
 
+    private void collect(byte[] part) {
+        int collectedBytes = mBody.size();
+        if (!mBody.append(part)) {
+            LOG.warn(
+                    "response_too_large",
+                    "request",
+                    mRequest.head().requestId(),
+                    "collected_bytes",
+                    collectedBytes);
+            close();
+            mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
+        }
+    }
+
     private UpstreamCall call() {
         return Objects.requireNonNull(mCall);
     }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -248,7 +248,7 @@
         Attempt attempt =
                 new Attempt(
                         mRequest,
-                        mPorts.dialect(),
+                        mPorts,
                         this,
                         mLastEventId >= 0,
                         grant.expectedMillis(),
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
@@ -44,6 +44,8 @@
         mStops = new StopAdmission(ports.state());
         Gauge<Integer> running = () -> mRunningCount;
         metrics.register("kumquatweir_forward_requests_running", running);
+        Gauge<Long> responseBytes = () -> ports.responseMemory().usedBytes();
+        metrics.register("kumquatweir_forward_response_bytes", responseBytes);
     }
 
     /** Schedules the next check of time limits; each check schedules the following one. */
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingPorts.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingPorts.java
@@ -1,6 +1,7 @@
 package dev.kumquatweir.gateway.forward;
 
 import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.gateway.http.BodyMemory;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 
 /**
@@ -11,6 +12,7 @@
  * @param reservations reserves memory of engines
  * @param dialect encodes and decodes the headers of callers and upstreams
  * @param clients HTTP clients for upstreams
+ * @param responseMemory shared by the responses that are collected before they are passed on
  * @param clocks clocks of the process
  */
 public record ForwardingPorts(
@@ -19,4 +21,5 @@
         ReservationPort reservations,
         RequestDialect dialect,
         UpstreamClients clients,
+        BodyMemory responseMemory,
         Clocks clocks) {}
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/UpstreamCall.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/UpstreamCall.java
@@ -9,6 +9,7 @@
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -16,6 +17,11 @@
  * after a complete response to this request. Confined to the I/O thread.
  */
 final class UpstreamCall {
+    /** A refusal is short; the rest of a longer body costs more than a new connection. */
+    private static final int MAXIMUM_DISCARDED_BYTES = 64 << 10;
+
+    private static final long MAXIMUM_DISCARD_MILLIS = 1_000;
+
     /** Receives the response. {@code bodyCompleted} or {@code callFailed} is the last call. */
     interface Listener {
         /** Handles status and headers; the body follows unless this method closes the call. */
@@ -45,6 +51,7 @@
     private boolean mSent;
     private boolean mClosed;
     private boolean mDiscarding;
+    private long mDiscardedBytes;
 
     /**
      * Creates a call that is not yet sent.
@@ -88,10 +95,13 @@
 
     /**
      * Stops calling the listener, but reads the rest of the body, so that the connection can be
-     * reused.
+     * reused. A long or slow rest closes the connection.
      */
     void discard() {
         mDiscarding = true;
+        mClient.executionContext()
+                .ioExecutor()
+                .schedule(this::close, MAXIMUM_DISCARD_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void connected(ReservedStreamingHttpConnection connection) {
@@ -143,6 +153,13 @@
         }
     }
 
+    private void discardPart(Buffer part) {
+        mDiscardedBytes += part.readableBytes();
+        if (mDiscardedBytes > MAXIMUM_DISCARDED_BYTES) {
+            close();
+        }
+    }
+
     private void closeConnection() {
         ReservedStreamingHttpConnection connection = mConnection;
         if (connection != null) {
@@ -163,7 +180,11 @@
 
         @Override
         public void onNext(@Nullable Buffer part) {
-            if (part == null || mClosed || mDiscarding) {
+            if (part == null || mClosed) {
+                return;
+            }
+            if (mDiscarding) {
+                discardPart(part);
                 return;
             }
             byte[] bytes = new byte[part.readableBytes()];
--- a/gateway/src/main/java/dev/kumquatweir/gateway/http/BodyCollector.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/http/BodyCollector.java
@@ -4,6 +4,7 @@
 import dev.kumquatweir.core.failure.FailureException;
 import dev.kumquatweir.core.failure.RequestFailure;
 import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
 import java.io.ByteArrayOutputStream;
@@ -29,6 +30,26 @@
                 .map(collected -> Bytes.copyOf(collected.toByteArray()));
     }
 
+    /**
+     * Reads a body and drops it, so that its connection can be reused.
+     *
+     * @param limitBytes maximum size; a larger body fails the returned completable with a {@link
+     *     FailureException}, which closes the connection
+     */
+    public static Completable drain(Publisher<Buffer> body, long limitBytes) {
+        return body.collect(
+                        () -> 0L,
+                        (size, part) -> {
+                            long sum = size + part.readableBytes();
+                            if (sum > limitBytes) {
+                                throw new FailureException(
+                                        new RequestFailure.BodyTooLarge(limitBytes));
+                            }
+                            return sum;
+                        })
+                .ignoreElement();
+    }
+
     private static void append(ByteArrayOutputStream collected, Buffer part, long limitBytes) {
         int size = part.readableBytes();
         if (collected.size() + (long) size > limitBytes) {
--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/EngineClient.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/EngineClient.java
@@ -81,8 +81,7 @@
             return response.payloadBody();
         }
         if (status != REFUSED) {
-            return response.payloadBody()
-                    .ignoreElements()
+            return BodyCollector.drain(response.payloadBody(), LARGEST_ERROR_BYTES)
                     .concat(Publisher.failed(new UnexpectedAnswerException("status " + status)));
         }
         return BodyCollector.collect(response.payloadBody(), LARGEST_ERROR_BYTES)
--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/GenerationSubscriber.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/GenerationSubscriber.java
@@ -11,10 +11,13 @@
  * time; {@link #close} may be called from any thread.
  */
 final class GenerationSubscriber implements PublisherSource.Subscriber<Buffer> {
+    private static final int LARGEST_REST_BYTES = 64 << 10;
+
     private final GenerationEvents mEvents;
     private final AttemptListener mListener;
     private volatile PublisherSource.@Nullable Subscription mSubscription;
     private volatile boolean mClosed;
+    private long mDroppedBytes;
 
     GenerationSubscriber(AttemptListener listener) {
         mListener = listener;
@@ -45,6 +48,10 @@
         if (part == null || mClosed) {
             return;
         }
+        if (mEvents.ended()) {
+            dropPart(part);
+            return;
+        }
         byte[] bytes = new byte[part.readableBytes()];
         part.readBytes(bytes);
         if (!mEvents.feed(bytes)) {
@@ -53,6 +60,14 @@
         }
     }
 
+    /** Reads past the last event, so that the connection can be reused, unless that has no end. */
+    private void dropPart(Buffer part) {
+        mDroppedBytes += part.readableBytes();
+        if (mDroppedBytes > LARGEST_REST_BYTES) {
+            close();
+        }
+    }
+
     @Override
     public void onError(Throwable problem) {
         if (!mEvents.ended() && !mClosed) {
--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/UpstreamClients.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/UpstreamClients.java
@@ -52,6 +52,7 @@
                 .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_LIMIT_MILLIS)
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
                 .appendConnectionFilter(new UnframedResponseFilter())
+                .appendConnectionFilter(new ResponseLimitFilter())
                 .loadBalancerFactory(connectionsOfOneHost())
                 .buildStreaming();
     }
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -12,6 +12,7 @@
 import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.core.routing.ServiceShare;
 import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.gateway.http.BodyMemory;
 import dev.kumquatweir.gateway.raw.RawCaller;
 import dev.kumquatweir.gateway.raw.RawUpstream;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
@@ -50,6 +51,7 @@
     private static final String HOST = "callers.test";
     private static final ServiceName SERVICE = new ServiceName("service");
     private static final long BODY_LIMIT_BYTES = 8L << 20;
+    private static final long RESPONSE_MEMORY_BYTES = 16L << 20;
     private static final int MAXIMUM_UPSTREAMS = 2;
 
     private final IoExecutor mExecutor = NettyIoExecutors.createIoExecutor(1, "test");
@@ -78,6 +80,7 @@
                         new NoReservations(),
                         new PlainDialect(),
                         mClients,
+                        new BodyMemory(RESPONSE_MEMORY_BYTES),
                         Clocks.system());
         mExchanges = new ExchangeRegistry(ports, new MetricRegistry(), mExecutor);
         mExecutor.execute(mExchanges::start);
--- a/gateway/src/test/java/dev/kumquatweir/gateway/raw/RawUpstream.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/raw/RawUpstream.java
@@ -23,6 +23,8 @@
  */
 public final class RawUpstream implements AutoCloseable {
     private static final int BACKLOG = 512;
+    private static final int REPEATED_BYTES = 1_024;
+    private static final long MAXIMUM_REPEATED_BYTES = 64L << 20;
     private static final int SOCKET_TIMEOUT_MILLIS = 5_000;
 
     /** Longer than the other side takes to read what was sent before. */
@@ -46,7 +48,9 @@
         /** Resets the connection at once. */
         RESET,
         /** Resets the connection once the other side has had time to read the bytes. */
-        RESET_LATER
+        RESET_LATER,
+        /** Repeats the last bytes of the answer until the other side closes, 64 MB at most. */
+        WITHOUT_END
     }
 
     /**
@@ -101,7 +105,10 @@
         return List.copyOf(mRequests);
     }
 
-    /** Returns the connections that the other side closed after {@link Ending#CLOSE_SENDING}. */
+    /**
+     * Returns the connections that the other side closed after {@link Ending#CLOSE_SENDING} or
+     * {@link Ending#WITHOUT_END}.
+     */
     public List<Integer> closedByPeer() {
         return List.copyOf(mClosedByPeer);
     }
@@ -155,6 +162,9 @@
                 output.write(answer.bytes().getBytes(StandardCharsets.UTF_8));
                 output.flush();
                 ending = answer.ending();
+                if (ending == Ending.WITHOUT_END) {
+                    repeatEnd(output, answer.bytes(), connection);
+                }
             }
             end(socket, input, connection, ending);
         } catch (IOException | InterruptedException closed) {
@@ -164,10 +174,25 @@
         }
     }
 
+    private void repeatEnd(OutputStream output, String answer, int connection) {
+        byte[] end =
+                answer.substring(Math.max(0, answer.length() - REPEATED_BYTES))
+                        .getBytes(StandardCharsets.UTF_8);
+        long sent = 0;
+        try {
+            while (sent < MAXIMUM_REPEATED_BYTES) {
+                output.write(end);
+                sent += end.length;
+            }
+        } catch (IOException closed) {
+            mClosedByPeer.add(connection);
+        }
+    }
+
     private void end(Socket socket, InputStream input, int connection, Ending ending)
             throws IOException, InterruptedException {
         switch (ending) {
-            case KEEP_OPEN -> {}
+            case KEEP_OPEN, WITHOUT_END -> {}
             // The native transport may have set the option on this socket: it does so on the
             // number of a descriptor that it has closed, which this process has since given out.
             case CLOSE -> socket.setSoLinger(false, 0);
--- a/gateway/src/test/java/dev/kumquatweir/gateway/upstream/UpstreamAnswerEndTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/upstream/UpstreamAnswerEndTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
 import dev.kumquatweir.core.bytes.Bytes;
@@ -156,6 +157,35 @@
         }
     }
 
+    /** Guards against answers without end that are read for good, or until memory runs out. */
+    @Test
+    void answerWithoutEndIsGivenUpAndItsConnectionClosed() throws Exception {
+        Work call = new Work.ServiceCall("POST", "/", List.of(), Bytes.ofText("{}"));
+        String filler = "x".repeat(1_000);
+        String header = ("Filler: " + "x".repeat(100) + "\r\n").repeat(10);
+        String open = Framing.NONE.head(200, "", List.of());
+        String failure = Framing.NONE.head(500, "", List.of());
+        assertGivenUp(call, open + filler, List.of("accepted", BROKEN));
+        assertGivenUp(call, "HTTP/1.1 200 Status\r\n" + header, List.of(BROKEN));
+        assertGivenUp(generation(), "HTTP/1.1 200 Status\r\n" + header, List.of(BROKEN));
+        assertGivenUp(generation(), failure + filler, List.of(BROKEN));
+        assertGivenUp(
+                generation(),
+                open + TOKEN + FINISH + filler,
+                List.of("accepted", "token 0 abc ", "finished length"));
+    }
+
+    private void assertGivenUp(Work work, String answer, List<String> heard) throws Exception {
+        Answer endless = new Answer(answer, Ending.WITHOUT_END);
+        try (RawUpstream upstream = new RawUpstream(received -> endless)) {
+            assertThat(answer.substring(0, 40), start(upstream, work).heard(), is(heard));
+            for (int wait = 0; wait < 100 && upstream.closedByPeer().isEmpty(); wait++) {
+                Thread.sleep(100);
+            }
+            assertThat(answer.substring(0, 40), upstream.closedByPeer(), hasSize(1));
+        }
+    }
+
     private static List<Integer> ends(int from, int to) {
         return IntStream.range(from, to)
                 .filter(length -> (length - from) % ENDS_APART == 0)
--- a/program/src/main/java/dev/kumquatweir/program/command/OperatorClient.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/OperatorClient.java
@@ -23,6 +23,7 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(40);
     private static final int OK = 200;
+    private static final long LARGEST_ANSWER_BYTES = 64L << 20;
 
     /** The instance could not reach a peer or the leader; the next instance may be able to. */
     private static final List<Integer> FAILOVER_STATUSES = List.of(502, 503);
@@ -81,7 +82,8 @@
                             .timeout(RESPONSE_TIMEOUT)
                             .header("Authorization", "Bearer " + mKey)
                             .build(),
-                    HttpResponse.BodyHandlers.ofString());
+                    HttpResponse.BodyHandlers.limiting(
+                            HttpResponse.BodyHandlers.ofString(), LARGEST_ANSWER_BYTES));
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", exception);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -9,6 +9,7 @@
 import dev.kumquatweir.gateway.forward.ExchangeRegistry;
 import dev.kumquatweir.gateway.forward.ForwardingPorts;
 import dev.kumquatweir.gateway.forward.ForwardingServer;
+import dev.kumquatweir.gateway.http.BodyMemory;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.platform.ControlService;
 import dev.kumquatweir.platform.HttpDialect;
@@ -50,6 +51,10 @@
     private static final EventLog LOG = EventLog.of(FleetDaemon.class);
     private static final long TICK_INTERVAL_MILLIS = 50;
     private static final long IDLE_CONNECTION_MILLIS = 60_000;
+
+    /** The heap is this many times as large as the memory for collected responses. */
+    private static final int RESPONSE_MEMORY_SHARE = 8;
+
     private static final int MAXIMUM_HEADER_BYTES = 64 * 1024;
 
     /** Part of the time for a planned stop that is reserved for ending the process. */
@@ -213,6 +218,7 @@
                         new MemoryOrders(clients),
                         new HttpDialect(),
                         clients,
+                        new BodyMemory(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_SHARE),
                         mClocks);
         ExchangeRegistry forwarding = new ExchangeRegistry(ports, mMetrics, mExecutor);
         mEntry = entry;
