Drop orders on failure domains whose caller has moved on

Cause: such an order carries no version, so the last one committed won, whenever it was given. Hypotheses: the woken instance carries out orders of callers that have left; LeaderClient repeats a proposal after its caller has moved on; an old lease. The record shows requests from the moment at which the machine wakes, later than any repetition; the second holds in the code too; a deposed leader commits nothing.

Now the state is read after the order arrived, then the caller's connection is looked at, then the order is proposed as a compare-and-set on the state's change count. An overtaken order is tried again from the read while its caller waits. Commands of earlier releases in the log are applied as before.

--- a/agreement/src/main/java/dev/kumquatweir/agreement/codec/CommandCodec.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/codec/CommandCodec.java
@@ -29,6 +29,7 @@
     private static final int ACQUIRE_EPOCH = 6;
     private static final int PUT_ROUTING = 7;
     private static final int SET_DOMAIN = 8;
+    private static final int SET_DOMAIN_FROM_BASE = 9;
     private static final int FINISHED = 1;
     private static final int UNKNOWN = 2;
     private static final int NOT_EXECUTED = 3;
@@ -69,9 +70,10 @@
                             .writeLong(put.version())
                             .writeBytes(put.document());
             case StateCommand.SetDomain set ->
-                    writeHeader(writer, SET_DOMAIN, command)
+                    writeHeader(writer, SET_DOMAIN_FROM_BASE, command)
                             .writeString(set.domain().value())
-                            .writeBoolean(set.outOfService());
+                            .writeBoolean(set.outOfService())
+                            .writeLong(set.baseChangeCount());
         }
         return writer.toBytes();
     }
@@ -119,7 +121,16 @@
                     new StateCommand.PutRouting(now, reader.readLong(), reader.readBytes());
             case SET_DOMAIN ->
                     new StateCommand.SetDomain(
-                            now, new FailureDomain(reader.readString()), reader.readBoolean());
+                            now,
+                            new FailureDomain(reader.readString()),
+                            reader.readBoolean(),
+                            StateCommand.SetDomain.ANY_BASE);
+            case SET_DOMAIN_FROM_BASE ->
+                    new StateCommand.SetDomain(
+                            now,
+                            new FailureDomain(reader.readString()),
+                            reader.readBoolean(),
+                            reader.readLong());
             default -> throw new MalformedContentException("unknown command " + kind);
         };
     }
--- a/agreement/src/main/java/dev/kumquatweir/agreement/state/StateCommand.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/state/StateCommand.java
@@ -29,7 +29,8 @@
             case Expire _ -> new Expire(millis);
             case PutRouting(var _, var version, var document) ->
                     new PutRouting(millis, version, document);
-            case SetDomain(var _, var domain, var out) -> new SetDomain(millis, domain, out);
+            case SetDomain(var _, var domain, var out, var base) ->
+                    new SetDomain(millis, domain, out, base);
             case AcquireEpoch(var _, var purpose, var holder) ->
                     new AcquireEpoch(millis, purpose, holder);
         };
@@ -106,11 +107,18 @@
     record PutRouting(long nowMillis, long version, Bytes document) implements StateCommand {}
 
     /**
-     * Takes a failure domain out of service or puts it back into service. Idempotent.
+     * Takes a failure domain out of service or puts it back into service, if the routing state has
+     * not changed since it was read (compare-and-set).
      *
      * @param domain the failure domain
      * @param outOfService true if upstreams of the domain get no new requests
+     * @param baseChangeCount {@link RoutingImage#changeCount} that the command is based on, or
+     *     {@link #ANY_BASE}
      */
-    record SetDomain(long nowMillis, FailureDomain domain, boolean outOfService)
-            implements StateCommand {}
+    record SetDomain(
+            long nowMillis, FailureDomain domain, boolean outOfService, long baseChangeCount)
+            implements StateCommand {
+        /** Applies the command to any state, as commands of earlier releases in the log do. */
+        public static final long ANY_BASE = -1;
+    }
 }
--- a/agreement/src/main/java/dev/kumquatweir/agreement/state/StateMachine.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/state/StateMachine.java
@@ -163,13 +163,22 @@
                 mRouting = mRouting.withDocument(put.version(), put.document());
                 yield new StateResult.RoutingStored(mRouting.version());
             }
-            case StateCommand.SetDomain set -> {
-                mRouting = mRouting.withDomain(set.domain(), set.outOfService());
-                yield new StateResult.DomainUpdated();
-            }
+            case StateCommand.SetDomain set -> setDomain(set);
         };
     }
 
+    private StateResult setDomain(StateCommand.SetDomain command) {
+        RoutingImage changed = mRouting.withDomain(command.domain(), command.outOfService());
+        boolean overtaken =
+                command.baseChangeCount() != StateCommand.SetDomain.ANY_BASE
+                        && command.baseChangeCount() != mRouting.changeCount();
+        if (overtaken && changed.changeCount() != mRouting.changeCount()) {
+            return new StateResult.DomainOvertaken(mRouting.changeCount());
+        }
+        mRouting = changed;
+        return new StateResult.DomainUpdated();
+    }
+
     private StateResult acquireEpoch(StateCommand.AcquireEpoch command, long index) {
         mEpochs.remove(command.purpose());
         mEpochs.put(
--- a/agreement/src/main/java/dev/kumquatweir/agreement/state/StateResult.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/state/StateResult.java
@@ -113,6 +113,13 @@
     /** The failure domain is in the requested state. */
     record DomainUpdated() implements StateResult {}
 
+    /**
+     * The command on a failure domain had no effect: the routing state has changed since its base.
+     *
+     * @param changeCount {@link RoutingImage#changeCount} of the current state
+     */
+    record DomainOvertaken(long changeCount) implements StateResult {}
+
     /** Reasons for {@link ClaimRefused}. */
     enum ClaimRefusalReason {
         /** The claimant's instance has restarted since, or is not known. */
--- a/agreement/src/test/java/dev/kumquatweir/agreement/state/RoutingStateTest.java
+++ b/agreement/src/test/java/dev/kumquatweir/agreement/state/RoutingStateTest.java
@@ -43,6 +43,25 @@
         assertThat(mState.routing().domainsOutOfService(), is(Set.of()));
     }
 
+    /** Guards against a delayed order on a failure domain that undoes a later one. */
+    @Test
+    void domainCommandOfAnOlderStateHasNoEffect() {
+        set(true);
+        long base = mState.routing().changeCount();
+        assertThat(setFrom(base, false), is(new StateResult.DomainUpdated()));
+        assertThat(setFrom(base + 1, true), is(new StateResult.DomainUpdated()));
+        assertThat(setFrom(base, false), is(new StateResult.DomainOvertaken(base + 2)));
+        assertThat(mState.routing().domainsOutOfService(), is(Set.of(DOMAIN)));
+    }
+
+    /** Guards against an order that is refused because it, or the same, is in force already. */
+    @Test
+    void repeatedDomainCommandOfAnOlderStateIsConfirmed() {
+        assertThat(setFrom(0, true), is(new StateResult.DomainUpdated()));
+        assertThat(setFrom(0, true), is(new StateResult.DomainUpdated()));
+        assertThat(mState.routing().changeCount(), is(1L));
+    }
+
     /**
      * Guards against a snapshot that omits the routing state, so that a restarted replica loses it.
      */
@@ -59,7 +78,11 @@
     }
 
     private void set(boolean outOfService) {
-        apply(new StateCommand.SetDomain(1, DOMAIN, outOfService));
+        apply(new StateCommand.SetDomain(1, DOMAIN, outOfService, StateCommand.SetDomain.ANY_BASE));
+    }
+
+    private StateResult setFrom(long baseChangeCount, boolean outOfService) {
+        return apply(new StateCommand.SetDomain(1, DOMAIN, outOfService, baseChangeCount));
     }
 
     private StateResult apply(StateCommand command) {
--- a/gateway/src/main/java/dev/kumquatweir/gateway/fleet/FleetPort.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/fleet/FleetPort.java
@@ -7,6 +7,7 @@
 import dev.kumquatweir.core.routing.UpstreamStatus;
 import io.vavr.control.Either;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 
 /**
  * Operations that a control instance offers to operators and upstreams. Implementations are
@@ -30,8 +31,11 @@
      *
      * @param domain the failure domain
      * @param outOfService whether it is taken out of service
+     * @param callerWaits returns whether the caller still waits for the result; an order whose
+     *     caller has left has no effect
      */
-    CompletionStage<Either<Failure, Boolean>> setDomain(FailureDomain domain, boolean outOfService);
+    CompletionStage<Either<Failure, Boolean>> setDomain(
+            FailureDomain domain, boolean outOfService, BooleanSupplier callerWaits);
 
     /** Records a heartbeat; completes once it should have reached the entry instances. */
     CompletionStage<Boolean> recordHeartbeat(UpstreamStatus status);
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
@@ -8,7 +8,7 @@
 import dev.kumquatweir.core.routing.RoutedTeam;
 import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.gateway.http.BodyCollector;
-import io.netty.channel.ChannelOption;
+import dev.kumquatweir.gateway.http.CallerPresence;
 import io.netty.util.Attribute;
 import io.netty.util.AttributeKey;
 import io.servicetalk.concurrent.api.Single;
@@ -55,7 +55,7 @@
             HttpServiceContext context,
             StreamingHttpRequest request,
             StreamingHttpResponseFactory responses) {
-        disableHalfClosure(context);
+        CallerPresence.disableHalfClosure(context);
         int requestsOnConnection = countRequest(context);
         CallerRequestHead head = mExchanges.ports().dialect().decodeRequest(request);
         CallerResponse callerResponse =
@@ -251,15 +251,4 @@
         requests.set(count);
         return count;
     }
-
-    /**
-     * Closes the connection when the caller closes its sending side. With half-closed connections a
-     * disconnect would be noticed only at the next write, while upstreams go on executing the
-     * request.
-     */
-    private static void disableHalfClosure(HttpServiceContext context) {
-        if (context instanceof NettyConnectionContext connection) {
-            connection.nettyChannel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, false);
-        }
-    }
 }
--- a/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
@@ -25,10 +25,12 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -48,6 +50,7 @@
     private static final long HEARTBEAT_INTERVAL_MILLIS = 100;
 
     private final FleetSettings mSettings;
+    private final Clocks mClocks;
     private final LeaderClient mLeader;
     private final ReplicaEventLoop mReplica;
     private final MemberId mSelf;
@@ -73,6 +76,7 @@
             Listeners listeners,
             Runnable onFatal) {
         mSettings = settings;
+        mClocks = clocks;
         mSelf = new MemberId(settings.id().value(), opened.state().storeId());
         int durableCopies = settings.lostDisks() + 1;
         int voters = 2 * settings.lostDisks() + 1;
@@ -187,16 +191,40 @@
         ControlRequest request =
                 new ControlRequest.Propose(new StateCommand.PutRouting(0, version, document));
         return mLeader.submit(request, COMMAND_TIMEOUT_NANOS)
-                .thenApply(reply -> storedVersion(reply, version));
+                .thenApply(GroupControl::storedVersion);
     }
 
-    /** Takes a failure domain out of service or back into service. */
+    /**
+     * Takes a failure domain out of service or back into service.
+     *
+     * @param callerWaits returns whether the caller still waits for the result
+     */
     public CompletionStage<Either<Failure, Boolean>> setDomain(
-            FailureDomain domain, boolean outOfService) {
-        ControlRequest request =
-                new ControlRequest.Propose(new StateCommand.SetDomain(0, domain, outOfService));
-        return mLeader.submit(request, COMMAND_TIMEOUT_NANOS)
-                .thenApply(reply -> storedVersion(reply, 0).map(version -> true));
+            FailureDomain domain, boolean outOfService, BooleanSupplier callerWaits) {
+        DomainOrder order =
+                new DomainOrder(domain, outOfService, mClocks.nowNanos() + COMMAND_TIMEOUT_NANOS);
+        return advance(order, order.start(), callerWaits);
+    }
+
+    private CompletionStage<Either<Failure, Boolean>> advance(
+            DomainOrder order, DomainOrder.Step step, BooleanSupplier callerWaits) {
+        return switch (step) {
+            case DomainOrder.Step.Read _ ->
+                    readRouting()
+                            .thenApply(state -> order.afterRead(state, callerWaits.getAsBoolean()))
+                            .thenCompose(next -> advance(order, next, callerWaits));
+            case DomainOrder.Step.Propose propose ->
+                    mLeader.submit(
+                                    new ControlRequest.Propose(propose.command()),
+                                    COMMAND_TIMEOUT_NANOS)
+                            .thenApply(
+                                    reply ->
+                                            order.afterProposal(
+                                                    commandResult(reply), mClocks.nowNanos()))
+                            .thenCompose(next -> advance(order, next, callerWaits));
+            case DomainOrder.Step.Finish finish ->
+                    CompletableFuture.completedFuture(finish.result());
+        };
     }
 
     /** Reads the newest routing state with a linearizable read. */
@@ -274,15 +302,21 @@
         mLeader.submit(new ControlRequest.ChangeMembers(change), JOIN_AND_READ_TIMEOUT_NANOS);
     }
 
-    private static Either<Failure, Long> storedVersion(ControlReply reply, long version) {
-        if (reply instanceof ControlReply.Applied applied) {
-            return switch (applied.result()) {
-                case StateResult.RoutingStored stored -> Either.right(stored.storedVersion());
-                case StateResult.DomainUpdated _ -> Either.right(version);
-                default -> Either.left(new ControlFailure.Malformed("unexpected command result"));
-            };
-        }
-        return Either.left(failure(reply));
+    private static Either<Failure, Long> storedVersion(ControlReply reply) {
+        return commandResult(reply)
+                .flatMap(
+                        result ->
+                                result instanceof StateResult.RoutingStored stored
+                                        ? Either.right(stored.storedVersion())
+                                        : Either.left(
+                                                new ControlFailure.Malformed(
+                                                        "unexpected command result")));
+    }
+
+    private static Either<Failure, StateResult> commandResult(ControlReply reply) {
+        return reply instanceof ControlReply.Applied applied
+                ? Either.right(applied.result())
+                : Either.left(failure(reply));
     }
 
     private static Failure failure(ControlReply reply) {
--- a/program/src/main/java/dev/kumquatweir/program/control/ResultCodec.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ResultCodec.java
@@ -50,6 +50,8 @@
             case StateResult.RoutingStored stored ->
                     writer.writeString("routing_held").writeLong(stored.storedVersion());
             case StateResult.DomainUpdated _ -> writer.writeString("domain_set");
+            case StateResult.DomainOvertaken overtaken ->
+                    writer.writeString("domain_overtaken").writeLong(overtaken.changeCount());
         }
     }
 
@@ -77,6 +79,7 @@
             case "epoch" -> new StateResult.EpochAcquired(reader.readLong());
             case "routing_held" -> new StateResult.RoutingStored(reader.readLong());
             case "domain_set" -> new StateResult.DomainUpdated();
+            case "domain_overtaken" -> new StateResult.DomainOvertaken(reader.readLong());
             default -> throw new MalformedContentException("unknown command result type: " + kind);
         };
     }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 
@@ -146,8 +147,8 @@
 
     @Override
     public CompletionStage<Either<Failure, Boolean>> setDomain(
-            FailureDomain domain, boolean outOfService) {
-        return group().setDomain(domain, outOfService);
+            FailureDomain domain, boolean outOfService, BooleanSupplier callerWaits) {
+        return group().setDomain(domain, outOfService, callerWaits);
     }
 
     @Override
