Drop changes of operators that have moved on in serve as well

One that waited in a suspended instance, and whose operator has given it up and made a later one elsewhere, undid the later one. Its command id protects only repetitions of the same change.

The base is read first, then the operator's connection is looked at; the compare-and-set on the base does the rest. A change that was made before is still confirmed by its command id, whoever waits.

--- a/program/src/main/java/dev/kumquatweir/program/operator/ConfigurationEdits.java
+++ b/program/src/main/java/dev/kumquatweir/program/operator/ConfigurationEdits.java
@@ -17,6 +17,7 @@
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 /**
@@ -55,9 +56,14 @@
      * @param operator name of the operator
      * @param baseVersion version that the change was made from, or {@link #UNSPECIFIED_BASE}
      * @param waitMillis time to wait for the new version to be in force
+     * @param callerWaits returns whether the caller still waits for the response
      */
     private record ChangeRequest(
-            CommandId commandId, String operator, long baseVersion, long waitMillis) {
+            CommandId commandId,
+            String operator,
+            long baseVersion,
+            long waitMillis,
+            BooleanSupplier callerWaits) {
         CommandId attemptCommandId(int attempt) {
             return attempt == 1 ? commandId : new CommandId(commandId + ATTEMPT_SUFFIX + attempt);
         }
@@ -125,7 +131,8 @@
                                                                 command,
                                                                 call.operator(),
                                                                 baseVersion,
-                                                                waitMillis)));
+                                                                waitMillis,
+                                                                call.callerWaits())));
     }
 
     /**
@@ -165,6 +172,10 @@
         if (recorded.isPresent()) {
             return Either.right(recorded.get().version());
         }
+        // Read after the base: an operator that has moved on may have made a later change before.
+        if (!request.callerWaits().getAsBoolean()) {
+            return Either.left(new OperatorFailure.CallerLeft());
+        }
         long baseVersion =
                 request.baseVersion() == UNSPECIFIED_BASE
                         ? stored.reply().version()
--- a/program/src/main/java/dev/kumquatweir/program/operator/OperatorCall.java
+++ b/program/src/main/java/dev/kumquatweir/program/operator/OperatorCall.java
@@ -5,6 +5,7 @@
 import dev.kumquatweir.core.identity.InvalidIdentifierException;
 import io.vavr.control.Either;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 /**
@@ -15,8 +16,14 @@
  * @param route method and path, such as {@code GET /operator/v1/status}
  * @param query query parameters
  * @param body JSON body, an empty object if the request has none
+ * @param callerWaits returns whether the caller still waits for the response
  */
-record OperatorCall(String operator, String route, Map<String, String> query, ObjectNode body) {
+record OperatorCall(
+        String operator,
+        String route,
+        Map<String, String> query,
+        ObjectNode body,
+        BooleanSupplier callerWaits) {
 
     /** Returns a string of the body; a missing or empty one is a failure. */
     Either<OperatorFailure, String> text(String key) {
--- a/program/src/main/java/dev/kumquatweir/program/operator/OperatorFailure.java
+++ b/program/src/main/java/dev/kumquatweir/program/operator/OperatorFailure.java
@@ -29,6 +29,24 @@
         }
     }
 
+    /** The caller closed its connection before the change was made; nothing was changed. */
+    record CallerLeft() implements OperatorFailure {
+        @Override
+        public int status() {
+            return 503;
+        }
+
+        @Override
+        public String code() {
+            return "caller_left";
+        }
+
+        @Override
+        public String message() {
+            return "the caller no longer waits for this change";
+        }
+    }
+
     /**
      * The request can't be parsed.
      *
--- a/program/src/main/java/dev/kumquatweir/program/operator/OperatorListener.java
+++ b/program/src/main/java/dev/kumquatweir/program/operator/OperatorListener.java
@@ -6,6 +6,7 @@
 import dev.kumquatweir.core.failure.FailureException;
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.gateway.http.BodyCollector;
+import dev.kumquatweir.gateway.http.CallerPresence;
 import dev.kumquatweir.gateway.http.HttpResponses;
 import dev.kumquatweir.gateway.http.JsonBodies;
 import dev.kumquatweir.settings.OperatorSettings;
@@ -57,6 +58,7 @@
             HttpServiceContext context,
             StreamingHttpRequest request,
             StreamingHttpResponseFactory responses) {
+        CallerPresence.disableHalfClosure(context);
         HttpResponses httpResponses = new HttpResponses(context, responses);
         CharSequence authorization = request.headers().get(HttpHeaderNames.AUTHORIZATION);
         Optional<String> operator =
@@ -75,8 +77,16 @@
         return BodyCollector.collect(request.payloadBody(), MAX_BODY_BYTES)
                 .flatMap(
                         body ->
-                                Single.fromStage(
-                                        handleOnVirtualThread(operator.get(), request, body)))
+                                CallerPresence.closeNoticed(context)
+                                        .concat(
+                                                Single.defer(
+                                                        () ->
+                                                                Single.fromStage(
+                                                                        handleOnVirtualThread(
+                                                                                operator.get(),
+                                                                                context,
+                                                                                request,
+                                                                                body)))))
                 .flatMap(
                         result ->
                                 result.fold(
@@ -91,7 +101,7 @@
     }
 
     private CompletionStage<Either<OperatorFailure, ObjectNode>> handleOnVirtualThread(
-            String operator, StreamingHttpRequest request, Bytes body) {
+            String operator, HttpServiceContext context, StreamingHttpRequest request, Bytes body) {
         if (!mPermits.tryAcquire()) {
             return CompletableFuture.completedFuture(Either.left(new OperatorFailure.Overloaded()));
         }
@@ -102,7 +112,16 @@
         return CompletableFuture.supplyAsync(
                         () ->
                                 parseBody(body)
-                                        .map(node -> new OperatorCall(operator, route, query, node))
+                                        .map(
+                                                node ->
+                                                        new OperatorCall(
+                                                                operator,
+                                                                route,
+                                                                query,
+                                                                node,
+                                                                () ->
+                                                                        CallerPresence.waits(
+                                                                                context)))
                                         .flatMap(mRoutes::handle),
                         task -> Thread.ofVirtual().name("operator").start(task))
                 .whenComplete((result, fault) -> mPermits.release());
