Pass on crashes on a content to the next leader

Cause: CrashHistory belongs to the scheduler of the leader of the moment. Hypotheses: the next leader knows no crashes; the crashes are known but expired; entry instances place the request while there is no leader. The third has the same cause.

The directory of quarantined parts, which all instances keep and spread with their watch messages, now also holds the crashes on contents that failed on two or more upstreams, a subject for each pair of content and upstream, so that crashes under several leaders add up. The format of the messages stays. An answer withdraws them.

--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -5,7 +5,6 @@
 import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.routing.EngineCost;
-import dev.kumquatweir.core.routing.RoutedService;
 import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.core.routing.UpstreamStatus;
 import java.util.ArrayList;
@@ -15,7 +14,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Assigns requests to upstreams. Requests wait here, where they can be reordered, withdrawn and
@@ -36,7 +34,7 @@
     private static final double MAXIMUM_LATE_SHARE = 0.1;
 
     private final PlacementLimits mLimits;
-    private final Map<ServiceName, RoutedService> mServices = new HashMap<>();
+    private final RoutedServices mServices = new RoutedServices();
     private final PlacementUpstreams mUpstreams = new PlacementUpstreams();
     private final WaitingRequests mWaiting = new WaitingRequests();
     private final Map<PlacementKey, List<PlacementUpstream>> mPlacements = new HashMap<>();
@@ -45,7 +43,6 @@
     private final CrashAttribution mAttribution = new CrashAttribution();
     private final ComparisonBudget mComparisonBudget = new ComparisonBudget();
     private final List<PlacementAction> mActions = new ArrayList<>();
-    private @Nullable RoutingTable mRouting;
     private int mInstances = 1;
     private long mComparisons;
 
@@ -56,10 +53,9 @@
 
     /** Sets the routing table and the failure domains whose upstreams get no new work. */
     public void setRouting(RoutingTable routing, Set<FailureDomain> domainsOut) {
-        mRouting = routing;
-        mServices.clear();
+        mServices.setRouting(routing);
         mUpstreams.setDomainsOut(domainsOut);
-        mWaiting.updateCosts(this::engineCost);
+        mWaiting.updateCosts(mServices::engineCost);
     }
 
     /**
@@ -99,7 +95,8 @@
             reject(request, PlacementRefusal.REPEAT_BUDGET, nowNanos);
             return;
         }
-        mWaiting.add(new WaitingRequest(request, engineCost(request.service()), nowNanos));
+        mWaiting.add(
+                new WaitingRequest(request, mServices.engineCost(request.service()), nowNanos));
     }
 
     /** Registers a request that another scheduler has placed and that is running on an upstream. */
@@ -110,7 +107,8 @@
             return;
         }
         double prefill =
-                engineCost(request.service())
+                mServices
+                        .engineCost(request.service())
                         .map(cost -> started ? 0 : cost.prefillMillis(request.promptTokens()) / 2)
                         .orElse(0.0);
         PlacedPart part =
@@ -148,7 +146,7 @@
     public void recordLateEvent(PlacementKey key, long gapMillis, long nowNanos) {
         for (PlacementUpstream upstream : mPlacements.getOrDefault(key, List.of())) {
             upstream.find(key).ifPresent(PlacedPart::markLate);
-            Optional<EngineCost> cost = engineCost(upstream.notice().service());
+            Optional<EngineCost> cost = mServices.engineCost(upstream.notice().service());
             if (cost.isPresent() && upstream.pendingPrefillMillis(nowNanos) <= 0) {
                 double passMillis =
                         cost.get()
@@ -251,6 +249,13 @@
         mAttribution.removeQuarantinedParts(parts, nowNanos);
     }
 
+    /**
+     * Returns the crashes of upstreams on request contents, to share them with other schedulers.
+     */
+    public CrashHistory crashes() {
+        return mCrashes;
+    }
+
     /** Returns what was concluded from crashes of upstreams since the last call. */
     public List<CrashEvent> drainCrashEvents() {
         return mAttribution.drainEvents();
@@ -277,7 +282,10 @@
             long nowNanos) {
         return rounds.computeIfAbsent(
                 waiting.request().service(),
-                name -> service(name).map(service -> mUpstreams.beginRound(service, nowNanos)));
+                name ->
+                        mServices
+                                .find(name)
+                                .map(service -> mUpstreams.beginRound(service, nowNanos)));
     }
 
     private void decide(WaitingRequest waiting, Optional<ServiceRound> round, long nowNanos) {
@@ -433,17 +441,4 @@
                 new PlacementAction.Reject(
                         request.key(), reason, mUpstreams.retryAfterMillis(request, nowNanos)));
     }
-
-    private Optional<RoutedService> service(ServiceName name) {
-        RoutingTable routing = mRouting;
-        if (routing == null) {
-            return Optional.empty();
-        }
-        return Optional.ofNullable(
-                mServices.computeIfAbsent(name, key -> routing.service(key).orElse(null)));
-    }
-
-    private Optional<EngineCost> engineCost(ServiceName name) {
-        return service(name).flatMap(RoutedService::engineCost);
-    }
 }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
@@ -232,7 +232,8 @@
                 mLocalScheduler.quarantinedParts(nowNanos).stream()
                         .filter(part -> part.ageMillis() <= aloneMillis)
                         .toList();
-        mQuarantine.add(parts, nowNanos, mClocks.nowMillis());
+        mQuarantine.add(
+                parts, mLocalScheduler.crashes().repeated(nowNanos), nowNanos, mClocks.nowMillis());
     }
 
     private void submitLocally(TrackedRequest tracked) {
--- a/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -99,6 +99,7 @@
                                         nowNanos
                                                 - TimeUnit.MILLISECONDS.toNanos(aged.ageMillis())));
         scheduler.addQuarantinedParts(quarantine.quarantinedParts(nowNanos), nowNanos);
+        scheduler.crashes().add(quarantine.crashes(nowNanos), nowNanos);
         mScheduler = scheduler;
     }
 
@@ -126,7 +127,11 @@
     boolean reportVerdicts(QuarantineDirectory quarantine, long nowNanos, long wallMillis) {
         PlacementScheduler scheduler = mScheduler;
         return scheduler != null
-                && quarantine.update(scheduler.quarantinedParts(nowNanos), nowNanos, wallMillis);
+                && quarantine.update(
+                        scheduler.quarantinedParts(nowNanos),
+                        scheduler.crashes().repeated(nowNanos),
+                        nowNanos,
+                        wallMillis);
     }
 
     void place(InstanceId owner, Bytes payload, Responder responder) {
--- a/program/src/main/java/dev/kumquatweir/program/fleet/QuarantineDirectory.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/QuarantineDirectory.java
@@ -4,6 +4,7 @@
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.policy.placement.PlacementScheduler;
 import dev.kumquatweir.policy.placement.QuarantinedPart;
+import dev.kumquatweir.policy.placement.RecordedCrash;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,11 +13,13 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
- * Verdicts on parts of prompts that are known to this process, with the times of their last crash
- * or withdrawal on its own monotonic clock. Every instance keeps one, so that quarantines outlive
- * the scheduler that decided on them. Not thread-safe, except for the count.
+ * Verdicts on parts of prompts, and crashes of upstreams on one content, that are known to this
+ * process, with the times of their last crash or withdrawal on its own monotonic clock. Every
+ * instance keeps one, so that quarantines outlive the scheduler that decided on them. Not
+ * thread-safe, except for the count.
  *
  * <p>Of two verdicts on one part, the one with the higher stamp holds. A scheduler stamps its
  * verdict with its wall clock, or just above the verdict that it replaces if that is higher, so
@@ -30,20 +33,29 @@
     /** Time since the last crash after which a part is no longer quarantined. */
     static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(60);
 
-    private static final long REMOVAL_NANOS = 2 * RETENTION_NANOS;
     static final int MAXIMUM_PARTS = 256;
+
+    /** Time since the last crash on a content after which its crashes are forgotten. */
+    static final long CRASH_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    static final int MAXIMUM_CRASHES = 768;
     static final int MAXIMUM_PART_LENGTH = 256;
 
     /** A crash that is later by less is not published, so that each crash is not a message. */
     private static final long REFRESH_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    private final Map<String, Entry> mEntries = new LinkedHashMap<>();
+    private final Map<String, Entry> mParts = new LinkedHashMap<>();
+    private final Map<String, Entry> mCrashes = new LinkedHashMap<>();
     private long mRevision;
     private volatile int mQuarantinedCount;
 
     private record Entry(String part, long stamp, boolean cleared, long eventNanos, long revision) {
         boolean retained(long nowNanos) {
-            return nowNanos - eventNanos < RETENTION_NANOS;
+            return nowNanos - eventNanos < retentionNanos(part);
+        }
+
+        boolean removable(long nowNanos) {
+            return nowNanos - eventNanos >= 2 * retentionNanos(part);
         }
 
         boolean quarantined(long nowNanos) {
@@ -91,15 +103,21 @@
      * what it no longer reports, it has withdrawn.
      *
      * @param parts parts that the scheduler has in quarantine
+     * @param crashes crashes of contents that may crash further upstreams
      * @param wallMillis present time of the wall clock
      * @return whether anything has changed
      */
-    boolean update(List<QuarantinedPart> parts, long nowNanos, long wallMillis) {
-        boolean added = add(parts, nowNanos, wallMillis);
+    boolean update(
+            List<QuarantinedPart> parts,
+            List<RecordedCrash> crashes,
+            long nowNanos,
+            long wallMillis) {
+        List<QuarantinedPart> subjects = subjects(parts, crashes);
+        boolean added = addSubjects(subjects, nowNanos, wallMillis);
         Set<String> reported =
-                parts.stream().map(QuarantinedPart::part).collect(Collectors.toSet());
+                subjects.stream().map(QuarantinedPart::part).collect(Collectors.toSet());
         List<QuarantineVerdict> withdrawals =
-                mEntries.values().stream()
+                entries()
                         .filter(entry -> entry.quarantined(nowNanos))
                         .filter(entry -> !reported.contains(entry.part()))
                         .map(entry -> newVerdict(entry.part(), true, 0, wallMillis))
@@ -114,9 +132,17 @@
      *
      * @return whether anything has changed
      */
-    boolean add(List<QuarantinedPart> parts, long nowNanos, long wallMillis) {
+    boolean add(
+            List<QuarantinedPart> parts,
+            List<RecordedCrash> crashes,
+            long nowNanos,
+            long wallMillis) {
+        return addSubjects(subjects(parts, crashes), nowNanos, wallMillis);
+    }
+
+    private boolean addSubjects(List<QuarantinedPart> subjects, long nowNanos, long wallMillis) {
         return decide(
-                parts.stream()
+                subjects.stream()
                         .filter(part -> isNewer(part, nowNanos))
                         .map(part -> newVerdict(part.part(), false, part.ageMillis(), wallMillis))
                         .toList(),
@@ -136,11 +162,21 @@
                         .filter(QuarantineVerdict::cleared)
                         .map(QuarantineVerdict::part)
                         .toList();
+        scheduler
+                .crashes()
+                .remove(
+                        withdrawn.stream()
+                                .filter(CrashSubject::matches)
+                                .map(CrashSubject::contentHash)
+                                .distinct()
+                                .toList());
+        scheduler.crashes().add(crashes(nowNanos), nowNanos);
         Set<String> touched =
                 learned.stream()
                         .flatMap(verdict -> members(verdict.part()).stream())
                         .collect(Collectors.toSet());
-        scheduler.removeQuarantinedParts(withdrawn, nowNanos);
+        scheduler.removeQuarantinedParts(
+                withdrawn.stream().filter(part -> !CrashSubject.matches(part)).toList(), nowNanos);
         scheduler.addQuarantinedParts(
                 quarantinedParts(nowNanos).stream()
                         .filter(part -> members(part.part()).stream().anyMatch(touched::contains))
@@ -150,15 +186,23 @@
 
     /** Returns the parts in quarantine. */
     List<QuarantinedPart> quarantinedParts(long nowNanos) {
-        return mEntries.values().stream()
+        return mParts.values().stream()
                 .filter(entry -> entry.quarantined(nowNanos))
                 .map(entry -> new QuarantinedPart(entry.part(), entry.ageMillis(nowNanos)))
                 .toList();
     }
 
+    /** Returns the crashes of contents that may crash further upstreams. */
+    List<RecordedCrash> crashes(long nowNanos) {
+        return mCrashes.values().stream()
+                .filter(entry -> entry.quarantined(nowNanos))
+                .map(entry -> CrashSubject.crash(entry.part(), entry.ageMillis(nowNanos)))
+                .toList();
+    }
+
     /** Returns whether a part is in quarantine. */
     boolean isQuarantined(String part, long nowNanos) {
-        Entry entry = mEntries.get(part);
+        Entry entry = mParts.get(part);
         return entry != null && entry.quarantined(nowNanos);
     }
 
@@ -170,10 +214,10 @@
      */
     Optional<String> findQuarantined(
             List<String> promptParts, long maximumAgeNanos, long nowNanos) {
-        if (mEntries.isEmpty() || promptParts.isEmpty()) {
+        if (mParts.isEmpty() || promptParts.isEmpty()) {
             return Optional.empty();
         }
-        return mEntries.values().stream()
+        return mParts.values().stream()
                 .filter(entry -> entry.quarantined(nowNanos))
                 .filter(entry -> nowNanos - entry.eventNanos() < maximumAgeNanos)
                 .map(Entry::part)
@@ -191,7 +235,7 @@
         if (revision >= mRevision) {
             return List.of();
         }
-        return mEntries.values().stream()
+        return entries()
                 .filter(entry -> entry.revision() > revision && entry.retained(nowNanos))
                 .map(entry -> entry.verdict(nowNanos))
                 .toList();
@@ -199,7 +243,8 @@
 
     /** Removes entries that no copy elsewhere can revive any more. */
     void expire(long nowNanos) {
-        mEntries.values().removeIf(entry -> nowNanos - entry.eventNanos() >= REMOVAL_NANOS);
+        mParts.values().removeIf(entry -> entry.removable(nowNanos));
+        mCrashes.values().removeIf(entry -> entry.removable(nowNanos));
         updateCount(nowNanos);
     }
 
@@ -210,16 +255,17 @@
 
     private boolean store(QuarantineVerdict verdict, long nowNanos) {
         long eventNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(verdict.ageMillis());
-        Entry known = mEntries.get(verdict.part());
+        Map<String, Entry> table = table(verdict.part());
+        Entry known = table.get(verdict.part());
         boolean outdated = known != null && !verdict.overrules(known.stamp(), known.cleared());
         if (outdated
                 || verdict.part().length() > MAXIMUM_PART_LENGTH
-                || nowNanos - eventNanos >= RETENTION_NANOS
-                || (known == null && !makeRoom(eventNanos, nowNanos))) {
+                || nowNanos - eventNanos >= retentionNanos(verdict.part())
+                || (known == null && !makeRoom(table, eventNanos, nowNanos))) {
             return false;
         }
         mRevision++;
-        mEntries.put(
+        table.put(
                 verdict.part(),
                 new Entry(
                         verdict.part(), verdict.stamp(), verdict.cleared(), eventNanos, mRevision));
@@ -230,23 +276,23 @@
      * Removes the oldest entry of a full directory, unless the new one is as old. Without a margin,
      * two entries of nearly the same age would replace each other in turn.
      */
-    private boolean makeRoom(long eventNanos, long nowNanos) {
-        if (mEntries.size() < MAXIMUM_PARTS) {
+    private boolean makeRoom(Map<String, Entry> table, long eventNanos, long nowNanos) {
+        if (table.size() < (table == mParts ? MAXIMUM_PARTS : MAXIMUM_CRASHES)) {
             return true;
         }
         Entry oldest =
-                mEntries.values().stream()
+                table.values().stream()
                         .max(Comparator.comparingLong(entry -> nowNanos - entry.eventNanos()))
                         .orElseThrow();
         if (eventNanos - oldest.eventNanos() <= REFRESH_NANOS) {
             return false;
         }
-        mEntries.remove(oldest.part());
+        table.remove(oldest.part());
         return true;
     }
 
     private boolean isNewer(QuarantinedPart part, long nowNanos) {
-        Entry known = mEntries.get(part.part());
+        Entry known = table(part.part()).get(part.part());
         long crashNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(part.ageMillis());
         return known == null
                 || !known.quarantined(nowNanos)
@@ -255,7 +301,7 @@
 
     private QuarantineVerdict newVerdict(
             String part, boolean cleared, long ageMillis, long wallMillis) {
-        Entry known = mEntries.get(part);
+        Entry known = table(part).get(part);
         long stamp = known == null ? wallMillis : Math.max(wallMillis, known.stamp() + 1);
         return new QuarantineVerdict(part, stamp, cleared, ageMillis);
     }
@@ -269,15 +315,29 @@
         return !changes.isEmpty();
     }
 
+    private Stream<Entry> entries() {
+        return Stream.concat(mParts.values().stream(), mCrashes.values().stream());
+    }
+
+    private Map<String, Entry> table(String subject) {
+        return CrashSubject.matches(subject) ? mCrashes : mParts;
+    }
+
+    private static long retentionNanos(String subject) {
+        return CrashSubject.matches(subject) ? CRASH_RETENTION_NANOS : RETENTION_NANOS;
+    }
+
+    private static List<QuarantinedPart> subjects(
+            List<QuarantinedPart> parts, List<RecordedCrash> crashes) {
+        return Stream.concat(parts.stream(), crashes.stream().map(CrashSubject::of)).toList();
+    }
+
     private static List<String> members(String part) {
         return List.of(part.split("\\+"));
     }
 
     private void updateCount(long nowNanos) {
         mQuarantinedCount =
-                (int)
-                        mEntries.values().stream()
-                                .filter(entry -> entry.quarantined(nowNanos))
-                                .count();
+                (int) mParts.values().stream().filter(entry -> entry.quarantined(nowNanos)).count();
     }
 }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/QuarantineVerdict.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/QuarantineVerdict.java
@@ -8,7 +8,8 @@
 /**
  * Verdict of a scheduler on a part of prompts, as instances pass it to each other. Immutable.
  *
- * @param part part, see {@link dev.kumquatweir.policy.placement.QuarantinedPart#part}
+ * @param part part, see {@link dev.kumquatweir.policy.placement.QuarantinedPart#part}, or a crash
+ *     on one content, see {@link CrashSubject}
  * @param stamp order of the verdicts on one part: the higher one holds. It is carried unchanged,
  *     unlike the age, which each message makes younger by the time that it takes
  * @param cleared whether the quarantine has been withdrawn
--- a/program/src/test/java/dev/kumquatweir/program/fleet/QuarantineDirectoryTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/QuarantineDirectoryTest.java
@@ -70,7 +70,9 @@
     @Test
     void withdrawalPrevailsWithWallClockBehind() {
         mDirectory.merge(PEER, List.of(verdict(5_000_000, false, 0)), START_NANOS);
-        assertThat(mDirectory.update(List.of(), START_NANOS + SECOND_NANOS, 1_000), is(true));
+        assertThat(
+                mDirectory.update(List.of(), List.of(), START_NANOS + SECOND_NANOS, 1_000),
+                is(true));
         assertThat(
                 mDirectory.changedSince(0, START_NANOS + SECOND_NANOS),
                 is(List.of(verdict(5_000_001, true, 0))));
@@ -79,10 +81,14 @@
     /** Guards against a message to every instance for each crash and each decision. */
     @Test
     void unchangedReportOfTheSchedulerIsNoChange() {
-        assertThat(mDirectory.update(List.of(), START_NANOS, 1_000), is(false));
-        assertThat(mDirectory.update(report(0), START_NANOS, 1_000), is(true));
-        assertThat(mDirectory.update(report(400), START_NANOS + SECOND_NANOS, 2_000), is(false));
-        assertThat(mDirectory.update(report(0), START_NANOS + 2 * SECOND_NANOS, 3_000), is(true));
+        assertThat(mDirectory.update(List.of(), List.of(), START_NANOS, 1_000), is(false));
+        assertThat(mDirectory.update(report(0), List.of(), START_NANOS, 1_000), is(true));
+        assertThat(
+                mDirectory.update(report(400), List.of(), START_NANOS + SECOND_NANOS, 2_000),
+                is(false));
+        assertThat(
+                mDirectory.update(report(0), List.of(), START_NANOS + 2 * SECOND_NANOS, 3_000),
+                is(true));
         assertThat(mDirectory.changedSince(0, START_NANOS + 2 * SECOND_NANOS), hasSize(1));
     }
 
@@ -139,8 +145,8 @@
                 numberedVerdicts(0, 2 * QuarantineDirectory.MAXIMUM_PARTS).stream()
                         .map(each -> new QuarantinedPart(each.part(), each.ageMillis()))
                         .toList();
-        mDirectory.update(parts, 0, 1_000);
-        assertThat(mDirectory.update(parts, 0, 1_000), is(false));
+        mDirectory.update(parts, List.of(), 0, 1_000);
+        assertThat(mDirectory.update(parts, List.of(), 0, 1_000), is(false));
     }
 
     /** Guards against texts of any length that are kept and sent. */
--- a/program/src/test/java/dev/kumquatweir/program/fleet/QuarantineSimulation.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/QuarantineSimulation.java
@@ -2,9 +2,16 @@
 
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.identity.ServiceName;
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.placement.PlacementAction;
+import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementLimits;
+import dev.kumquatweir.policy.placement.PlacementRefusal;
+import dev.kumquatweir.policy.placement.PlacementRequest;
 import dev.kumquatweir.policy.placement.PlacementScheduler;
 import dev.kumquatweir.policy.placement.QuarantinedPart;
+import dev.kumquatweir.policy.placement.RecordedCrash;
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -12,6 +19,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -152,6 +160,7 @@
         private long mWallOffsetMillis = mRandom.nextLong(2 * MAXIMUM_WALL_OFFSET_MILLIS);
         private int mLife = 1;
         private long mRequestCount;
+        private long mSubmitted;
         private boolean mIsRunning = true;
         private @Nullable PlacementScheduler mScheduler;
 
@@ -181,6 +190,7 @@
             PlacementScheduler scheduler =
                     new PlacementScheduler(new PlacementLimits(0.2, 10, 1_000));
             scheduler.addQuarantinedParts(mDirectory.quarantinedParts(nowNanos()), nowNanos());
+            scheduler.crashes().add(mDirectory.crashes(nowNanos()), nowNanos());
             mScheduler = scheduler;
         }
 
@@ -195,6 +205,38 @@
             }
         }
 
+        /** Lets the scheduler of this instance record that a content crashed an upstream. */
+        void recordCrash(String contentHash, String upstream) {
+            if (mScheduler != null) {
+                RecordedCrash crash = new RecordedCrash(contentHash, new UpstreamId(upstream), 0);
+                mScheduler.crashes().add(List.of(crash), nowNanos());
+            }
+        }
+
+        /** Lets the scheduler of this instance hear of an answer to a content. */
+        void recordAnswer(String contentHash) {
+            if (mScheduler != null) {
+                mScheduler.crashes().remove(List.of(contentHash));
+            }
+        }
+
+        /** Returns whether the scheduler of this instance refuses a content at once. */
+        boolean refuses(String contentHash) {
+            PlacementKey key = new PlacementKey(mId, mSubmitted++);
+            PlacementRequest request =
+                    PlacementRequest.builder(key, "request", new ServiceName("service"))
+                            .contentHash(contentHash)
+                            .times(nowNanos(), nowNanos(), nowNanos())
+                            .build();
+            PlacementScheduler scheduler = Objects.requireNonNull(mScheduler);
+            scheduler.submit(request, nowNanos());
+            return scheduler.decide(nowNanos()).stream()
+                    .anyMatch(
+                            action ->
+                                    action instanceof PlacementAction.Reject reject
+                                            && reject.reason() == PlacementRefusal.QUARANTINED);
+        }
+
         /** Lets the scheduler of this instance conclude that a part is sound. */
         void release(String part) {
             if (mScheduler != null) {
@@ -230,7 +272,9 @@
         private void tick() {
             PlacementScheduler scheduler = mScheduler;
             if (scheduler != null) {
-                report(scheduler.quarantinedParts(nowNanos()));
+                report(
+                        scheduler.quarantinedParts(nowNanos()),
+                        scheduler.crashes().repeated(nowNanos()));
             }
             mServer.tick(nowNanos());
             mDirectory.expire(nowNanos());
@@ -247,10 +291,10 @@
                     });
         }
 
-        private void report(List<QuarantinedPart> parts) {
+        private void report(List<QuarantinedPart> parts, List<RecordedCrash> crashes) {
             if (!mIsControl) {
-                mDirectory.add(parts, nowNanos(), wallMillis());
-            } else if (mDirectory.update(parts, nowNanos(), wallMillis())) {
+                mDirectory.add(parts, crashes, nowNanos(), wallMillis());
+            } else if (mDirectory.update(parts, crashes, nowNanos(), wallMillis())) {
                 mServer.notifyWatchers(nowNanos());
             }
         }
--- a/program/src/test/java/dev/kumquatweir/program/fleet/WatchServerTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/WatchServerTest.java
@@ -60,7 +60,8 @@
         sendFirstRequest();
         sendRequest(MILLISECOND_NANOS);
         assertThat(mResponses, hasSize(0));
-        mQuarantine.update(List.of(new QuarantinedPart("5c1e", 0)), 2 * MILLISECOND_NANOS, 1_000);
+        mQuarantine.update(
+                List.of(new QuarantinedPart("5c1e", 0)), List.of(), 2 * MILLISECOND_NANOS, 1_000);
         mServer.notifyWatchers(2 * MILLISECOND_NANOS);
         assertThat(
                 mResponses.get(0).verdicts(),
@@ -71,7 +72,7 @@
     @Test
     void requestOfWatcherThatLacksVerdictIsAnsweredAtOnce() {
         sendFirstRequest();
-        mQuarantine.update(List.of(new QuarantinedPart("5c1e", 0)), 0, 1_000);
+        mQuarantine.update(List.of(new QuarantinedPart("5c1e", 0)), List.of(), 0, 1_000);
         sendRequest(MILLISECOND_NANOS);
         assertThat(mResponses, hasSize(1));
         assertThat(mResponses.get(0).verdicts(), hasSize(1));
@@ -81,7 +82,7 @@
     @Test
     void verdictsInTheRequestAreNotSentBack() {
         sendFirstRequest();
-        mQuarantine.update(List.of(new QuarantinedPart("5c1e", 0)), 0, 1_000);
+        mQuarantine.update(List.of(new QuarantinedPart("5c1e", 0)), List.of(), 0, 1_000);
         sendRequest(List.of(new QuarantineVerdict("5c1e", 1_000, false, 5)), 0, MILLISECOND_NANOS);
         assertThat(mResponses, hasSize(0));
     }
