--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/ReportParser.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/ReportParser.java
@@ -19,15 +19,11 @@
 import java.util.Arrays;
 import java.util.Locale;
 import java.util.function.Function;
-import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.StreamSupport;
 
 /** Reads what upstreams report. Thread-safe: holds no state. */
 final class ReportParser {
-    private static final Pattern ADDRESS =
-            Pattern.compile("([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+]):[0-9]{1,5}");
-
     private ReportParser() {}
 
     static Either<RequestFailure, Announcement> announcement(ObjectNode body) {
@@ -42,8 +38,8 @@
                                 id(node),
                                 number(node, "incarnation"),
                                 number(node, "sequence"),
-                                (int) number(node, "running"),
-                                (int) number(node, "queued"),
+                                count(node, "running"),
+                                count(node, "queued"),
                                 number(node, "memory_used_tokens"),
                                 number(node, "prefill_backlog_tokens"),
                                 flag(node, "cold")));
@@ -78,7 +74,7 @@
         UpstreamKind kind = choice(node, "kind", UpstreamKind.class);
         JsonNode coldLimit = node.path("cold_limit");
         String address = text(node, "address");
-        if (!ADDRESS.matcher(address).matches()) {
+        if (!UpstreamAddress.isValid(address)) {
             throw malformed("address", "an IP address and port is needed");
         }
         return new Announcement(
@@ -98,7 +94,7 @@
                 new ColdLimit(
                         coldLimit.path("requests").asInt(1),
                         coldLimit.path("prefill_tokens").asLong(Long.MAX_VALUE)),
-                (int) number(node, "max_running"));
+                count(node, "max_running"));
     }
 
     private static CacheEvents.CacheEvent cacheEvent(JsonNode node) {
@@ -151,6 +147,14 @@
         return value.longValue();
     }
 
+    private static int count(JsonNode node, String key) {
+        long value = number(node, key);
+        if (value < 0 || value > Integer.MAX_VALUE) {
+            throw malformed(key, "a count is needed");
+        }
+        return (int) value;
+    }
+
     private static boolean flag(JsonNode node, String key) {
         return node.path(key).asBoolean(false);
     }
