Keep a silent upstream until another one takes its request

Cause: the silence limit closed the connection before it was known whether another upstream may take the request (the route's upstreams were used up) or can (the scheduler had no place). Hypotheses: that; the upstream breaks off; the change drops routes of running requests.

Now the request stays where it is while another upstream is asked for, and moves only when that is granted and the silence goes on. The scheduler hears of the silence also without a takeover, since a hung upstream must get no more work.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
@@ -111,10 +111,17 @@
                 SilenceLimits.firstEventLimitMillis(request.route(), expectedMillis);
     }
 
-    void send(StreamingHttpClient client, boolean ownsClient, StreamingHttpRequest request) {
-        UpstreamCall call = new UpstreamCall(client, ownsClient, request, this);
-        mCall = call;
-        call.send();
+    /**
+     * Prepares the call of the upstream.
+     *
+     * @param ownsClient whether the client is closed at the end of the call
+     */
+    void prepare(StreamingHttpClient client, boolean ownsClient, StreamingHttpRequest request) {
+        mCall = new UpstreamCall(client, ownsClient, request, this);
+    }
+
+    void send() {
+        call().send();
     }
 
     /** Closes the connection, so that the upstream cancels the request. */
--- /dev/null
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/AttemptFactory.java
@@ -0,0 +1,58 @@
+package dev.kumquatweir.gateway.forward;
+
+import dev.kumquatweir.policy.placement.PlacementGrant;
+import io.servicetalk.http.api.StreamingHttpClient;
+import java.util.concurrent.TimeUnit;
+
+/** Prepares the sends of one request to upstreams. Confined to the I/O thread. */
+final class AttemptFactory {
+    private final ForwardingPorts mPorts;
+    private final ForwardedRequest mRequest;
+
+    AttemptFactory(ForwardingPorts ports, ForwardedRequest request) {
+        mPorts = ports;
+        mRequest = request;
+    }
+
+    /**
+     * Returns an attempt that is not yet sent.
+     *
+     * @param lastEventId id of the last event that the caller has, negative if it has none
+     * @param resumes whether the caller has received a part of the stream from this instance
+     */
+    Attempt create(
+            PlacementGrant grant,
+            ReservedMemory memory,
+            Attempt.Owner owner,
+            long lastEventId,
+            boolean resumes,
+            long nowNanos) {
+        boolean atMostOnce = !mRequest.route().repeatability().allowsReexecution();
+        // A pooled connection may have just been closed by the upstream. The send would then fail
+        // with an unknown outcome, and a request that runs at most once could not be resent.
+        StreamingHttpClient client =
+                atMostOnce
+                        ? mPorts.clients().newClient(grant.address())
+                        : mPorts.clients().of(grant.address());
+        UpstreamInstructions instructions =
+                new UpstreamInstructions(
+                        grant.upstream(),
+                        TimeUnit.NANOSECONDS.toMillis(mRequest.deadlineNanos() - nowNanos),
+                        mRequest.team().map(team -> team.name()),
+                        resumes ? lastEventId : -1,
+                        memory.addresses(grant.helpers()));
+        Attempt attempt =
+                new Attempt(
+                        mRequest,
+                        mPorts,
+                        owner,
+                        lastEventId >= 0,
+                        grant.expectedMillis(),
+                        nowNanos);
+        attempt.prepare(
+                client,
+                atMostOnce,
+                UpstreamRequests.newRequest(client, mRequest, instructions, mPorts));
+        return attempt;
+    }
+}
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -9,15 +9,15 @@
 import dev.kumquatweir.policy.placement.PlacementRefusal;
 import dev.kumquatweir.policy.placement.PlacementRequest;
 import dev.kumquatweir.policy.stop.StopAction;
-import io.servicetalk.http.api.StreamingHttpClient;
-import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
 import java.util.HashSet;
 import java.util.Locale;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -40,8 +40,11 @@
     private final ForwardedRequest mRequest;
     private final CallerResponse mCallerResponse;
     private final StopAdmission mStops;
-    private final EndListener mEndListener;
+    private final Consumer<Exchange> mEndListener;
     private final ExchangeLog mLog;
+    private final AttemptFactory mAttempts;
+    private final EventGaps mEventGaps;
+    private final Takeover mTakeover;
     private final Set<UpstreamId> mTriedUpstreams = new HashSet<>();
     private @Nullable PlacementKey mPlacementKey;
     private @Nullable PlacementGrant mGrant;
@@ -54,22 +57,18 @@
     private long mFirstEventMillis = -1;
     private long mLastEventId;
     private long mLastEventNanos;
-    private boolean mLateEventReported;
     private boolean mDone;
 
-    /** Notified when an exchange has ended. */
-    interface EndListener {
-        /** Called exactly once for each exchange. */
-        void exchangeEnded(Exchange exchange);
-    }
-
+    /**
+     * @param endListener called exactly once, when the exchange has ended
+     */
     Exchange(
             ForwardingPorts ports,
             ForwardingMetrics metrics,
             ForwardedRequest request,
             CallerResponse callerResponse,
             StopAdmission stops,
-            EndListener endListener) {
+            Consumer<Exchange> endListener) {
         mPorts = ports;
         mMetrics = metrics;
         mRequest = request;
@@ -77,6 +76,9 @@
         mStops = stops;
         mEndListener = endListener;
         mLog = new ExchangeLog(request);
+        mAttempts = new AttemptFactory(ports, request);
+        mEventGaps = new EventGaps(ports.placement(), metrics, mLog, request.route());
+        mTakeover = new Takeover(ports, mLog, () -> isSilent(nowNanos()), this::takeOver);
         mLastEventId = request.head().lastEventId();
     }
 
@@ -111,15 +113,36 @@
         if (endForStop(nowNanos)) {
             return;
         }
-        Attempt attempt = mAttempt;
-        if (attempt != null
-                && attempt.exceedsSilenceLimit(nowNanos)
+        if (!isSilent(nowNanos)) {
+            mTakeover.cancel();
+        } else if (mayResend(mPossibleExecutions + 1, true)
                 && mStops.leavesTimeToResend(mRequest, mCallerResponse.isStarted(), nowNanos)) {
-            attempt.close();
-            attemptFailed(PlacementOutcome.SILENT, "", true);
+            mTakeover.request(mPlacementKey, key -> takeoverRequest(key, nowNanos), nowNanos);
+        } else {
+            mTakeover.recordSilence(mPlacementKey);
         }
     }
 
+    /** Returns the placement request for an upstream that replaces the silent one. */
+    private PlacementRequest takeoverRequest(PlacementKey key, long nowNanos) {
+        Set<UpstreamId> excluded = new HashSet<>(mTriedUpstreams);
+        Optional.ofNullable(mGrant).map(PlacementGrant::upstream).ifPresent(excluded::add);
+        return placementRequest(key, excluded, true, nowNanos);
+    }
+
+    private void takeOver(PlacementAction.Grant grant) {
+        Objects.requireNonNull(mAttempt).close();
+        recordFailure(PlacementOutcome.SILENT, "", true, true);
+        mPlacementKey = grant.key();
+        mPlacementRequestedNanos = nowNanos();
+        handleGrant(grant.grant());
+    }
+
+    private boolean isSilent(long nowNanos) {
+        Attempt attempt = mAttempt;
+        return !mDone && attempt != null && attempt.exceedsSilenceLimit(nowNanos);
+    }
+
     /** Ends the request if a planned stop leaves no time for it. Returns whether it has ended. */
     private boolean endForStop(long nowNanos) {
         StopAction action =
@@ -147,14 +170,17 @@
         mGrant = null;
         mPlacementRequestedNanos = nowNanos;
         mPorts.placement()
-                .submit(placementRequest(key, nowNanos), action -> handlePlacement(key, action));
+                .submit(
+                        placementRequest(key, mTriedUpstreams, mSends > 0, nowNanos),
+                        action -> handlePlacement(key, action));
     }
 
-    private PlacementRequest placementRequest(PlacementKey key, long nowNanos) {
+    private PlacementRequest placementRequest(
+            PlacementKey key, Set<UpstreamId> excluded, boolean retry, long nowNanos) {
         return mCallerResponse.isStarted()
                 ? PlacementRequests.resumed(
-                        key, mRequest, mPorts, mTriedUpstreams, mLastEventNanos, nowNanos)
-                : PlacementRequests.first(key, mRequest, mPorts, mTriedUpstreams, mSends > 0);
+                        key, mRequest, mPorts, excluded, mLastEventNanos, nowNanos)
+                : PlacementRequests.first(key, mRequest, mPorts, excluded, retry);
     }
 
     private void handlePlacement(PlacementKey key, PlacementAction action) {
@@ -229,33 +255,12 @@
             handleTimeout();
             return;
         }
-        boolean atMostOnce = !mRequest.route().repeatability().allowsReexecution();
-        // A pooled connection may have just been closed by the upstream. The send would then fail
-        // with an unknown outcome, and a request that runs at most once could not be resent.
-        StreamingHttpClient client =
-                atMostOnce
-                        ? mPorts.clients().newClient(grant.address())
-                        : mPorts.clients().of(grant.address());
-        UpstreamInstructions instructions =
-                new UpstreamInstructions(
-                        grant.upstream(),
-                        remainingMillis,
-                        mRequest.team().map(team -> team.name()),
-                        mCallerResponse.isStarted() ? mLastEventId : -1,
-                        memory.addresses(grant.helpers()));
-        StreamingHttpRequest request =
-                UpstreamRequests.newRequest(client, mRequest, instructions, mPorts);
         Attempt attempt =
-                new Attempt(
-                        mRequest,
-                        mPorts,
-                        this,
-                        mLastEventId >= 0,
-                        grant.expectedMillis(),
-                        nowNanos);
+                mAttempts.create(
+                        grant, memory, this, mLastEventId, mCallerResponse.isStarted(), nowNanos);
         mAttempt = attempt;
         mSentNanos = nowNanos;
-        attempt.send(client, atMostOnce, request);
+        attempt.send();
     }
 
     @Override
@@ -277,10 +282,10 @@
         }
         long nowNanos = nowNanos();
         if (first) {
-            recordFirstEvent();
+            mEventGaps.recordFirst(mPlacementKey, mGrant, mSentNanos, ageMillis(), nowNanos);
         }
         if (mCallerResponse.isStarted()) {
-            recordEventGap(nowNanos);
+            mEventGaps.record(mPlacementKey, mGrant, nowNanos - mLastEventNanos);
         } else {
             mFirstEventMillis = ageMillis();
             mMetrics.recordFirstEvent(mFirstEventMillis);
@@ -293,28 +298,6 @@
         mCallerResponse.sendEvent(event.content());
     }
 
-    private void recordFirstEvent() {
-        PlacementKey key = mPlacementKey;
-        PlacementGrant grant = mGrant;
-        if (key != null && grant != null) {
-            mPorts.placement().recordFirstEvent(key);
-            mLog.firstEvent(
-                    grant, TimeUnit.NANOSECONDS.toMillis(nowNanos() - mSentNanos), ageMillis());
-        }
-    }
-
-    private void recordEventGap(long nowNanos) {
-        long gapMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - mLastEventNanos);
-        mMetrics.recordEventGap(gapMillis);
-        long targetMillis = mRequest.route().targetGapMillis();
-        PlacementKey key = mPlacementKey;
-        if (targetMillis > 0 && gapMillis > targetMillis && !mLateEventReported && key != null) {
-            mLateEventReported = true;
-            mPorts.placement().recordLateEvent(key, gapMillis);
-            mLog.lateEvent(Optional.ofNullable(mGrant), gapMillis);
-        }
-    }
-
     @Override
     public void streamCompleted(StreamingHttpResponse head) {
         mAttempt = null;
@@ -365,18 +348,13 @@
 
     @Override
     public void attemptFailed(PlacementOutcome outcome, String culprit, boolean mayHaveExecuted) {
-        PlacementGrant grant = mGrant;
-        if (mDone || grant == null) {
+        if (mDone || mGrant == null) {
             return;
         }
-        mAttempt = null;
-        mPossibleExecutions += mayHaveExecuted ? 1 : 0;
-        endPlacement(outcome, culprit);
-        boolean resend = mayResend(mPossibleExecutions, mayHaveExecuted);
-        mLog.sendFailed(grant, outcome, culprit, mSends, mPossibleExecutions, resend, ageMillis());
+        boolean resend =
+                mayResend(mPossibleExecutions + (mayHaveExecuted ? 1 : 0), mayHaveExecuted);
+        recordFailure(outcome, culprit, mayHaveExecuted, resend);
         if (resend) {
-            mMetrics.countResent(outcome.name().toLowerCase(Locale.ROOT));
-            mTriedUpstreams.add(grant.upstream());
             start();
         } else if (mCallerResponse.isStarted()) {
             abort("upstream_failed");
@@ -387,6 +365,20 @@
         }
     }
 
+    private void recordFailure(
+            PlacementOutcome outcome, String culprit, boolean mayHaveExecuted, boolean resend) {
+        PlacementGrant grant = Objects.requireNonNull(mGrant);
+        mTakeover.cancel();
+        mAttempt = null;
+        mPossibleExecutions += mayHaveExecuted ? 1 : 0;
+        endPlacement(outcome, culprit);
+        mLog.sendFailed(grant, outcome, culprit, mSends, mPossibleExecutions, resend, ageMillis());
+        if (resend) {
+            mMetrics.countResent(outcome.name().toLowerCase(Locale.ROOT));
+            mTriedUpstreams.add(grant.upstream());
+        }
+    }
+
     // Completion.
 
     private void handleTimeout() {
@@ -412,6 +404,7 @@
 
     private void end(String reason, PlacementOutcome outcome) {
         mDone = true;
+        mTakeover.cancel();
         Attempt attempt = mAttempt;
         mAttempt = null;
         if (attempt != null) {
@@ -423,7 +416,7 @@
         }
         mMetrics.countEnded(reason);
         mLog.ended(reason, mSends, mLastEventId, mFirstEventMillis, ageMillis());
-        mEndListener.exchangeEnded(this);
+        mEndListener.accept(this);
     }
 
     private void endPlacement(PlacementOutcome outcome, String culprit) {
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeLog.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeLog.java
@@ -57,6 +57,18 @@
                 reject.retryAfterMillis());
     }
 
+    /** Logs that a silent upstream keeps its request, since no other one can take it. */
+    void takeoverRejected(PlacementAction.Reject reject) {
+        LOG.info(
+                "takeover_rejected",
+                "request",
+                mRequestId,
+                "route",
+                mRoute,
+                "reason",
+                reject.reason());
+    }
+
     void connectionFailed(Optional<PlacementGrant> grant, boolean sent, Throwable exception) {
         LOG.warn(
                 "connection_failed",
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementPort.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementPort.java
@@ -31,6 +31,9 @@
     /** Reports a gap between two events that exceeds the target of the route. */
     void recordLateEvent(PlacementKey key, long gapMillis);
 
+    /** Reports that an upstream is silent for longer than its limit and keeps the request. */
+    void recordSilence(PlacementKey key);
+
     /** Reports the end of a placement; see {@code PlacementScheduler#ended}. */
     void ended(PlacementKey key, PlacementOutcome outcome, String culprit);
 }
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -20,6 +20,7 @@
 import dev.kumquatweir.policy.placement.PlacementGrant;
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementOutcome;
+import dev.kumquatweir.policy.placement.PlacementRefusal;
 import dev.kumquatweir.policy.placement.PlacementRequest;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpExecutionStrategies;
@@ -33,6 +34,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -126,6 +128,16 @@
                         + body);
     }
 
+    /** Rejects all further placements but the first of each request. */
+    void rejectRetries() {
+        mPlacement.mRejectsRetries = true;
+    }
+
+    /** Returns the number of silences that were reported to the scheduler. */
+    int silences() {
+        return mPlacement.mSilences.size();
+    }
+
     RawUpstream first() {
         return mFirst;
     }
@@ -181,6 +193,8 @@
         private final String mFirstAddress;
         private final String mSecondAddress;
         private final AtomicLong mNumbers = new AtomicLong();
+        private final List<PlacementKey> mSilences = new CopyOnWriteArrayList<>();
+        private volatile boolean mRejectsRetries;
 
         GrantInTurn(String firstAddress, String secondAddress) {
             mFirstAddress = firstAddress;
@@ -196,6 +210,11 @@
         public void submit(PlacementRequest request, Consumer<PlacementAction> onDecision) {
             PlacementKey key = request.key();
             boolean again = request.retry();
+            if (again && mRejectsRetries) {
+                onDecision.accept(
+                        new PlacementAction.Reject(key, PlacementRefusal.REPEAT_BUDGET, 0));
+                return;
+            }
             UpstreamId upstream = new UpstreamId(again ? "second" : "first");
             String address = again ? mSecondAddress : mFirstAddress;
             onDecision.accept(
@@ -212,6 +231,11 @@
         @Override
         public void recordLateEvent(PlacementKey key, long gapMillis) {}
 
+        @Override
+        public void recordSilence(PlacementKey key) {
+            mSilences.add(key);
+        }
+
         @Override
         public void ended(PlacementKey key, PlacementOutcome outcome, String culprit) {}
     }
--- a/gateway/src/test/java/dev/kumquatweir/gateway/raw/RawUpstream.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/raw/RawUpstream.java
@@ -59,8 +59,21 @@
      * @param bytes its bytes, head included
      * @param ending what follows them
      * @param beforeBody whether it is sent before the body of the request is read
+     * @param rest bytes that follow after a pause
+     * @param pauseMillis length of the pause
      */
-    public record Answer(String bytes, Ending ending, boolean beforeBody) {
+    public record Answer(
+            String bytes, Ending ending, boolean beforeBody, String rest, long pauseMillis) {
+        /** Creates an answer without a pause. */
+        public Answer(String bytes, Ending ending, boolean beforeBody) {
+            this(bytes, ending, beforeBody, "", 0);
+        }
+
+        /** Creates an answer that follows the whole request and has a pause. */
+        public Answer(String bytes, long pauseMillis, String rest) {
+            this(bytes, Ending.KEEP_OPEN, false, rest, pauseMillis);
+        }
+
         /** Creates an answer that follows the whole request. */
         public Answer(String bytes, Ending ending) {
             this(bytes, ending, false);
@@ -161,6 +174,11 @@
                 OutputStream output = socket.getOutputStream();
                 output.write(answer.bytes().getBytes(StandardCharsets.UTF_8));
                 output.flush();
+                if (!answer.rest().isEmpty()) {
+                    Thread.sleep(answer.pauseMillis());
+                    output.write(answer.rest().getBytes(StandardCharsets.UTF_8));
+                    output.flush();
+                }
                 ending = answer.ending();
                 if (ending == Ending.WITHOUT_END) {
                     repeatEnd(output, answer.bytes(), connection);
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -25,8 +25,6 @@
  * standalone mode, see {@link #configureStandalone}.
  */
 public final class PlacementScheduler {
-    private static final double NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
-
     /** A call of a plain service that starts later than this cannot complete in time. */
     private static final long MINIMUM_CALL_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
@@ -158,6 +156,13 @@
         }
     }
 
+    /** Records that an upstream sends nothing and keeps its request. */
+    public void recordSilence(PlacementKey key, long nowNanos) {
+        mPlacements.getOrDefault(key, List.of()).stream()
+                .limit(1)
+                .forEach(upstream -> upstream.health().recordLostAnswer(nowNanos));
+    }
+
     /**
      * Records the end of a placement.
      *
@@ -333,7 +338,7 @@
             WaitingRequest waiting, EngineCost cost, ServiceRound round, long nowNanos) {
         PlacementRequest request = waiting.request();
         double minimumMillis = EngineChooser.minimumMillis(request, cost, round.upstreamCount());
-        long minimumNanos = (long) (minimumMillis * NANOS_PER_MILLI);
+        long minimumNanos = (long) (minimumMillis * TimeUnit.MILLISECONDS.toNanos(1));
         if (nowNanos + minimumNanos - request.latestStartNanos() > 0) {
             rejectTooLate(waiting, round, nowNanos);
             return;
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
@@ -204,6 +204,15 @@
         }
     }
 
+    @Override
+    public void recordSilence(PlacementKey key) {
+        TrackedRequest tracked = mRequests.get(key);
+        if (tracked != null) {
+            notifyScheduler(tracked, new PlacementEvent.Silent(key));
+            mLocalScheduler.recordSilence(key, mClocks.nowNanos());
+        }
+    }
+
     @Override
     public void ended(PlacementKey key, PlacementOutcome outcome, String culprit) {
         TrackedRequest tracked = mRequests.remove(key);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -172,6 +172,7 @@
                     scheduler.recordFirstEvent(started.key(), nowNanos);
             case PlacementEvent.Delayed delayed ->
                     scheduler.recordLateEvent(delayed.key(), delayed.gapMillis(), nowNanos);
+            case PlacementEvent.Silent silent -> scheduler.recordSilence(silent.key(), nowNanos);
             case PlacementEvent.Ended ended ->
                     scheduler.ended(ended.key(), ended.outcome(), ended.culprit(), nowNanos);
             case PlacementEvent.Withdrawn withdrawn -> {
--- a/program/src/main/java/dev/kumquatweir/program/fleet/PlacementEvent.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/PlacementEvent.java
@@ -21,6 +21,9 @@
     /** The gap between two events exceeded the target. */
     record Delayed(PlacementKey key, long gapMillis) implements PlacementEvent {}
 
+    /** The upstream sends nothing for longer than its limit, and keeps the request. */
+    record Silent(PlacementKey key) implements PlacementEvent {}
+
     /** The placement ended. */
     record Ended(PlacementKey key, PlacementOutcome outcome, String culprit)
             implements PlacementEvent {}
@@ -41,6 +44,7 @@
                     writer.writeString("delayed")
                             .writeLong(delayed.key().number())
                             .writeLong(delayed.gapMillis());
+            case Silent silent -> writer.writeString("silent").writeLong(silent.key().number());
             case Ended ended ->
                     writer.writeString("ended")
                             .writeLong(ended.key().number())
@@ -71,6 +75,7 @@
             case "started" -> new Started(new PlacementKey(owner, reader.readLong()));
             case "delayed" ->
                     new Delayed(new PlacementKey(owner, reader.readLong()), reader.readLong());
+            case "silent" -> new Silent(new PlacementKey(owner, reader.readLong()));
             case "ended" ->
                     new Ended(
                             new PlacementKey(owner, reader.readLong()),
