Make a departure final for the start that it belongs to

Cause: a departure has no check-in number; the confirming instance made one up, its last known plus one, and others compared it with real ones. Ruled out: a lost message (the watchers answered before the confirmation) and a later check-in that brings the upstream back, which could happen in the scheduler's copy, though, and is mended with it. The second fault of that case: a departure at an instance that doesn't know the upstream, or only an earlier start, was confirmed and told to nobody; now it isn't confirmed, so that the upstream asks another instance.

--- a/core/src/main/java/dev/kumquatweir/core/routing/UpstreamStatus.java
+++ b/core/src/main/java/dev/kumquatweir/core/routing/UpstreamStatus.java
@@ -29,10 +29,18 @@
         long coldRemainingMillis,
         long sequence) {
 
-    /** Returns whether this status was reported after the other one of the same upstream. */
+    /**
+     * Returns whether this status replaces the other one of the same upstream. A departure is final
+     * for the start that it belongs to: it has no heartbeat number of its own, and a heartbeat that
+     * another instance has received later doesn't revoke it.
+     */
     public boolean isNewerThan(UpstreamStatus other) {
-        return startedAtMillis != other.startedAtMillis
-                ? startedAtMillis > other.startedAtMillis
-                : sequence > other.sequence;
+        if (startedAtMillis != other.startedAtMillis) {
+            return startedAtMillis > other.startedAtMillis;
+        }
+        if (phase == UpstreamPhase.GONE || other.phase == UpstreamPhase.GONE) {
+            return other.phase != UpstreamPhase.GONE;
+        }
+        return sequence > other.sequence;
     }
 }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
@@ -24,7 +24,6 @@
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -206,16 +205,19 @@
     private void handleLeave(
             UpstreamId upstream, long startedAtMillis, CompletableFuture<Boolean> confirmed) {
         long nowNanos = mClocks.nowNanos();
-        Optional<UpstreamStatus> left = mUpstreams.markLeft(upstream, startedAtMillis, nowNanos);
-        left.ifPresent(
-                status -> {
-                    mLocalUpstreams.update(status, nowNanos);
-                    publishChange(status, nowNanos);
-                });
-        if (!hasLeader()) {
+        UpstreamDirectory.Departure departure =
+                mUpstreams.markLeft(upstream, startedAtMillis, nowNanos);
+        if (departure instanceof UpstreamDirectory.Departure.Recorded recorded) {
+            mLocalUpstreams.update(recorded.status(), nowNanos);
+            publishChange(recorded.status(), nowNanos);
+        }
+        boolean unknown = departure instanceof UpstreamDirectory.Departure.Unknown;
+        if (unknown) {
+            LOG.info("departure_unknown", "upstream", upstream, "started_at_ms", startedAtMillis);
+        }
+        if (unknown || !hasLeader()) {
+            // The upstream turns to another instance, which may know it.
             confirmed.complete(false);
-        } else if (left.isEmpty()) {
-            confirmed.complete(true);
         } else {
             mWatchServer.confirmDelivery(nowNanos).thenAccept(confirmed::complete);
         }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/UpstreamDirectory.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/UpstreamDirectory.java
@@ -52,24 +52,37 @@
         return changed ? Change.STATE : Change.REFRESHED;
     }
 
+    /** Effect of a departure. */
+    sealed interface Departure {
+        /** The upstream is marked as gone, by its new status. */
+        record Recorded(UpstreamStatus status) implements Departure {}
+
+        /** The upstream is gone already, or has started again since. */
+        record Repeated() implements Departure {}
+
+        /** This start of the upstream is not known here, but may be known to other instances. */
+        record Unknown() implements Departure {}
+    }
+
     /**
      * Marks an upstream that announced its departure as gone.
      *
      * @param startedAtMillis start time of the upstream, 0 if it was not given
-     * @return the new status, empty if the upstream is unknown, already gone or has another start
-     *     time
      */
-    Optional<UpstreamStatus> markLeft(UpstreamId id, long startedAtMillis, long nowNanos) {
+    Departure markLeft(UpstreamId id, long startedAtMillis, long nowNanos) {
         Entry known = mEntries.get(id);
-        if (known == null || known.status().phase() == UpstreamPhase.GONE) {
-            return Optional.empty();
+        if (known == null
+                || (startedAtMillis != 0 && startedAtMillis > known.status().startedAtMillis())) {
+            return new Departure.Unknown();
         }
-        if (startedAtMillis != 0 && startedAtMillis != known.status().startedAtMillis()) {
-            return Optional.empty();
+        boolean earlierStart =
+                startedAtMillis != 0 && startedAtMillis < known.status().startedAtMillis();
+        if (earlierStart || known.status().phase() == UpstreamPhase.GONE) {
+            return new Departure.Repeated();
         }
         UpstreamStatus goneStatus = withGonePhase(known.status());
         put(goneStatus, nowNanos);
-        return Optional.of(goneStatus);
+        return new Departure.Recorded(goneStatus);
     }
 
     /** Returns the latest status of an upstream. */
@@ -131,8 +144,8 @@
     }
 
     /**
-     * Returns the status with phase GONE. Its sequence is higher than that of the last heartbeat,
-     * so that it replaces the heartbeat in all directories.
+     * Returns the status with phase GONE, which replaces all heartbeats of this start in all
+     * directories.
      */
     private static UpstreamStatus withGonePhase(UpstreamStatus last) {
         return new UpstreamStatus(
--- a/program/src/test/java/dev/kumquatweir/program/fleet/UpstreamDirectoryTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/UpstreamDirectoryTest.java
@@ -50,6 +50,41 @@
         assertThat(phase(FIRST), is(UpstreamPhase.GONE));
     }
 
+    /** Guards against a departure that is ignored where a later heartbeat is known. */
+    @Test
+    void departureReplacesHeartbeatsThatItsInstanceDidNotKnow() {
+        UpstreamDirectory other = new UpstreamDirectory();
+        other.update(status(FIRST, 1, 3, UpstreamPhase.READY), 0);
+        mDirectory.update(status(FIRST, 1, 5, UpstreamPhase.READY), 0);
+        UpstreamDirectory.Departure left = other.markLeft(FIRST, 1, 1);
+        UpstreamStatus gone = ((UpstreamDirectory.Departure.Recorded) left).status();
+        assertThat(mDirectory.update(gone, 2), is(UpstreamDirectory.Change.STATE));
+        mDirectory.update(status(FIRST, 1, 6, UpstreamPhase.READY), 3);
+        assertThat(phase(FIRST), is(UpstreamPhase.GONE));
+    }
+
+    /** Guards against a departure that is confirmed by an instance that can't pass it on. */
+    @Test
+    void departureOfUnknownStartIsNotRecorded() {
+        assertThat(mDirectory.markLeft(FIRST, 1, 0), is(new UpstreamDirectory.Departure.Unknown()));
+        assertThat(mDirectory.markLeft(FIRST, 0, 0), is(new UpstreamDirectory.Departure.Unknown()));
+        mDirectory.update(status(FIRST, 7, 1, UpstreamPhase.READY), 0);
+        assertThat(mDirectory.markLeft(FIRST, 9, 1), is(new UpstreamDirectory.Departure.Unknown()));
+        assertThat(phase(FIRST), is(UpstreamPhase.READY));
+    }
+
+    /** Guards against an upstream that asks in vain to be told that it may leave. */
+    @Test
+    void repeatedOrOutdatedDepartureIsConfirmed() {
+        mDirectory.update(status(FIRST, 7, 1, UpstreamPhase.READY), 0);
+        assertThat(
+                mDirectory.markLeft(FIRST, 5, 1), is(new UpstreamDirectory.Departure.Repeated()));
+        assertThat(phase(FIRST), is(UpstreamPhase.READY));
+        mDirectory.markLeft(FIRST, 7, 1);
+        assertThat(
+                mDirectory.markLeft(FIRST, 7, 1), is(new UpstreamDirectory.Departure.Repeated()));
+    }
+
     /** Guards against sending requests to a crashed upstream whose address was reused. */
     @Test
     void newerUpstreamAtTheSameAddressMarksTheOlderOneGone() {
