Avoid upstreams whose responses say that they leave or want a pause

An entry instance remembers both, excludes these upstreams from the placements that it asks for, and doesn't send to one that was granted meanwhile.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
@@ -2,7 +2,9 @@
 
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.gateway.http.ResponseFraming;
+import dev.kumquatweir.policy.placement.PlacementGrant;
 import dev.kumquatweir.policy.placement.PlacementOutcome;
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpRequest;
@@ -71,6 +73,8 @@
 
     private final ForwardedRequest mRequest;
     private final RequestDialect mDialect;
+    private final ForwardingState mState;
+    private final UpstreamId mUpstream;
     private final Owner mOwner;
     private final boolean mResumed;
     private final long mSentNanos;
@@ -91,24 +95,27 @@
      * Creates an attempt that is not yet sent.
      *
      * @param resumed whether the upstream is asked to resume a stream after an event
-     * @param expectedMillis expected time to the first event, or to the response if not streamed
+     * @param grant the upstream, and the expected time to its first event or, if not streamed, to
+     *     its response
      */
     Attempt(
             ForwardedRequest request,
             ForwardingPorts ports,
             Owner owner,
             boolean resumed,
-            long expectedMillis,
+            PlacementGrant grant,
             long nowNanos) {
         mRequest = request;
         mDialect = ports.dialect();
+        mState = ports.state();
+        mUpstream = grant.upstream();
         mOwner = owner;
         mBody = new ResponseCollector(ports.responseMemory());
         mResumed = resumed;
         mSentNanos = nowNanos;
         mLastPartNanos = nowNanos;
         mFirstEventLimitMillis =
-                SilenceLimits.firstEventLimitMillis(request.route(), expectedMillis);
+                SilenceLimits.firstEventLimitMillis(request.route(), grant.expectedMillis());
     }
 
     /**
@@ -156,7 +163,12 @@
         if (wrongRequestId) {
             close();
             mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
-        } else if (head.notExecuted()) {
+            return;
+        }
+        if (!head.misdirected()) {
+            mState.recordResponse(mUpstream, head, mOwner.nowNanos());
+        }
+        if (head.notExecuted()) {
             call().discard();
             PlacementOutcome outcome =
                     head.misdirected() ? PlacementOutcome.MISDIRECTED : PlacementOutcome.FULL;
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/AttemptFactory.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/AttemptFactory.java
@@ -41,14 +41,7 @@
                         mRequest.team().map(team -> team.name()),
                         resumes ? lastEventId : -1,
                         memory.addresses(grant.helpers()));
-        Attempt attempt =
-                new Attempt(
-                        mRequest,
-                        mPorts,
-                        owner,
-                        lastEventId >= 0,
-                        grant.expectedMillis(),
-                        nowNanos);
+        Attempt attempt = new Attempt(mRequest, mPorts, owner, lastEventId >= 0, grant, nowNanos);
         attempt.prepare(
                 client,
                 atMostOnce,
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -180,7 +180,7 @@
         return mCallerResponse.isStarted()
                 ? PlacementRequests.resumed(
                         key, mRequest, mPorts, excluded, mLastEventNanos, nowNanos)
-                : PlacementRequests.first(key, mRequest, mPorts, excluded, retry);
+                : PlacementRequests.first(key, mRequest, mPorts, excluded, retry, nowNanos);
     }
 
     private void handlePlacement(PlacementKey key, PlacementAction action) {
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingState.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingState.java
@@ -4,6 +4,7 @@
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.routing.RoutingTable;
 import java.util.Optional;
+import java.util.Set;
 
 /** Routing table and upstreams as currently known to an entry instance. Read on its I/O thread. */
 public interface ForwardingState {
@@ -18,4 +19,10 @@
      * status is not known.
      */
     boolean acceptsRequests(UpstreamId upstream);
+
+    /** Records what the head of an upstream's response says about further requests. */
+    void recordResponse(UpstreamId upstream, UpstreamResponseHead head, long nowNanos);
+
+    /** Returns the upstreams that have asked this instance for no further requests. */
+    Set<UpstreamId> avoidedUpstreams(long nowNanos);
 }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementRequests.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementRequests.java
@@ -4,6 +4,7 @@
 import dev.kumquatweir.core.routing.Route;
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementRequest;
+import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -17,14 +18,15 @@
             ForwardedRequest request,
             ForwardingPorts ports,
             Set<UpstreamId> triedUpstreams,
-            boolean retry) {
+            boolean retry,
+            long nowNanos) {
         Route route = request.route();
         return builder(key, request, ports, 1)
                 .times(
                         request.firstAttemptNanos() + millisToNanos(route.targetLatencyMillis()),
                         request.arrivedNanos() + callerTimeoutNanos(request, ports),
                         request.deadlineNanos())
-                .previousAttempts(triedUpstreams, retry)
+                .previousAttempts(excluded(triedUpstreams, ports, nowNanos), retry)
                 .build();
     }
 
@@ -41,10 +43,17 @@
                         nowNanos + millisToNanos(request.route().targetGapMillis()),
                         lastEventNanos + callerTimeoutNanos(request, ports),
                         request.deadlineNanos())
-                .previousAttempts(triedUpstreams, true)
+                .previousAttempts(excluded(triedUpstreams, ports, nowNanos), true)
                 .build();
     }
 
+    private static Set<UpstreamId> excluded(
+            Set<UpstreamId> triedUpstreams, ForwardingPorts ports, long nowNanos) {
+        Set<UpstreamId> excluded = new HashSet<>(ports.state().avoidedUpstreams(nowNanos));
+        excluded.addAll(triedUpstreams);
+        return excluded;
+    }
+
     private static PlacementRequest.Builder builder(
             PlacementKey key, ForwardedRequest request, ForwardingPorts ports, double outputShare) {
         CallerRequestHead head = request.head();
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/UpstreamResponseHead.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/UpstreamResponseHead.java
@@ -10,13 +10,18 @@
  * @param notExecuted whether the upstream guarantees that it has not executed the request
  * @param misdirected whether the address now belongs to another upstream
  * @param culprit address of the upstream at fault, empty if the response names none
+ * @param leaving whether the upstream says that it leaves
+ * @param pauseMillis time for which the upstream wants no requests from this instance, 0 if it
+ *     names none
  */
 public record UpstreamResponseHead(
         int status,
         Optional<String> requestId,
         boolean notExecuted,
         boolean misdirected,
-        String culprit) {
+        String culprit,
+        boolean leaving,
+        long pauseMillis) {
 
     /** Returns whether the status is 2xx. */
     public boolean success() {
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -34,6 +34,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -209,7 +210,7 @@
         @Override
         public void submit(PlacementRequest request, Consumer<PlacementAction> onDecision) {
             PlacementKey key = request.key();
-            boolean again = request.retry();
+            boolean again = request.retry() || request.excluded().contains(new UpstreamId("first"));
             if (again && mRejectsRetries) {
                 onDecision.accept(
                         new PlacementAction.Reject(key, PlacementRefusal.REPEAT_BUDGET, 0));
@@ -243,6 +244,7 @@
     /** A routing table that never changes; all upstreams accept requests. */
     private static final class FixedState implements ForwardingState {
         private final Optional<RoutingTable> mRouting = Optional.of(ForwardingHarness.routing());
+        private final AvoidedUpstreams mAvoided = new AvoidedUpstreams();
 
         @Override
         public Optional<RoutingTable> routing() {
@@ -256,7 +258,17 @@
 
         @Override
         public boolean acceptsRequests(UpstreamId upstream) {
-            return true;
+            return !mAvoided.avoids(upstream, 0, System.nanoTime());
+        }
+
+        @Override
+        public void recordResponse(UpstreamId upstream, UpstreamResponseHead head, long nowNanos) {
+            mAvoided.record(upstream, head, 0, nowNanos);
+        }
+
+        @Override
+        public Set<UpstreamId> avoidedUpstreams(long nowNanos) {
+            return mAvoided.avoided(upstream -> 0, nowNanos);
         }
     }
 
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/PlainDialect.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/PlainDialect.java
@@ -13,6 +13,8 @@
     static final String REQUEST_ID = "Request-Id";
     static final String RESUME_AFTER = "Resume-After";
     static final String NOT_EXECUTED = "Refused";
+    static final String LEAVING = "Leaving";
+    static final String PAUSE_MILLIS = "Pause";
 
     private static final long CALLER_TIMEOUT_MILLIS = 5_000;
 
@@ -52,7 +54,9 @@
                 text(response.headers(), REQUEST_ID),
                 response.headers().contains(NOT_EXECUTED),
                 false,
-                "");
+                "",
+                response.headers().contains(LEAVING),
+                text(response.headers(), PAUSE_MILLIS).map(Long::parseLong).orElse(0L));
     }
 
     private static Optional<String> text(HttpHeaders headers, String name) {
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/StopAdmissionTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/StopAdmissionTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
@@ -106,5 +107,13 @@
         public boolean acceptsRequests(UpstreamId upstream) {
             return true;
         }
+
+        @Override
+        public void recordResponse(UpstreamId upstream, UpstreamResponseHead head, long nowNanos) {}
+
+        @Override
+        public Set<UpstreamId> avoidedUpstreams(long nowNanos) {
+            return Set.of();
+        }
     }
 }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleetView.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleetView.java
@@ -11,12 +11,16 @@
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.core.routing.UpstreamPhase;
+import dev.kumquatweir.core.routing.UpstreamStatus;
 import dev.kumquatweir.core.time.Clocks;
+import dev.kumquatweir.gateway.forward.AvoidedUpstreams;
 import dev.kumquatweir.gateway.forward.ForwardingState;
+import dev.kumquatweir.gateway.forward.UpstreamResponseHead;
 import dev.kumquatweir.policy.placement.PlacementLimits;
 import dev.kumquatweir.transport.PeerNetwork;
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -39,6 +43,7 @@
     private final ControlInstanceDirectory mControlInstances;
     private final Function<Bytes, ? extends Either<? extends Failure, RoutingTable>> mRoutingReader;
     private final UpstreamDirectory mUpstreams = new UpstreamDirectory();
+    private final AvoidedUpstreams mAvoided = new AvoidedUpstreams();
     private final QuarantineDirectory mQuarantine = new QuarantineDirectory();
     private final WatchClient mWatchClient;
     private final EntryPlacement mPlacement;
@@ -100,6 +105,7 @@
             mLastExpiryNanos = nowNanos;
             mUpstreams.expire(nowNanos);
             mQuarantine.expire(nowNanos);
+            mAvoided.expire(mUpstreams.ids(), nowNanos);
         }
     }
 
@@ -122,6 +128,9 @@
 
     @Override
     public boolean acceptsRequests(UpstreamId upstream) {
+        if (mAvoided.avoids(upstream, startMillis(upstream), mClocks.nowNanos())) {
+            return false;
+        }
         return mUpstreams
                 .find(upstream)
                 .map(
@@ -133,6 +142,30 @@
                 .orElse(true);
     }
 
+    @Override
+    public void recordResponse(UpstreamId upstream, UpstreamResponseHead head, long nowNanos) {
+        if (head.leaving() || head.pauseMillis() > 0) {
+            LOG.info(
+                    "upstream_avoided",
+                    "upstream",
+                    upstream,
+                    "leaving",
+                    head.leaving(),
+                    "pause_ms",
+                    head.pauseMillis());
+            mAvoided.record(upstream, head, startMillis(upstream), nowNanos);
+        }
+    }
+
+    @Override
+    public Set<UpstreamId> avoidedUpstreams(long nowNanos) {
+        return mAvoided.avoided(this::startMillis, nowNanos);
+    }
+
+    private long startMillis(UpstreamId upstream) {
+        return mUpstreams.find(upstream).map(UpstreamStatus::startedAtMillis).orElse(0L);
+    }
+
     // Helpers.
 
     private void handleWatchResponse(InstanceId peer, WatchResponse response) {
--- a/program/src/main/java/dev/kumquatweir/program/fleet/UpstreamDirectory.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/UpstreamDirectory.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -114,6 +115,11 @@
                 .removeIf(entry -> nowNanos - entry.lastSeenNanos() > EXPIRY_TIMEOUT_NANOS);
     }
 
+    /** Returns the ids of all upstreams, including those marked as gone. */
+    Set<UpstreamId> ids() {
+        return Set.copyOf(mEntries.keySet());
+    }
+
     /** Returns the number of upstreams, including those marked as gone. */
     int size() {
         return mEntries.size();
