Bound the sum of the bodies that an entry instance holds

Each body was copied twice while it was collected and once more for each send, and nothing bounded the sum.

Now bodies over 64 KiB share a quarter of the heap. Short requests need no share. A body is kept in its parts, joined once, and sent from the same array.

--- a/core/src/main/java/dev/kumquatweir/core/bytes/Bytes.java
+++ b/core/src/main/java/dev/kumquatweir/core/bytes/Bytes.java
@@ -1,7 +1,9 @@
 package dev.kumquatweir.core.bytes;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 
 /** An immutable sequence of bytes with value equality. Thread-safe. */
 public final class Bytes {
@@ -19,6 +21,23 @@
         return new Bytes(content.clone());
     }
 
+    /** Returns the parts one after the other, copied once. */
+    public static Bytes concat(List<byte[]> parts) {
+        int size = parts.stream().mapToInt(part -> part.length).sum();
+        byte[] content = new byte[size];
+        int offset = 0;
+        for (byte[] part : parts) {
+            System.arraycopy(part, 0, content, offset, part.length);
+            offset += part.length;
+        }
+        return new Bytes(content);
+    }
+
+    /** Returns a read-only view of the content, which is not copied. */
+    public ByteBuffer asReadOnlyBuffer() {
+        return ByteBuffer.wrap(mContent).asReadOnlyBuffer();
+    }
+
     /** Encodes a text as UTF-8. */
     public static Bytes ofText(String text) {
         return new Bytes(text.getBytes(StandardCharsets.UTF_8));
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -82,6 +82,11 @@
         mLastEventId = request.head().lastEventId();
     }
 
+    /** Returns the size of the request's body. */
+    int bodyBytes() {
+        return mRequest.body().size();
+    }
+
     // Life cycle.
 
     void start() {
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
@@ -44,6 +44,8 @@
         mStops = new StopAdmission(ports.state());
         Gauge<Integer> running = () -> mRunningCount;
         metrics.register("kumquatweir_forward_requests_running", running);
+        Gauge<Long> requestBytes = () -> ports.requestMemory().usedBytes();
+        metrics.register("kumquatweir_forward_request_bytes", requestBytes);
         Gauge<Long> responseBytes = () -> ports.responseMemory().usedBytes();
         metrics.register("kumquatweir_forward_response_bytes", responseBytes);
     }
@@ -104,7 +106,9 @@
     }
 
     private void remove(Exchange exchange) {
-        mExchanges.remove(exchange);
+        if (mExchanges.remove(exchange)) {
+            mPorts.requestMemory().release(exchange.bodyBytes());
+        }
         mRunningCount = mExchanges.size();
     }
 
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardedRequest.java
@@ -46,7 +46,7 @@
     String contentHash() {
         CRC32C checksum = new CRC32C();
         checksum.update(head.promptIdentity().getBytes(StandardCharsets.UTF_8));
-        checksum.update(body.toArray());
+        checksum.update(body.asReadOnlyBuffer());
         checksum.update(target.getBytes(StandardCharsets.UTF_8));
         checksum.update(head.apiKey().orElse("").getBytes(StandardCharsets.UTF_8));
         return Long.toHexString(checksum.getValue()) + ":" + body.size();
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
@@ -3,6 +3,7 @@
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.failure.FailureException;
+import dev.kumquatweir.core.failure.RequestFailure;
 import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.routing.Route;
 import dev.kumquatweir.core.routing.RoutedTeam;
@@ -76,7 +77,8 @@
                         () ->
                                 BodyCollector.collect(
                                         request.payloadBody(),
-                                        routing.get().limits().maximumBodyBytes()),
+                                        routing.get().limits().maximumBodyBytes(),
+                                        mExchanges.ports().requestMemory()),
                         request)
                 : holdUntilRouted(arrival);
     }
@@ -119,7 +121,7 @@
                                         .held()
                                         .hold(body.size(), untilNanos)
                                         .flatMap(routed -> afterHold(arrival, body)))
-                .onErrorResume(FailureException.class, failure -> refuseLargeBody(arrival));
+                .onErrorResume(FailureException.class, failure -> refuseBody(arrival, failure));
     }
 
     private Single<StreamingHttpResponse> afterHold(Arrival arrival, Bytes body) {
@@ -133,10 +135,30 @@
                     "no_configuration",
                     NO_ROUTING_RETRY_AFTER_MILLIS);
         }
-        boolean tooLarge = body.size() > routing.get().limits().maximumBodyBytes();
-        return tooLarge
-                ? refuseLargeBody(arrival)
-                : route(arrival, routing.get(), () -> Single.succeeded(body), null);
+        if (body.size() > routing.get().limits().maximumBodyBytes()) {
+            return refuseLargeBody(arrival);
+        }
+        return route(arrival, routing.get(), () -> reserved(body), null);
+    }
+
+    private Single<Bytes> reserved(Bytes body) {
+        return mExchanges.ports().requestMemory().grow(0, body.size())
+                ? Single.succeeded(body)
+                : Single.failed(
+                        new FailureException(
+                                new RequestFailure.Overloaded(NO_ROUTING_RETRY_AFTER_MILLIS)));
+    }
+
+    private Single<StreamingHttpResponse> refuseBody(Arrival arrival, FailureException exception) {
+        return exception.failure() instanceof RequestFailure.Overloaded overloaded
+                ? refuse(
+                        null,
+                        arrival.head(),
+                        arrival.callerResponse(),
+                        UNAVAILABLE,
+                        "body_memory_full",
+                        overloaded.retryAfterMillis())
+                : refuseLargeBody(arrival);
     }
 
     private Single<StreamingHttpResponse> refuseLargeBody(Arrival arrival) {
@@ -175,7 +197,7 @@
         Optional<RoutedTeam> effectiveTeam = keyRequired ? team : Optional.empty();
         return body.get()
                 .flatMap(content -> forward(arrival, route.get(), service, effectiveTeam, content))
-                .onErrorResume(FailureException.class, failure -> refuseLargeBody(arrival));
+                .onErrorResume(FailureException.class, failure -> refuseBody(arrival, failure));
     }
 
     private Single<StreamingHttpResponse> forward(
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ResponseCollector.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ResponseCollector.java
@@ -13,12 +13,8 @@
     /** The callers' bodies have the same limit in the usual configurations. */
     static final int MAXIMUM_BYTES = 4 << 20;
 
-    /** Smaller bodies need no reservation, so that large ones can't make them fail. */
-    static final int UNRESERVED_BYTES = 64 << 10;
-
     private final BodyMemory mMemory;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
-    private long mReservedBytes;
 
     /**
      * @param memory shared by all responses that the instance collects
@@ -30,7 +26,7 @@
     /** Appends a part. Returns false, and keeps nothing, if the body exceeds a limit. */
     boolean append(byte[] part) {
         long size = (long) mBody.size() + part.length;
-        if (size > MAXIMUM_BYTES || !reserve(size)) {
+        if (size > MAXIMUM_BYTES || !mMemory.grow(mBody.size(), size)) {
             release();
             return false;
         }
@@ -47,22 +43,12 @@
 
     /** Drops the body and releases its memory. May be called more than once. */
     void release() {
+        mMemory.release(mBody.size());
         mBody.reset();
-        mMemory.release(mReservedBytes);
-        mReservedBytes = 0;
     }
 
     /** Returns the number of bytes collected so far. */
     int size() {
         return mBody.size();
     }
-
-    private boolean reserve(long size) {
-        long missing = size <= UNRESERVED_BYTES ? 0 : size - mReservedBytes;
-        if (missing == 0 || mMemory.reserve(missing)) {
-            mReservedBytes += missing;
-            return true;
-        }
-        return false;
-    }
 }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/UpstreamRequests.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/UpstreamRequests.java
@@ -25,7 +25,9 @@
                         || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
         if (size > 0) {
             Buffer content =
-                    client.executionContext().bufferAllocator().wrap(request.body().toArray());
+                    client.executionContext()
+                            .bufferAllocator()
+                            .wrap(request.body().asReadOnlyBuffer());
             upstreamRequest.payloadBody(Publisher.from(content));
         }
         if (size > 0 || bodyAnnounced) {
--- a/gateway/src/main/java/dev/kumquatweir/gateway/http/BodyCollector.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/http/BodyCollector.java
@@ -7,10 +7,14 @@
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
-import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Reads a body into memory up to a size limit. Holds no state. */
 public final class BodyCollector {
+    /** About the time in which a large body is sent on and its memory is free again. */
+    private static final long MEMORY_RETRY_MILLIS = 500;
+
     private BodyCollector() {}
 
     /**
@@ -21,13 +25,26 @@
      *     FailureException}
      */
     public static Single<Bytes> collect(Publisher<Buffer> body, long limitBytes) {
-        return body.collect(
-                        ByteArrayOutputStream::new,
-                        (collected, part) -> {
-                            append(collected, part, limitBytes);
-                            return collected;
-                        })
-                .map(collected -> Bytes.copyOf(collected.toByteArray()));
+        return collect(body, limitBytes, new BodyMemory(Long.MAX_VALUE));
+    }
+
+    /**
+     * Reads a body into memory that is shared with other bodies. After a success, the caller
+     * releases the memory of the body.
+     *
+     * @param limitBytes maximum size; a larger body fails the returned single with a {@link
+     *     FailureException}
+     * @param memory fails the returned single with {@link RequestFailure.Overloaded} if it is full
+     */
+    public static Single<Bytes> collect(
+            Publisher<Buffer> body, long limitBytes, BodyMemory memory) {
+        return Single.defer(
+                () -> {
+                    Collected collected = new Collected(limitBytes, memory);
+                    return body.collect(() -> collected, Collected::append)
+                            .flatMap(Collected::take)
+                            .beforeFinally(collected::release);
+                });
     }
 
     /**
@@ -50,13 +67,57 @@
                 .ignoreElement();
     }
 
-    private static void append(ByteArrayOutputStream collected, Buffer part, long limitBytes) {
-        int size = part.readableBytes();
-        if (collected.size() + (long) size > limitBytes) {
-            throw new FailureException(new RequestFailure.BodyTooLarge(limitBytes));
+    /** The parts of one body. The library calls it from one thread at a time. */
+    private static final class Collected {
+        private final long mLimitBytes;
+        private final BodyMemory mMemory;
+        private final List<byte[]> mParts = new ArrayList<>();
+        private long mSize;
+        private boolean mTaken;
+
+        /** A caller gets its answer only if the rest of its body is read. */
+        private boolean mDropping;
+
+        Collected(long limitBytes, BodyMemory memory) {
+            mLimitBytes = limitBytes;
+            mMemory = memory;
+        }
+
+        Collected append(Buffer part) {
+            long size = mSize + part.readableBytes();
+            if (size > mLimitBytes) {
+                throw new FailureException(new RequestFailure.BodyTooLarge(mLimitBytes));
+            }
+            if (!mDropping && !mMemory.grow(mSize, size)) {
+                release();
+                mDropping = true;
+            }
+            if (!mDropping) {
+                byte[] bytes = new byte[part.readableBytes()];
+                part.readBytes(bytes);
+                mParts.add(bytes);
+            }
+            mSize = size;
+            return this;
+        }
+
+        Single<Bytes> take() {
+            if (mDropping) {
+                return Single.failed(
+                        new FailureException(new RequestFailure.Overloaded(MEMORY_RETRY_MILLIS)));
+            }
+            Bytes body = Bytes.concat(mParts);
+            mTaken = true;
+            mParts.clear();
+            return Single.succeeded(body);
+        }
+
+        void release() {
+            if (!mDropping && !mTaken) {
+                mMemory.release(mSize);
+                mParts.clear();
+                mSize = 0;
+            }
         }
-        byte[] bytes = new byte[size];
-        part.readBytes(bytes);
-        collected.write(bytes, 0, size);
     }
 }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/http/BodyMemory.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/http/BodyMemory.java
@@ -2,8 +2,14 @@
 
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Memory shared by the bodies that an instance collects at the same time. Thread-safe. */
+/**
+ * Memory shared by the bodies that an instance holds at the same time. Small bodies need none of
+ * it, so that large ones can't make them fail. Thread-safe.
+ */
 public final class BodyMemory {
+    /** Bodies up to this size need no reservation. */
+    public static final int UNRESERVED_BYTES = 64 << 10;
+
     private final long mLimitBytes;
     private final AtomicLong mUsedBytes = new AtomicLong();
 
@@ -14,23 +20,34 @@
         mLimitBytes = limitBytes;
     }
 
-    /** Reserves memory, unless that exceeds the limit. Returns whether it was reserved. */
-    public boolean reserve(long bytes) {
-        long used = mUsedBytes.addAndGet(bytes);
-        if (used > mLimitBytes) {
-            mUsedBytes.addAndGet(-bytes);
+    /**
+     * Reserves memory for a body that grows, unless that exceeds the limit. Returns whether it was
+     * reserved.
+     *
+     * @param fromBytes size for which memory is reserved already
+     * @param toBytes new size
+     */
+    public boolean grow(long fromBytes, long toBytes) {
+        long missing = reserved(toBytes) - reserved(fromBytes);
+        long used = mUsedBytes.addAndGet(missing);
+        if (missing > 0 && used > mLimitBytes) {
+            mUsedBytes.addAndGet(-missing);
             return false;
         }
         return true;
     }
 
-    /** Returns memory that was reserved. */
-    public void release(long bytes) {
-        mUsedBytes.addAndGet(-bytes);
+    /** Releases the memory of a body. */
+    public void release(long sizeBytes) {
+        mUsedBytes.addAndGet(-reserved(sizeBytes));
     }
 
     /** Returns the sum of all reservations. */
     public long usedBytes() {
         return mUsedBytes.get();
     }
+
+    private static long reserved(long sizeBytes) {
+        return sizeBytes <= UNRESERVED_BYTES ? 0 : sizeBytes;
+    }
 }
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -54,11 +54,13 @@
     private static final String HOST = "callers.test";
     private static final ServiceName SERVICE = new ServiceName("service");
     private static final long BODY_LIMIT_BYTES = 8L << 20;
+    private static final long REQUEST_MEMORY_BYTES = 16L << 20;
     private static final long RESPONSE_MEMORY_BYTES = 16L << 20;
     private static final int MAXIMUM_UPSTREAMS = 2;
 
     private final IoExecutor mExecutor = NettyIoExecutors.createIoExecutor(1, "test");
     private final UpstreamClients mClients = new UpstreamClients(mExecutor);
+    private final BodyMemory mRequestMemory = new BodyMemory(REQUEST_MEMORY_BYTES);
     private final GrantInTurn mPlacement;
     private final RawUpstream mFirst;
     private final RawUpstream mSecond;
@@ -83,6 +85,7 @@
                         new NoReservations(),
                         new PlainDialect(),
                         mClients,
+                        mRequestMemory,
                         new BodyMemory(RESPONSE_MEMORY_BYTES),
                         Clocks.system());
         mExchanges = new ExchangeRegistry(ports, new MetricRegistry(), mExecutor);
@@ -139,6 +142,11 @@
         return mPlacement.mSilences.size();
     }
 
+    /** Returns the memory reserved for bodies of requests. */
+    long requestBytes() {
+        return mRequestMemory.usedBytes();
+    }
+
     RawUpstream first() {
         return mFirst;
     }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -52,6 +52,9 @@
     private static final long TICK_INTERVAL_MILLIS = 50;
     private static final long IDLE_CONNECTION_MILLIS = 60_000;
 
+    /** The heap is this many times as large as the memory for bodies of requests. */
+    private static final int REQUEST_MEMORY_SHARE = 4;
+
     /** The heap is this many times as large as the memory for collected responses. */
     private static final int RESPONSE_MEMORY_SHARE = 8;
 
@@ -218,6 +221,7 @@
                         new MemoryOrders(clients),
                         new HttpDialect(),
                         clients,
+                        new BodyMemory(Runtime.getRuntime().maxMemory() / REQUEST_MEMORY_SHARE),
                         new BodyMemory(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_SHARE),
                         mClocks);
         ExchangeRegistry forwarding = new ExchangeRegistry(ports, mMetrics, mExecutor);
