Tell the scheduler of a silence while a takeover waits for a place

It is told now once the request has waited for a tick (50 ms); where a place is free the takeover itself tells.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Takeover.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Takeover.java
@@ -53,9 +53,13 @@
             @Nullable PlacementKey silent,
             Function<PlacementKey, PlacementRequest> requests,
             long nowNanos) {
+        if (mRequested != null) {
+            // The scheduler has no free place, and must not count on the silent upstream either.
+            recordSilence(silent);
+            return;
+        }
         Long rejectedNanos = mRejectedNanos;
-        boolean recentlyRejected = rejectedNanos != null && nowNanos - rejectedNanos < RETRY_NANOS;
-        if (mRequested != null || recentlyRejected) {
+        if (rejectedNanos != null && nowNanos - rejectedNanos < RETRY_NANOS) {
             return;
         }
         PlacementKey key = mPlacement.newKey();
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -137,6 +137,11 @@
         mPlacement.mRejectsRetries = true;
     }
 
+    /** Never decides on further placements but the first of each request. */
+    void holdRetries() {
+        mPlacement.mHoldsRetries = true;
+    }
+
     /** Returns the number of silences that were reported to the scheduler. */
     int silences() {
         return mPlacement.mSilences.size();
@@ -204,6 +209,7 @@
         private final AtomicLong mNumbers = new AtomicLong();
         private final List<PlacementKey> mSilences = new CopyOnWriteArrayList<>();
         private volatile boolean mRejectsRetries;
+        private volatile boolean mHoldsRetries;
 
         GrantInTurn(String firstAddress, String secondAddress) {
             mFirstAddress = firstAddress;
@@ -219,6 +225,9 @@
         public void submit(PlacementRequest request, Consumer<PlacementAction> onDecision) {
             PlacementKey key = request.key();
             boolean again = request.retry() || request.excluded().contains(new UpstreamId("first"));
+            if (again && mHoldsRetries) {
+                return;
+            }
             if (again && mRejectsRetries) {
                 onDecision.accept(
                         new PlacementAction.Reject(key, PlacementRefusal.REPEAT_BUDGET, 0));
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/SilentUpstreamTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/SilentUpstreamTest.java
@@ -41,6 +41,16 @@
         }
     }
 
+    /** Guards against a scheduler that gives a hung upstream more work while others are full. */
+    @Test
+    void schedulerHearsOfTheSilenceWhileNoOtherUpstreamIsFree() throws Exception {
+        try (ForwardingHarness harness = harness(received -> silent(received, FIRST, REST))) {
+            harness.holdRetries();
+            assertThat(harness.call(ForwardingHarness.RESUMABLE, "id").toString(), is(WHOLE));
+            assertThat(harness.silences(), is(1));
+        }
+    }
+
     @Test
     void streamGoesOnAtTheLastUpstreamThatItsRouteAllows() throws Exception {
         try (ForwardingHarness harness =
