--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/SilentUpstreamTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/SilentUpstreamTest.java
@@ -18,6 +18,9 @@
     /** Above the limits for the first event and for a gap. */
     private static final long SILENCE_MILLIS = 1_500;
 
+    /** Above the limit for a call, twice the target of its route. */
+    private static final long CALL_SILENCE_MILLIS = 2_500;
+
     private static final String FIRST = "id: 1\ndata: a\n\n";
     private static final String REST = "id: 2\ndata: b\n\nid: 3\ndata: c\n\n";
     private static final String WHOLE = "200 complete " + (FIRST + REST).replace("\n", "\\n");
@@ -69,7 +72,7 @@
                         received ->
                                 new Answer(
                                         "",
-                                        SILENCE_MILLIS,
+                                        CALL_SILENCE_MILLIS,
                                         CutAnswer.head(
                                                         Framing.LENGTH,
                                                         ForwardingHarness.requestId(received),
