Give up an answer whose body is no event stream

Callers of a stream got the text of an error in its middle, even the head of a second answer, or the stream ended as if complete.

Cause: EventStreamSplitter took each block of lines before an empty line for an event, whatever its lines. An upstream that answers a resumed stream with 200 and an error text, or writes an error's head into the body that it has begun, was forwarded. An empty 200 of another media type counted as the end of a resumed stream. The class of fault: the success of a status is taken for the kind of a body.

Evidence: ErrorInsideStreamTest on the code without the fix, raw sockets: successThatIsNoEventStreamAbortsTheStream, headInsideTheBodyIsNotForwarded and emptyAnswerOfAnotherTypeIsNotTheEndOfTheStream failed ("failed" and "HTTP/1.1 500 Internal Server Error" were in the caller's stream, the last one was complete). Ruled out, as these cases passed before: errors with a status of their own (301, 404, 409, 421, 429, 500, 503) in five framings, a first answer with a length, callers with HTTP/1.0, close and keep-alive.

A line that is no field of an event stream now ends the attempt as broken before its event is forwarded; the request is resent or the stream aborted as for any other broken upstream. With the fix the class passes, with EventStreamSplitterTest, TruncatedAnswerTest and the tests of resumed streams. Not detectable: a status line that follows inside a data field and that no header line follows.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
@@ -6,9 +6,11 @@
 import dev.kumquatweir.gateway.http.ResponseFraming;
 import dev.kumquatweir.policy.placement.PlacementGrant;
 import dev.kumquatweir.policy.placement.PlacementOutcome;
+import io.servicetalk.http.api.HttpHeaderNames;
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -70,6 +72,7 @@
     }
 
     private static final EventLog LOG = EventLog.of(Attempt.class);
+    private static final String EVENT_STREAM = "text/event-stream";
 
     private final ForwardedRequest mRequest;
     private final RequestDialect mDialect;
@@ -196,7 +199,7 @@
                 mOwner.eventReceived(Objects.requireNonNull(mResponse), event, first);
             }
         }
-        if (mEventSplitter.limitExceeded() && mOwner.isCurrent(this)) {
+        if (mEventSplitter.malformed() && mOwner.isCurrent(this)) {
             close();
             mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
         }
@@ -229,13 +232,17 @@
 
     /**
      * Returns whether a stream without events is complete: the upstream was asked for the events
-     * after the last one that the caller has, and the end of its response can't be mistaken. A
-     * response that ends with its connection may have been cut before its first event.
+     * after the last one that the caller has, and its response can't be mistaken. A response that
+     * ends with its connection may have been cut before its first event, and one of another type is
+     * no event stream.
      */
     private boolean hasNoEventsLeft() {
+        StreamingHttpResponse response = Objects.requireNonNull(mResponse);
+        CharSequence type = response.headers().get(HttpHeaderNames.CONTENT_TYPE);
         return mResumed
-                && !ResponseFraming.endsWithConnection(
-                        mRequest.method(), Objects.requireNonNull(mResponse));
+                && !ResponseFraming.endsWithConnection(mRequest.method(), response)
+                && (type == null
+                        || type.toString().toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM));
     }
 
     private void collect(byte[] part) {
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/EventStreamSplitter.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/EventStreamSplitter.java
@@ -9,18 +9,21 @@
 
 /**
  * Splits the bytes of a server-sent event stream into whole events, so that a partial event of an
- * upstream that failed is never forwarded. The bytes of each event stay unchanged. Not thread-safe.
+ * upstream that failed is never forwarded, nor a body that is no event stream. The bytes of each
+ * event stay unchanged. Not thread-safe.
  */
 final class EventStreamSplitter {
     /** A longer event violates the protocol. */
     private static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
 
-    private static final String ID_FIELD = "id:";
+    /** Byte order mark, which may precede the first line. */
+    private static final String BYTE_ORDER_MARK = "\u00ef\u00bb\u00bf";
 
     private final ByteArrayOutputStream mEvent = new ByteArrayOutputStream();
     private final StringBuilder mLine = new StringBuilder();
     private long mEventId = NO_ID;
-    private boolean mLimitExceeded;
+    private boolean mFirstLine = true;
+    private boolean mMalformed;
 
     static final long NO_ID = -1;
 
@@ -32,10 +35,16 @@
      */
     record Event(long id, Bytes content) {}
 
-    /** Consumes the next bytes and returns the events that they complete, in order. */
+    /**
+     * Consumes the next bytes and returns the events that they complete, in order. Returns no event
+     * from the first violation of the protocol on.
+     */
     List<Event> feed(byte[] part) {
         List<Event> events = new ArrayList<>();
         for (byte next : part) {
+            if (mMalformed) {
+                break;
+            }
             mEvent.write(next);
             if (next != '\n') {
                 mLine.append((char) (next & 0xff));
@@ -43,13 +52,16 @@
                 endLine(events);
             }
         }
-        mLimitExceeded = mLimitExceeded || mEvent.size() > MAXIMUM_EVENT_BYTES;
+        mMalformed = mMalformed || mEvent.size() > MAXIMUM_EVENT_BYTES;
         return events;
     }
 
-    /** Returns whether an event exceeded the maximum size; stays true from then on. */
-    boolean limitExceeded() {
-        return mLimitExceeded;
+    /**
+     * Returns whether an event exceeded the maximum size or a line is no field of an event; stays
+     * true from then on.
+     */
+    boolean malformed() {
+        return mMalformed;
     }
 
     /** Returns whether bytes of an incomplete event are buffered. */
@@ -60,8 +72,12 @@
     private void endLine(List<Event> events) {
         String line = mLine.toString().strip();
         mLine.setLength(0);
+        if (mFirstLine && line.startsWith(BYTE_ORDER_MARK)) {
+            line = line.substring(BYTE_ORDER_MARK.length());
+        }
+        mFirstLine = false;
         if (!line.isEmpty()) {
-            readId(line);
+            readField(line);
             return;
         }
         events.add(new Event(mEventId, Bytes.copyOf(mEvent.toByteArray())));
@@ -69,12 +85,18 @@
         mEventId = NO_ID;
     }
 
-    private void readId(String line) {
-        if (!line.toLowerCase(Locale.ROOT).startsWith(ID_FIELD)) {
-            return;
+    private void readField(String line) {
+        int colon = line.indexOf(':');
+        String name = colon < 0 ? line : line.substring(0, colon);
+        switch (name.toLowerCase(Locale.ROOT)) {
+            case "", "data", "event", "retry" -> {}
+            case "id" -> readId(colon < 0 ? "" : line.substring(colon + 1));
+            default -> mMalformed = true;
         }
-        byte[] digits =
-                line.substring(ID_FIELD.length()).strip().getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private void readId(String value) {
+        byte[] digits = value.strip().getBytes(StandardCharsets.US_ASCII);
         long id = digits.length == 0 || digits.length > 18 ? NO_ID : 0;
         for (byte digit : digits) {
             boolean number = digit >= '0' && digit <= '9';
