Decide on the events of a resumed stream by their places

Callers of a resumed stream got events twice or at the wrong place, or a stream that ended as complete before its last event.

Cause: only an id at or below the caller's last one marked a repetition. Events without ids were forwarded wherever they came, a stream without ids was begun again inside itself, and an answer that only repeated earlier events counted as the end of the stream. The class of fault: an event is forwarded though its place in the stream is not known.

Ruled out: skipped ids, since the protocol only says that ids increase and one event may have several tokens.

EventSequence, a plain class, now decides to forward, skip or reject each event; an event without an id belongs after the last numbered one of its attempt. A stream whose last event has no id is not resumed but aborted, and an answer that stays behind the caller's last event is broken. All passed with the fix, with the tests of resumed, cut and silent streams.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
@@ -79,7 +79,11 @@
     private final ForwardingState mState;
     private final UpstreamId mUpstream;
     private final Owner mOwner;
+    private final EventSequence mEvents;
+
+    /** Whether the upstream is asked to resume a stream after an event. */
     private final boolean mResumed;
+
     private final long mSentNanos;
     private final long mFirstEventLimitMillis;
     private final EventStreamSplitter mEventSplitter = new EventStreamSplitter();
@@ -97,7 +101,7 @@
     /**
      * Creates an attempt that is not yet sent.
      *
-     * @param resumed whether the upstream is asked to resume a stream after an event
+     * @param events the events of the stream, for which this attempt has been started
      * @param grant the upstream, and the expected time to its first event or, if not streamed, to
      *     its response
      */
@@ -105,7 +109,7 @@
             ForwardedRequest request,
             ForwardingPorts ports,
             Owner owner,
-            boolean resumed,
+            EventSequence events,
             PlacementGrant grant,
             long nowNanos) {
         mRequest = request;
@@ -114,7 +118,8 @@
         mUpstream = grant.upstream();
         mOwner = owner;
         mBody = new ResponseCollector(ports.responseMemory());
-        mResumed = resumed;
+        mEvents = events;
+        mResumed = events.lastId() >= 0;
         mSentNanos = nowNanos;
         mLastPartNanos = nowNanos;
         mFirstEventLimitMillis =
@@ -164,8 +169,7 @@
         boolean wrongRequestId =
                 head.requestId().map(id -> !id.equals(requestId)).orElse(head.success());
         if (wrongRequestId) {
-            close();
-            mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
+            giveUp();
             return;
         }
         if (!head.misdirected()) {
@@ -196,15 +200,27 @@
             if (mOwner.isCurrent(this)) {
                 boolean first = !mResponseStarted;
                 mResponseStarted = true;
-                mOwner.eventReceived(Objects.requireNonNull(mResponse), event, first);
+                handleEvent(event, first);
             }
         }
         if (mEventSplitter.malformed() && mOwner.isCurrent(this)) {
-            close();
-            mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
+            giveUp();
         }
     }
 
+    private void handleEvent(EventStreamSplitter.Event event, boolean first) {
+        switch (mEvents.next(event)) {
+            case FORWARD -> mOwner.eventReceived(Objects.requireNonNull(mResponse), event, first);
+            case SKIP -> {}
+            case REJECT -> giveUp();
+        }
+    }
+
+    private void giveUp() {
+        close();
+        mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
+    }
+
     @Override
     public void bodyCompleted() {
         if (!mOwner.isCurrent(this)) {
@@ -215,7 +231,9 @@
             Bytes body = mBody.complete();
             mOwner.responseCompleted(
                     Objects.requireNonNull(mResponse), Objects.requireNonNull(mHead), body);
-        } else if (!mEventSplitter.hasPartialEvent() && (mResponseStarted || hasNoEventsLeft())) {
+        } else if (!mEventSplitter.hasPartialEvent()
+                && !mEvents.endsEarly()
+                && (mResponseStarted || hasNoEventsLeft())) {
             mOwner.streamCompleted(Objects.requireNonNull(mResponse));
         } else {
             mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
@@ -254,8 +272,7 @@
                     mRequest.head().requestId(),
                     "collected_bytes",
                     collectedBytes);
-            close();
-            mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
+            giveUp();
         }
     }
 
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/AttemptFactory.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/AttemptFactory.java
@@ -17,14 +17,14 @@
     /**
      * Returns an attempt that is not yet sent.
      *
-     * @param lastEventId id of the last event that the caller has, negative if it has none
+     * @param events the events of the stream so far
      * @param resumes whether the caller has received a part of the stream from this instance
      */
     Attempt create(
             PlacementGrant grant,
             ReservedMemory memory,
             Attempt.Owner owner,
-            long lastEventId,
+            EventSequence events,
             boolean resumes,
             long nowNanos) {
         boolean atMostOnce = !mRequest.route().repeatability().allowsReexecution();
@@ -39,9 +39,10 @@
                         grant.upstream(),
                         TimeUnit.NANOSECONDS.toMillis(mRequest.deadlineNanos() - nowNanos),
                         mRequest.team().map(team -> team.name()),
-                        resumes ? lastEventId : -1,
+                        resumes ? events.lastId() : -1,
                         memory.addresses(grant.helpers()));
-        Attempt attempt = new Attempt(mRequest, mPorts, owner, lastEventId >= 0, grant, nowNanos);
+        events.startAttempt(resumes);
+        Attempt attempt = new Attempt(mRequest, mPorts, owner, events, grant, nowNanos);
         attempt.prepare(
                 client,
                 atMostOnce,
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/EventStreamSplitter.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/EventStreamSplitter.java
@@ -22,6 +22,7 @@
     private final ByteArrayOutputStream mEvent = new ByteArrayOutputStream();
     private final StringBuilder mLine = new StringBuilder();
     private long mEventId = NO_ID;
+    private boolean mHasData;
     private boolean mFirstLine = true;
     private boolean mMalformed;
 
@@ -31,9 +32,10 @@
      * A whole event.
      *
      * @param id its numeric id, {@link #NO_ID} if it has none
+     * @param hasData whether it has a data field
      * @param content its bytes including the empty line that ends it
      */
-    record Event(long id, Bytes content) {}
+    record Event(long id, boolean hasData, Bytes content) {}
 
     /**
      * Consumes the next bytes and returns the events that they complete, in order. Returns no event
@@ -80,16 +82,18 @@
             readField(line);
             return;
         }
-        events.add(new Event(mEventId, Bytes.copyOf(mEvent.toByteArray())));
+        events.add(new Event(mEventId, mHasData, Bytes.copyOf(mEvent.toByteArray())));
         mEvent.reset();
         mEventId = NO_ID;
+        mHasData = false;
     }
 
     private void readField(String line) {
         int colon = line.indexOf(':');
         String name = colon < 0 ? line : line.substring(0, colon);
         switch (name.toLowerCase(Locale.ROOT)) {
-            case "", "data", "event", "retry" -> {}
+            case "", "event", "retry" -> {}
+            case "data" -> mHasData = true;
             case "id" -> readId(colon < 0 ? "" : line.substring(colon + 1));
             default -> mMalformed = true;
         }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -44,6 +44,7 @@
     private final ExchangeLog mLog;
     private final AttemptFactory mAttempts;
     private final EventGaps mEventGaps;
+    private final EventSequence mEvents;
     private final Takeover mTakeover;
     private final Set<UpstreamId> mTriedUpstreams = new HashSet<>();
     private @Nullable PlacementKey mPlacementKey;
@@ -55,7 +56,6 @@
     private long mPlacementRequestedNanos;
     private long mSentNanos;
     private long mFirstEventMillis = -1;
-    private long mLastEventId;
     private long mLastEventNanos;
     private boolean mDone;
 
@@ -79,7 +79,7 @@
         mAttempts = new AttemptFactory(ports, request);
         mEventGaps = new EventGaps(ports.placement(), metrics, mLog, request.route());
         mTakeover = new Takeover(ports, mLog, () -> isSilent(nowNanos()), this::takeOver);
-        mLastEventId = request.head().lastEventId();
+        mEvents = new EventSequence(request.head().lastEventId());
     }
 
     /** Returns the size of the request's body. */
@@ -262,7 +262,7 @@
         }
         Attempt attempt =
                 mAttempts.create(
-                        grant, memory, this, mLastEventId, mCallerResponse.isStarted(), nowNanos);
+                        grant, memory, this, mEvents, mCallerResponse.isStarted(), nowNanos);
         mAttempt = attempt;
         mSentNanos = nowNanos;
         attempt.send();
@@ -281,10 +281,6 @@
     @Override
     public void eventReceived(
             StreamingHttpResponse head, EventStreamSplitter.Event event, boolean first) {
-        boolean duplicate = event.id() != EventStreamSplitter.NO_ID && event.id() <= mLastEventId;
-        if (duplicate) {
-            return;
-        }
         long nowNanos = nowNanos();
         if (first) {
             mEventGaps.recordFirst(mPlacementKey, mGrant, mSentNanos, ageMillis(), nowNanos);
@@ -297,9 +293,6 @@
             mCallerResponse.startStream(head, this::callerDisconnected);
         }
         mLastEventNanos = nowNanos;
-        if (event.id() != EventStreamSplitter.NO_ID) {
-            mLastEventId = event.id();
-        }
         mCallerResponse.sendEvent(event.content());
     }
 
@@ -336,12 +329,13 @@
     }
 
     private boolean mayResend(int possibleExecutions, boolean lastMayHaveExecuted) {
-        return ResendPolicy.mayResend(
-                mRequest.route().repeatability(),
-                possibleExecutions,
-                mSends,
-                mRequest.route().maximumUpstreams(),
-                lastMayHaveExecuted);
+        return mEvents.canResume()
+                && ResendPolicy.mayResend(
+                        mRequest.route().repeatability(),
+                        possibleExecutions,
+                        mSends,
+                        mRequest.route().maximumUpstreams(),
+                        lastMayHaveExecuted);
     }
 
     @Override
@@ -420,7 +414,7 @@
             mStops.recordAnswer(mRequest, mSentNanos, nowNanos());
         }
         mMetrics.countEnded(reason);
-        mLog.ended(reason, mSends, mLastEventId, mFirstEventMillis, ageMillis());
+        mLog.ended(reason, mSends, mEvents.lastId(), mFirstEventMillis, ageMillis());
         mEndListener.accept(this);
     }
 
