--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
@@ -6,9 +6,11 @@
 import dev.kumquatweir.gateway.http.ResponseFraming;
 import dev.kumquatweir.policy.placement.PlacementGrant;
 import dev.kumquatweir.policy.placement.PlacementOutcome;
+import io.servicetalk.http.api.HttpHeaderNames;
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -70,13 +72,18 @@
     }
 
     private static final EventLog LOG = EventLog.of(Attempt.class);
+    private static final String EVENT_STREAM = "text/event-stream";
 
     private final ForwardedRequest mRequest;
     private final RequestDialect mDialect;
     private final ForwardingState mState;
     private final UpstreamId mUpstream;
     private final Owner mOwner;
+    private final EventSequence mEvents;
+
+    /** Whether the upstream is asked to resume a stream after an event. */
     private final boolean mResumed;
+
     private final long mSentNanos;
     private final long mFirstEventLimitMillis;
     private final EventStreamSplitter mEventSplitter = new EventStreamSplitter();
@@ -94,7 +101,7 @@
     /**
      * Creates an attempt that is not yet sent.
      *
-     * @param resumed whether the upstream is asked to resume a stream after an event
+     * @param events the events of the stream, for which this attempt has been started
      * @param grant the upstream, and the expected time to its first event or, if not streamed, to
      *     its response
      */
@@ -102,7 +109,7 @@
             ForwardedRequest request,
             ForwardingPorts ports,
             Owner owner,
-            boolean resumed,
+            EventSequence events,
             PlacementGrant grant,
             long nowNanos) {
         mRequest = request;
@@ -111,7 +118,8 @@
         mUpstream = grant.upstream();
         mOwner = owner;
         mBody = new ResponseCollector(ports.responseMemory());
-        mResumed = resumed;
+        mEvents = events;
+        mResumed = events.lastId() >= 0;
         mSentNanos = nowNanos;
         mLastPartNanos = nowNanos;
         mFirstEventLimitMillis =
@@ -161,8 +169,7 @@
         boolean wrongRequestId =
                 head.requestId().map(id -> !id.equals(requestId)).orElse(head.success());
         if (wrongRequestId) {
-            close();
-            mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
+            giveUp();
             return;
         }
         if (!head.misdirected()) {
@@ -193,15 +200,27 @@
             if (mOwner.isCurrent(this)) {
                 boolean first = !mResponseStarted;
                 mResponseStarted = true;
-                mOwner.eventReceived(Objects.requireNonNull(mResponse), event, first);
+                handleEvent(event, first);
             }
         }
-        if (mEventSplitter.limitExceeded() && mOwner.isCurrent(this)) {
-            close();
-            mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
+        if (mEventSplitter.malformed() && mOwner.isCurrent(this)) {
+            giveUp();
         }
     }
 
+    private void handleEvent(EventStreamSplitter.Event event, boolean first) {
+        switch (mEvents.next(event)) {
+            case FORWARD -> mOwner.eventReceived(Objects.requireNonNull(mResponse), event, first);
+            case SKIP -> {}
+            case REJECT -> giveUp();
+        }
+    }
+
+    private void giveUp() {
+        close();
+        mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
+    }
+
     @Override
     public void bodyCompleted() {
         if (!mOwner.isCurrent(this)) {
@@ -212,7 +231,9 @@
             Bytes body = mBody.complete();
             mOwner.responseCompleted(
                     Objects.requireNonNull(mResponse), Objects.requireNonNull(mHead), body);
-        } else if (!mEventSplitter.hasPartialEvent() && (mResponseStarted || hasNoEventsLeft())) {
+        } else if (!mEventSplitter.hasPartialEvent()
+                && !mEvents.endsEarly()
+                && (mResponseStarted || hasNoEventsLeft())) {
             mOwner.streamCompleted(Objects.requireNonNull(mResponse));
         } else {
             mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
@@ -229,13 +250,17 @@
 
     /**
      * Returns whether a stream without events is complete: the upstream was asked for the events
-     * after the last one that the caller has, and the end of its response can't be mistaken. A
-     * response that ends with its connection may have been cut before its first event.
+     * after the last one that the caller has, and its response can't be mistaken. A response that
+     * ends with its connection may have been cut before its first event, and one of another type is
+     * no event stream.
      */
     private boolean hasNoEventsLeft() {
+        StreamingHttpResponse response = Objects.requireNonNull(mResponse);
+        CharSequence type = response.headers().get(HttpHeaderNames.CONTENT_TYPE);
         return mResumed
-                && !ResponseFraming.endsWithConnection(
-                        mRequest.method(), Objects.requireNonNull(mResponse));
+                && !ResponseFraming.endsWithConnection(mRequest.method(), response)
+                && (type == null
+                        || type.toString().toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM));
     }
 
     private void collect(byte[] part) {
@@ -247,8 +272,7 @@
                     mRequest.head().requestId(),
                     "collected_bytes",
                     collectedBytes);
-            close();
-            mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
+            giveUp();
         }
     }
 
