Count a retry when it is placed, not when it is submitted

Callers saw no fault of their own; upstreams of a service got more repeats within one budget window than the settings allow (BUDGET). A retry entered the window when it was submitted, and may then wait for seconds for a free slot. Retries of two windows were thus placed, and arrived, within one. First sends counted on submission too, and once more whenever a request was submitted again after a change of leader, which raised the limit.

Both now count with the decision to place. A submitted retry is admitted only if the window has room for it and for the retries that already wait, and one that waits is rejected as soon as the window no longer allows it.

The leader logs retry_granted and retry_over_budget with the window's counts and limit, and counts both.

--- a/policy/src/main/java/dev/kumquatweir/policy/placement/SlidingRetryBudget.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/SlidingRetryBudget.java
@@ -6,8 +6,8 @@
 
 /**
  * Limits the retries of one service within a sliding window. Unlike a token bucket it accumulates
- * no credit, so that the retries never exceed the window's share. Owned by {@link
- * PlacementScheduler}; not thread-safe.
+ * no credit, so that the retries never exceed the window's share. Owned by {@link RetryBudgets};
+ * not thread-safe.
  */
 final class SlidingRetryBudget {
     /**
@@ -28,22 +28,22 @@
         removeExpired(nowNanos);
     }
 
+    void recordRetry(long nowNanos) {
+        mRetries.addLast(nowNanos);
+        removeExpired(nowNanos);
+    }
+
     /**
-     * Records a retry if the window allows it.
+     * Returns the use of the window.
      *
      * @param instances number of instances that place requests without coordination
      * @param nowNanos present time
-     * @return whether the retry is allowed
      */
-    boolean tryRetry(int instances, long nowNanos) {
+    RetryUsage usage(int instances, long nowNanos) {
         removeExpired(nowNanos);
         double additional = (double) mLimits.additionalRetries() / instances;
-        double allowed = USED_SHARE * (mLimits.retryRatio() * mFirstSends.size() + additional);
-        if (mRetries.size() + 1 > allowed) {
-            return false;
-        }
-        mRetries.addLast(nowNanos);
-        return true;
+        double limit = USED_SHARE * (mLimits.retryRatio() * mFirstSends.size() + additional);
+        return new RetryUsage(mFirstSends.size(), mRetries.size(), limit);
     }
 
     private void removeExpired(long nowNanos) {
--- a/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -13,8 +13,10 @@
 import dev.kumquatweir.policy.placement.PlacementAction;
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementLimits;
+import dev.kumquatweir.policy.placement.PlacementRefusal;
 import dev.kumquatweir.policy.placement.PlacementRequest;
 import dev.kumquatweir.policy.placement.PlacementScheduler;
+import dev.kumquatweir.policy.placement.RetryUsage;
 import dev.kumquatweir.transport.Responder;
 import java.util.HashMap;
 import java.util.List;
@@ -40,7 +42,7 @@
     private Set<FailureDomain> mDomainsOut = Set.of();
     private volatile int mWaitingCount;
 
-    private record PendingPlacement(String requestId, Responder responder) {}
+    private record PendingPlacement(PlacementRequest request, Responder responder) {}
 
     LeaderScheduler(PlacementLimits limits, MetricRegistry metrics, Clocks clocks) {
         mLimits = limits;
@@ -151,7 +153,7 @@
             PlacementRequest request,
             Responder responder,
             long nowNanos) {
-        mPendingPlacements.put(request.key(), new PendingPlacement(request.requestId(), responder));
+        mPendingPlacements.put(request.key(), new PendingPlacement(request, responder));
         scheduler.submit(request, nowNanos);
     }
 
@@ -221,7 +223,7 @@
                 LOG.info(
                         "placement_rejected",
                         "request",
-                        pending == null ? "" : pending.requestId(),
+                        pending == null ? "" : pending.request().requestId(),
                         "owner",
                         reject.key().owner(),
                         "reason",
@@ -233,6 +235,7 @@
                 mMetrics.counter("kumquatweir_scheduler_rejected").inc();
             }
             if (pending != null) {
+                recordRetry(scheduler, pending.request(), action, nowNanos);
                 pending.responder().respond(PlacementCodec.encode(Optional.of(action)));
             }
         }
@@ -240,6 +243,42 @@
         mWaitingCount = scheduler.waitingCount();
     }
 
+    private void recordRetry(
+            PlacementScheduler scheduler,
+            PlacementRequest request,
+            PlacementAction action,
+            long nowNanos) {
+        if (!request.retry()) {
+            return;
+        }
+        boolean granted = action instanceof PlacementAction.Grant;
+        boolean overBudget =
+                (action instanceof PlacementAction.Reject reject)
+                        && (reject.reason() == PlacementRefusal.REPEAT_BUDGET);
+        if (granted || overBudget) {
+            RetryUsage usage = scheduler.retries().usage(request.service(), nowNanos);
+            LOG.info(
+                    granted ? "retry_granted" : "retry_over_budget",
+                    "request",
+                    request.requestId(),
+                    "owner",
+                    request.key().owner(),
+                    "service",
+                    request.service(),
+                    "first_sends",
+                    usage.firstSends(),
+                    "retries",
+                    usage.retries(),
+                    "limit",
+                    usage.limit());
+            mMetrics.counter(
+                            granted
+                                    ? "kumquatweir_scheduler_retries_granted"
+                                    : "kumquatweir_scheduler_retries_over_budget")
+                    .inc();
+        }
+    }
+
     private void recordCrashEvent(CrashEvent event) {
         CrashEventLog.log(event);
         if (event instanceof CrashEvent.Suspects) {
