Accept additional fields in the events of a stream

Upstreams of the users' platform begin an event with a field of their own where the version of their weights changes (PROTOCOL.md, Requests), and the standard lets readers ignore what they don't know.

A field with another name in lower case, followed by a colon, now belongs to its event. The head of an HTTP answer and the text of an error are told apart as before: a status line has no such name, and a header mostly has capitals.

Evidence: EventStreamSplitterTest#additionalFieldsBelongToTheEvent failed on the merged code before (no event came out) and passes; ErrorInsideStreamTest and ResumedEventsTest pass unchanged. Ruled out: naming that one field, which would put a word of the platform into the product.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/EventStreamSplitter.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/EventStreamSplitter.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.regex.Pattern;
 
 /**
  * Splits the bytes of a server-sent event stream into whole events, so that a partial event of an
@@ -19,6 +20,9 @@
     /** Byte order mark, which may precede the first line. */
     private static final String BYTE_ORDER_MARK = "\u00ef\u00bb\u00bf";
 
+    /** Name of a field that the standard doesn't name. A header of HTTP mostly has capitals. */
+    private static final Pattern ADDITIONAL_FIELD = Pattern.compile("[a-z][a-z0-9_-]*");
+
     private final ByteArrayOutputStream mEvent = new ByteArrayOutputStream();
     private final StringBuilder mLine = new StringBuilder();
     private long mEventId = NO_ID;
@@ -95,7 +99,8 @@
             case "", "event", "retry" -> {}
             case "data" -> mHasData = true;
             case "id" -> readId(colon < 0 ? "" : line.substring(colon + 1));
-            default -> mMalformed = true;
+            // Readers ignore fields that they don't know; upstreams add some of their own.
+            default -> mMalformed = colon < 0 || !ADDITIONAL_FIELD.matcher(name).matches();
         }
     }
 
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/EventStreamSplitterTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/EventStreamSplitterTest.java
@@ -48,4 +48,14 @@
         byte[] event = "id: 1x\ndata: x\n\n".getBytes(StandardCharsets.UTF_8);
         assertThat(splitter.feed(event).get(0).id(), is(EventStreamSplitter.NO_ID));
     }
+
+    /** Guards against giving up a sound stream for a field that the splitter doesn't know. */
+    @Test
+    void additionalFieldsBelongToTheEvent() {
+        EventStreamSplitter splitter = new EventStreamSplitter();
+        byte[] event =
+                "model-revision: 3\nid: 1\ndata: x\n\n".getBytes(StandardCharsets.UTF_8);
+        assertThat(splitter.feed(event).get(0).id(), is(1L));
+        assertThat(splitter.malformed(), is(false));
+    }
 }
