Abort a stream whose buffer for a slow caller is full

A caller that read slowly got a stream with an event missing, which went on at another upstream as if the first had failed.

Cause: the exception of the full buffer was thrown through the reader of the upstream's answer, which the HTTP library reported as the loss of that connection. The event counted as sent, the upstream was blamed (connection_failed, QueueFullException), and the stream was resumed after the lost event. The class of fault: a failure towards the caller that is taken for a failure of the upstream.

The full buffer now ends the request as aborted_caller_too_slow, so that nothing follows the last event that the buffer took, and no other upstream is asked. `serve` already did this (ResponseEventStream). The bound counts events, not bytes.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/CallerResponse.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/CallerResponse.java
@@ -28,7 +28,7 @@
  * thread.
  */
 final class CallerResponse {
-    /** Bound on events buffered for a slow reader; no response has more events than this. */
+    /** Bound on events buffered for a slow reader; a stream that exceeds it is aborted. */
     private static final int MAXIMUM_BUFFERED_EVENTS = 8_192;
 
     private final StreamingHttpResponseFactory mResponses;
@@ -106,12 +106,20 @@
         start(response.payloadBody(fromSource(events).beforeCancel(onDisconnect)));
     }
 
-    /** Sends an event of the stream. */
-    void sendEvent(Bytes content) {
+    /**
+     * Sends an event of the stream. Returns false if the caller reads so slowly that the buffer is
+     * full; the event is lost then, and the stream has to be aborted.
+     */
+    boolean sendEvent(Bytes content) {
         PublisherSource.Processor<Buffer, Buffer> events = mEvents;
         if (events != null && !mEnded) {
-            events.onNext(mBuffers.wrap(content.toArray()));
+            try {
+                events.onNext(mBuffers.wrap(content.toArray()));
+            } catch (RuntimeException bufferFull) {
+                return false;
+            }
         }
+        return true;
     }
 
     /** Ends the stream as complete. */
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -293,7 +293,9 @@
             mCallerResponse.startStream(head, this::callerDisconnected);
         }
         mLastEventNanos = nowNanos;
-        mCallerResponse.sendEvent(event.content());
+        if (!mCallerResponse.sendEvent(event.content())) {
+            abort("caller_too_slow");
+        }
     }
 
     @Override
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -112,24 +112,43 @@
         return send("POST " + route + " HTTP/1.1\r\n", requestId, headers, body);
     }
 
+    /** Sends a request without a body and reads nothing of the answer for a time. */
+    RawCaller.Response callSlowly(String route, String requestId, long pauseMillis)
+            throws IOException, InterruptedException {
+        return RawCaller.callSlowly(
+                (InetSocketAddress) mServer.listenAddress(),
+                request("POST " + route + " HTTP/1.1\r\n", requestId, "", ""),
+                pauseMillis);
+    }
+
     /** Sends a request with the given request line. */
     RawCaller.Response send(String requestLine, String requestId, String headers, String body)
             throws IOException {
         return RawCaller.call(
                 (InetSocketAddress) mServer.listenAddress(),
-                requestLine
-                        + "Host: "
-                        + HOST
-                        + "\r\n"
-                        + PlainDialect.REQUEST_ID
-                        + ": "
-                        + requestId
-                        + "\r\nContent-Length: "
-                        + body.length()
-                        + "\r\n"
-                        + headers
-                        + "\r\n"
-                        + body);
+                request(requestLine, requestId, headers, body));
+    }
+
+    private static String request(
+            String requestLine, String requestId, String headers, String body) {
+        return requestLine
+                + "Host: "
+                + HOST
+                + "\r\n"
+                + PlainDialect.REQUEST_ID
+                + ": "
+                + requestId
+                + "\r\nContent-Length: "
+                + body.length()
+                + "\r\n"
+                + headers
+                + "\r\n"
+                + body;
+    }
+
+    /** Returns the number of requests that have not ended. */
+    int runningRequests() {
+        return mExchanges.runningCount();
     }
 
     /** Rejects all further placements but the first of each request. */
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ResumedEventsTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ResumedEventsTest.java
@@ -19,7 +19,7 @@
 
     /** Guards against events whose place in a resumed stream isn't known. */
     @Test
-    void eventsWithoutIdsDoNotContinueAStream() throws Exception {
+    void eventsWithoutIdsDoNotContinueStreams() throws Exception {
         assertAborted(List.of("data: c\n\n"));
         assertAborted(List.of("event: error\ndata: c\n\n", THIRD));
         assertAborted(List.of("id: x\ndata: c\n\n"));
@@ -63,7 +63,7 @@
 
     /** Guards against comments that are taken for events without ids. */
     @Test
-    void commentsDoNotKeepAStreamFromBeingResumed() throws Exception {
+    void commentsDoNotKeepStreamsFromBeingResumed() throws Exception {
         String comment = ": keep-alive\n\n";
         try (ForwardingHarness harness =
                 new ForwardingHarness(
--- a/gateway/src/test/java/dev/kumquatweir/gateway/raw/RawCaller.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/raw/RawCaller.java
@@ -18,6 +18,7 @@
     /** A caller that waits this long for the end of its answer waits in vain. */
     private static final int SOCKET_TIMEOUT_MILLIS = 5_000;
 
+    private static final int SMALL_RECEIVE_BUFFER_BYTES = 64 << 10;
     private static final int LINE_END = '\n';
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
@@ -54,6 +55,19 @@
         }
     }
 
+    /** Sends a request like {@link #call} but begins to read its answer after a pause. */
+    public static Response callSlowly(InetSocketAddress server, String request, long pauseMillis)
+            throws IOException, InterruptedException {
+        try (Socket socket = new Socket()) {
+            socket.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
+            socket.connect(server);
+            socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+            Thread.sleep(pauseMillis);
+            return read(new BufferedInputStream(socket.getInputStream()));
+        }
+    }
+
     private static Response read(InputStream input) throws IOException {
         Reader reader = new Reader(input);
         String head = reader.readHead();
