Guard serve against answers that are cut in their heads

It could not be reproduced. UpstreamAnswerEndTest cut bodies only; the new case cuts heads at each ninth byte and before the last one, by FIN and by a later reset, in five framings, for generations and for calls. The dispatcher heard of each one as broken, in the one run of the test. Not tried: odd framings in serve, the answer as a caller of serve gets it, real processes.

--- a/gateway/src/test/java/dev/kumquatweir/gateway/upstream/UpstreamAnswerEndTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/upstream/UpstreamAnswerEndTest.java
@@ -139,6 +139,26 @@
         }
     }
 
+    /** Guards against an answer cut inside its head that counts as an empty one. */
+    @Test
+    void answerCutInItsHeadIsBroken() throws Exception {
+        Work call = new Work.ServiceCall("POST", "/", List.of(), Bytes.ofText("{}"));
+        for (Framing framing : Framing.values()) {
+            String head = framing.head(200, "", List.of());
+            for (int length = 1; length < head.length(); length += ENDS_APART) {
+                for (Ending ending : List.of(Ending.CLOSE_SENDING, Ending.RESET_LATER)) {
+                    Answer answer = new Answer(head.substring(0, length), ending);
+                    String tried = framing + " " + answer;
+                    assertThat(tried, heard(call, answer), is(List.of(BROKEN)));
+                    assertThat(tried, heard(generation(), answer), is(List.of(BROKEN)));
+                }
+            }
+            Answer last = new Answer(head.substring(0, head.length() - 1), Ending.CLOSE_SENDING);
+            assertThat(framing + " " + last, heard(call, last), is(List.of(BROKEN)));
+            assertThat(framing + " " + last, heard(generation(), last), is(List.of(BROKEN)));
+        }
+    }
+
     /** Guards against attempts sent on a connection that an unframed answer has ended. */
     @Test
     void connectionOfUnframedAnswerIsNotUsedAgain() throws Exception {
