Format a test

The formatter of the build asks for one line where the test had two; no behaviour changes. The assertion is the same as before.

--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/EventStreamSplitterTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/EventStreamSplitterTest.java
@@ -53,8 +53,7 @@
     @Test
     void additionalFieldsBelongToTheEvent() {
         EventStreamSplitter splitter = new EventStreamSplitter();
-        byte[] event =
-                "model-revision: 3\nid: 1\ndata: x\n\n".getBytes(StandardCharsets.UTF_8);
+        byte[] event = "model-revision: 3\nid: 1\ndata: x\n\n".getBytes(StandardCharsets.UTF_8);
         assertThat(splitter.feed(event).get(0).id(), is(1L));
         assertThat(splitter.malformed(), is(false));
     }
