Close no connection at a planned stop on which a request may lie unread

Callers got no answer to requests sent up to 1.3 s before the close of their connections, while no upstream had run them: a LOST each. Cause: the close was queued on the I/O thread 2.5 s after SIGTERM. When that thread is behind, the close runs before it reads what has arrived, and a connection counts as idle that isn't.

Ruled out: a head read in part, which was answered before too.

A connection or listening socket is now closed after a round in which nothing came and the thread was in time; what comes before is answered. The same holds for control, readiness and metrics of fleet, and for serve (not run with it).

--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -13,6 +13,7 @@
 import dev.kumquatweir.core.routing.ServiceShare;
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.gateway.http.BodyMemory;
+import dev.kumquatweir.gateway.http.ServerConnections;
 import dev.kumquatweir.gateway.raw.RawCaller;
 import dev.kumquatweir.gateway.raw.RawUpstream;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
@@ -29,14 +30,19 @@
 import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -57,6 +63,7 @@
     private static final long REQUEST_MEMORY_BYTES = 16L << 20;
     private static final long RESPONSE_MEMORY_BYTES = 16L << 20;
     private static final int MAXIMUM_UPSTREAMS = 2;
+    private static final long CLOSE_SECONDS = 30;
 
     private final IoExecutor mExecutor = NettyIoExecutors.createIoExecutor(1, "test");
     private final UpstreamClients mClients = new UpstreamClients(mExecutor);
@@ -65,6 +72,7 @@
     private final RawUpstream mFirst;
     private final RawUpstream mSecond;
     private final ExchangeRegistry mExchanges;
+    private final ServerConnections mConnections;
     private final HttpServerContext mServer;
 
     /**
@@ -90,11 +98,14 @@
                         Clocks.system());
         mExchanges = new ExchangeRegistry(ports, new MetricRegistry(), mExecutor);
         mExecutor.execute(mExchanges::start);
+        mConnections = new ServerConnections("callers", Clocks.system(), mExecutor);
         mServer =
                 HttpServers.forAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                         .ioExecutor(mExecutor)
                         .executionStrategy(HttpExecutionStrategies.offloadNone())
-                        .listenStreamingAndAwait(new ForwardingServer(mExchanges));
+                        .appendLateConnectionAcceptor(mConnections.acceptor())
+                        .listenStreamingAndAwait(
+                                mConnections.track(new ForwardingServer(mExchanges)));
     }
 
     /** Sends a request without a body; the id tells the requests of a test apart. */
@@ -117,19 +128,50 @@
             throws IOException {
         return RawCaller.call(
                 (InetSocketAddress) mServer.listenAddress(),
-                requestLine
-                        + "Host: "
-                        + HOST
-                        + "\r\n"
-                        + PlainDialect.REQUEST_ID
-                        + ": "
-                        + requestId
-                        + "\r\nContent-Length: "
-                        + body.length()
-                        + "\r\n"
-                        + headers
-                        + "\r\n"
-                        + body);
+                encode(requestLine, requestId, headers, body));
+    }
+
+    /** Returns the bytes of a request without a body. */
+    static String request(String route, String requestId) {
+        return encode("POST " + route + " HTTP/1.1\r\n", requestId, "", "");
+    }
+
+    /** Opens a connection, as the caller's side. */
+    Socket connect() {
+        try {
+            InetSocketAddress address = (InetSocketAddress) mServer.listenAddress();
+            return new Socket(address.getAddress(), address.getPort());
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    /** Keeps the I/O thread from everything else for the given time. */
+    void holdIoThread(long millis) {
+        mExecutor.execute(() -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis)));
+    }
+
+    /** Begins the close of all connections at the end of a planned stop. */
+    void beginClose() {
+        long latestNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(CLOSE_SECONDS);
+        Future<?> _ = mConnections.close(mServer, latestNanos);
+    }
+
+    private static String encode(
+            String requestLine, String requestId, String headers, String body) {
+        return requestLine
+                + "Host: "
+                + HOST
+                + "\r\n"
+                + PlainDialect.REQUEST_ID
+                + ": "
+                + requestId
+                + "\r\nContent-Length: "
+                + body.length()
+                + "\r\n"
+                + headers
+                + "\r\n"
+                + body;
     }
 
     /** Rejects all further placements but the first of each request. */
--- a/gateway/src/test/java/dev/kumquatweir/gateway/raw/RawCaller.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/raw/RawCaller.java
@@ -54,6 +54,17 @@
         }
     }
 
+    /** Sends bytes on an open connection. */
+    public static void write(Socket socket, String bytes) throws IOException {
+        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Reads an answer on an open connection, which has asked for no further one yet. */
+    public static Response read(Socket socket) throws IOException {
+        socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+        return read(new BufferedInputStream(socket.getInputStream()));
+    }
+
     private static Response read(InputStream input) throws IOException {
         Reader reader = new Reader(input);
         String head = reader.readHead();
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -10,6 +10,7 @@
 import dev.kumquatweir.gateway.forward.ForwardingPorts;
 import dev.kumquatweir.gateway.forward.ForwardingServer;
 import dev.kumquatweir.gateway.http.BodyMemory;
+import dev.kumquatweir.gateway.http.ServerConnections;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.platform.ControlService;
 import dev.kumquatweir.platform.HttpDialect;
@@ -66,6 +67,9 @@
     /** Time in which requests without an answer get their final responses at the end of a stop. */
     private static final long FINAL_RESPONSES_MILLIS = 200;
 
+    /** Most time for the connections that are not those of callers. */
+    private static final long MAXIMUM_CLOSE_MILLIS = 1_000;
+
     private static final long DRAIN_POLL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     private final FleetSettings mSettings;
@@ -77,9 +81,9 @@
     private final ControlInstanceDirectory mControlInstances;
     private final Supplier<LogStore> mStores;
     private final Runnable mOnFatal;
-    private final List<HttpServerContext> mServers = new ArrayList<>();
+    private final List<Listener> mListeners = new ArrayList<>();
     private @Nullable GroupControl mGroup;
-    private volatile @Nullable HttpServerContext mCallerServer;
+    private volatile @Nullable Listener mCallerListener;
     private volatile @Nullable ExchangeRegistry mForwarding;
     private @Nullable EntryFleetView mEntry;
     private volatile boolean mDraining;
@@ -116,7 +120,7 @@
 
     /** Starts the configured roles and listens on their addresses. */
     public void start() {
-        listen(mSettings.metrics(), new MetricsText(mMetrics));
+        listen("metrics", mSettings.metrics(), new MetricsText(mMetrics));
         if (mSettings.control().isPresent()) {
             startControl(mSettings.control().get());
         }
@@ -152,16 +156,17 @@
         long startNanos = mClocks.nowNanos();
         LOG.info("instance_draining", "running", runningRequests());
         mDraining = true;
+        mListeners.forEach(listener -> listener.connections().beginStop());
         ExchangeRegistry forwarding = mForwarding;
-        HttpServerContext callerServer = mCallerServer;
-        if (forwarding != null && callerServer != null) {
-            drainRequests(forwarding, callerServer, startNanos);
+        Listener callerListener = mCallerListener;
+        if (forwarding != null && callerListener != null) {
+            drainRequests(forwarding, callerListener, startNanos);
         }
         GroupControl group = mGroup;
         if (group != null) {
             group.handOver();
         }
-        mServers.forEach(server -> server.closeAsync().subscribe());
+        closeListeners(startNanos);
         if (group != null) {
             group.stop();
         }
@@ -198,7 +203,7 @@
         mGroup = group;
         control.start(group);
         group.start();
-        listen(address, new ControlService(control, mRoutingReader));
+        listen("control", address, new ControlService(control, mRoutingReader));
     }
 
     private void startEntry(InetSocketAddress address) {
@@ -229,9 +234,9 @@
         mForwarding = forwarding;
         mExecutor.execute(forwarding::start);
         mExecutor.execute(this::tickEntry);
-        mCallerServer = listen(address, new ForwardingServer(forwarding));
+        mCallerListener = listen("callers", address, new ForwardingServer(forwarding));
         InetSocketAddress readiness = mSettings.readiness().orElseThrow();
-        listen(readiness, new ReadinessService(() -> !mDraining && entry.serving()));
+        listen("readiness", readiness, new ReadinessService(() -> !mDraining && entry.serving()));
     }
 
     private void tickEntry() {
@@ -248,18 +253,38 @@
      * read has its complete response, or until the time of the planned stop is over.
      */
     private void drainRequests(
-            ExchangeRegistry forwarding, HttpServerContext callerServer, long startNanos) {
+            ExchangeRegistry forwarding, Listener callerListener, long startNanos) {
         long drainMillis = Math.max(0, mSettings.drainMillis() - EXIT_MARGIN_MILLIS);
         PlannedStop stop = new PlannedStop(startNanos, TimeUnit.MILLISECONDS.toNanos(drainMillis));
         forwarding.beginStop(stop);
         while (stop.acceptsConnections(mClocks.nowNanos())) {
             LockSupport.parkNanos(DRAIN_POLL_INTERVAL_NANOS);
         }
-        Future<?> closed = callerServer.closeAsyncGracefully().toFuture();
-        mServers.forEach(server -> server.closeAsyncGracefully().subscribe());
         long finalResponsesNanos =
                 stop.exitNanos() + TimeUnit.MILLISECONDS.toNanos(FINAL_RESPONSES_MILLIS);
-        while (!closed.isDone() && mClocks.nowNanos() - finalResponsesNanos < 0) {
+        await(List.of(callerListener.close(finalResponsesNanos)), finalResponsesNanos);
+    }
+
+    /** Lets orders, heartbeats and probes that have arrived get their answers, then closes all. */
+    private void closeListeners(long startNanos) {
+        long nowNanos = mClocks.nowNanos();
+        long remainingMillis =
+                mSettings.drainMillis()
+                        - FINAL_RESPONSES_MILLIS
+                        - TimeUnit.NANOSECONDS.toMillis(nowNanos - startNanos);
+        long closeMillis = Math.max(0, Math.min(remainingMillis, MAXIMUM_CLOSE_MILLIS));
+        long untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(closeMillis);
+        List<Future<?>> closed =
+                mListeners.stream()
+                        .filter(listener -> listener != mCallerListener)
+                        .<Future<?>>map(listener -> listener.close(untilNanos))
+                        .toList();
+        await(closed, untilNanos);
+        mListeners.forEach(listener -> listener.server().closeAsync().subscribe());
+    }
+
+    private void await(List<Future<?>> closed, long untilNanos) {
+        while (!closed.stream().allMatch(Future::isDone) && mClocks.nowNanos() - untilNanos < 0) {
             LockSupport.parkNanos(DRAIN_POLL_INTERVAL_NANOS);
         }
     }
@@ -269,7 +294,8 @@
         return forwarding == null ? 0 : forwarding.runningCount();
     }
 
-    private HttpServerContext listen(InetSocketAddress address, StreamingHttpService service) {
+    private Listener listen(String name, InetSocketAddress address, StreamingHttpService service) {
+        ServerConnections connections = new ServerConnections(name, mClocks, mExecutor);
         try {
             HttpServerContext server =
                     HttpServers.forAddress(address)
@@ -282,9 +308,11 @@
                                             .build())
                             .socketOption(
                                     ServiceTalkSocketOptions.IDLE_TIMEOUT, IDLE_CONNECTION_MILLIS)
-                            .listenStreamingAndAwait(service);
-            mServers.add(server);
-            return server;
+                            .appendLateConnectionAcceptor(connections.acceptor())
+                            .listenStreamingAndAwait(connections.track(service));
+            Listener listener = new Listener(server, connections);
+            mListeners.add(listener);
+            return listener;
         } catch (Exception exception) {
             throw new FailureException(
                     new CannotListen(address.toString(), String.valueOf(exception.getMessage())));
@@ -295,6 +323,13 @@
         return result.getOrElseThrow(FailureException::new);
     }
 
+    /** A listening socket and its connections. */
+    private record Listener(HttpServerContext server, ServerConnections connections) {
+        Future<?> close(long latestNanos) {
+            return connections.close(server, latestNanos);
+        }
+    }
+
     /** An address can't be listened on. */
     record CannotListen(String address, String problem) implements Failure {
         @Override
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -8,6 +8,7 @@
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.gateway.caller.CallerPorts;
 import dev.kumquatweir.gateway.caller.CallerServer;
+import dev.kumquatweir.gateway.http.ServerConnections;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
 import dev.kumquatweir.program.burn.BurnAggregator;
@@ -29,7 +30,7 @@
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
@@ -65,7 +66,7 @@
     private final CallerServer mCallerServer;
     private final UpstreamListener mUpstreamListener;
     private final OperatorListener mOperatorListener;
-    private List<HttpServerContext> mHttpServers = List.of();
+    private List<Listener> mListeners = List.of();
 
     /**
      * Creates an instance that is not running yet.
@@ -143,11 +144,11 @@
         mControl.start();
         mUpstreamSubsystem.start();
         mCallerServer.start();
-        mHttpServers =
+        mListeners =
                 List.of(
-                        listen(mSettings.listen().caller(), mCallerServer),
-                        listen(mSettings.listen().upstream(), mUpstreamListener),
-                        listen(mSettings.listen().operator(), mOperatorListener));
+                        listen("caller", mSettings.listen().caller(), mCallerServer),
+                        listen("upstream", mSettings.listen().upstream(), mUpstreamListener),
+                        listen("operator", mSettings.listen().operator(), mOperatorListener));
         LOG.info(
                 "instance_started",
                 "instance",
@@ -174,7 +175,7 @@
         mUpstreamSubsystem.dispatch().failUnfinished();
         mUpstreamSubsystem.abandonOversizeRuns();
         awaitRequests(mClocks.nowNanos() + FINAL_ANSWERS_NANOS);
-        mHttpServers.forEach(InstanceDaemon::closeGracefully);
+        closeListeners();
         mControl.handOver();
         mCallerServer.stop();
         mUpstreamSubsystem.stop();
@@ -218,15 +219,19 @@
                 mClocks);
     }
 
-    private HttpServerContext listen(InetSocketAddress address, StreamingHttpService service) {
+    private Listener listen(String name, InetSocketAddress address, StreamingHttpService service) {
+        ServerConnections connections = new ServerConnections(name, mClocks, mIoExecutor);
         try {
-            return HttpServers.forAddress(address)
-                    .ioExecutor(mIoExecutor)
-                    .executionStrategy(HttpExecutionStrategies.offloadNone())
-                    .socketOption(
-                            ServiceTalkSocketOptions.IDLE_TIMEOUT,
-                            mSettings.limits().idleConnectionMillis())
-                    .listenStreamingAndAwait(service);
+            HttpServerContext server =
+                    HttpServers.forAddress(address)
+                            .ioExecutor(mIoExecutor)
+                            .executionStrategy(HttpExecutionStrategies.offloadNone())
+                            .socketOption(
+                                    ServiceTalkSocketOptions.IDLE_TIMEOUT,
+                                    mSettings.limits().idleConnectionMillis())
+                            .appendLateConnectionAcceptor(connections.acceptor())
+                            .listenStreamingAndAwait(connections.track(service));
+            return new Listener(server, connections);
         } catch (Exception exception) {
             Failure failure =
                     new StartFailure.CannotListen(
@@ -235,21 +240,20 @@
         }
     }
 
-    /**
-     * Waits for the listener to close. A failure is only logged, because the steps that follow in
-     * the shutdown have to run in any case.
-     */
-    private static void closeGracefully(HttpServerContext server) {
-        try {
-            server.closeAsyncGracefully()
-                    .timeout(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
-                    .onErrorComplete()
-                    .toFuture()
-                    .get();
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
-        } catch (ExecutionException exception) {
-            LOG.error("listener_not_closed", exception);
+    /** Waits until requests that have arrived are answered and the listeners are closed. */
+    private void closeListeners() {
+        long untilNanos = mClocks.nowNanos() + TimeUnit.SECONDS.toNanos(CLOSE_TIMEOUT_SECONDS);
+        List<Future<?>> closed =
+                mListeners.stream()
+                        .<Future<?>>map(
+                                listener ->
+                                        listener.connections().close(listener.server(), untilNanos))
+                        .toList();
+        while (!closed.stream().allMatch(Future::isDone) && mClocks.nowNanos() - untilNanos < 0) {
+            LockSupport.parkNanos(DRAIN_POLL_INTERVAL_NANOS);
         }
     }
+
+    /** A listening socket and its connections. */
+    private record Listener(HttpServerContext server, ServerConnections connections) {}
 }
