--- a/program/src/test/java/dev/kumquatweir/program/system/FleetNode.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/FleetNode.java
@@ -17,6 +17,7 @@
     private final boolean mControl;
     private final int mGraceSeconds;
     private final List<Long> mTerminations = new CopyOnWriteArrayList<>();
+    private final List<Long> mCrashes = new CopyOnWriteArrayList<>();
     private LocalProcess mProcess;
 
     /**
@@ -110,6 +111,16 @@
         return mTerminations;
     }
 
+    /** Returns when the process was killed without a planned stop or in the middle of one. */
+    List<Long> crashes() {
+        return mCrashes;
+    }
+
+    void crash(long nowNanos) {
+        mCrashes.add(nowNanos);
+        mProcess.kill();
+    }
+
     void terminate(long nowNanos) {
         mTerminations.add(nowNanos);
         mProcess.beginTermination();
--- a/program/src/test/java/dev/kumquatweir/program/system/PlannedStopCheck.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/PlannedStopCheck.java
@@ -94,7 +94,17 @@
 
     private boolean mayBeCut(Observed observed, List<RecordingUpstream.Run> runs) {
         return runs.stream().anyMatch(RecordingUpstream.Run::broken)
-                || wasStillAtWork(observed, runs);
+                || wasStillAtWork(observed, runs)
+                || crashed(observed);
+    }
+
+    /** Returns whether the instance was killed after it was sent the request. */
+    private static boolean crashed(Observed observed) {
+        return observed.entry().crashes().stream()
+                .anyMatch(
+                        killed ->
+                                observed.answer().sentNanos() - killed <= CROSSING_NANOS
+                                        && observed.answer().endNanos() - killed >= 0);
     }
 
     private boolean wasStillAtWork(Observed observed, List<RecordingUpstream.Run> runs) {
