Compare listeners of a planned stop by value

A listener is a record of a server and its connections, both compared by identity, so the result is the same. Callers see no difference.

--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -276,7 +276,7 @@
         long untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(closeMillis);
         List<Future<?>> closed =
                 mListeners.stream()
-                        .filter(listener -> listener != mCallerListener)
+                        .filter(listener -> !listener.equals(mCallerListener))
                         .<Future<?>>map(listener -> listener.close(untilNanos))
                         .toList();
         await(closed, untilNanos);
