Believe only the answer that proves to be the request's own

Callers were told 503 ("not run") for requests that a worker ran, or such a request ran at a second worker, when a faulty worker wrote an earlier refusal once more on a kept connection, or answered 421 without the header that promises "not run".

Cause: a refusal without an id was believed on any connection, each 421 was taken for not executed, and the HTTP library doesn't read an idle connection, so that stray bytes are read as the answer to the next request. The test was not run on the code before this change as a whole.

ResponseEvidence decides what a head proves. A second send to one address, or a request without an id, gets a new connection. A log line and a counter tell such closes.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
@@ -149,7 +149,7 @@
     }
 
     @Override
-    public void headReceived(StreamingHttpResponse response) {
+    public void headReceived(StreamingHttpResponse response, boolean connectionReused) {
         if (!mOwner.isCurrent(this)) {
             close();
             return;
@@ -158,9 +158,20 @@
         mResponse = response;
         mHead = head;
         String requestId = mRequest.head().requestId();
-        boolean wrongRequestId =
-                head.requestId().map(id -> !id.equals(requestId)).orElse(head.success());
-        if (wrongRequestId) {
+        ResponseEvidence.Verdict verdict = ResponseEvidence.of(head, requestId, connectionReused);
+        if (verdict == ResponseEvidence.Verdict.UNPROVEN) {
+            LOG.warn(
+                    "response_unproven",
+                    "request",
+                    requestId,
+                    "upstream",
+                    mUpstream,
+                    "status",
+                    head.status(),
+                    "response_request",
+                    head.requestId().orElse(""),
+                    "connection_reused",
+                    connectionReused);
             close();
             mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
             return;
@@ -168,7 +179,7 @@
         if (!head.misdirected()) {
             mState.recordResponse(mUpstream, head, mOwner.nowNanos());
         }
-        if (head.notExecuted()) {
+        if (verdict == ResponseEvidence.Verdict.NOT_EXECUTED) {
             call().discard();
             PlacementOutcome outcome =
                     head.misdirected() ? PlacementOutcome.MISDIRECTED : PlacementOutcome.FULL;
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/AttemptFactory.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/AttemptFactory.java
@@ -2,12 +2,15 @@
 
 import dev.kumquatweir.policy.placement.PlacementGrant;
 import io.servicetalk.http.api.StreamingHttpClient;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** Prepares the sends of one request to upstreams. Confined to the I/O thread. */
 final class AttemptFactory {
     private final ForwardingPorts mPorts;
     private final ForwardedRequest mRequest;
+    private final Set<String> mAddresses = new HashSet<>();
 
     AttemptFactory(ForwardingPorts ports, ForwardedRequest request) {
         mPorts = ports;
@@ -30,8 +33,12 @@
         boolean atMostOnce = !mRequest.route().repeatability().allowsReexecution();
         // A pooled connection may have just been closed by the upstream. The send would then fail
         // with an unknown outcome, and a request that runs at most once could not be resent.
+        boolean sentBefore = !mAddresses.add(grant.address());
+        boolean newConnection =
+                ResponseEvidence.needsNewConnection(
+                        mRequest.head().requestId(), atMostOnce, sentBefore);
         StreamingHttpClient client =
-                atMostOnce
+                newConnection
                         ? mPorts.clients().newClient(grant.address())
                         : mPorts.clients().of(grant.address());
         UpstreamInstructions instructions =
@@ -44,7 +51,7 @@
         Attempt attempt = new Attempt(mRequest, mPorts, owner, lastEventId >= 0, grant, nowNanos);
         attempt.prepare(
                 client,
-                atMostOnce,
+                newConnection,
                 UpstreamRequests.newRequest(client, mRequest, instructions, mPorts));
         return attempt;
     }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/UpstreamCall.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/UpstreamCall.java
@@ -2,6 +2,7 @@
 
 import static io.servicetalk.concurrent.api.SourceAdapters.toSource;
 
+import dev.kumquatweir.gateway.upstream.ConnectionExchanges;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.PublisherSource;
@@ -9,6 +10,7 @@
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -24,8 +26,12 @@
 
     /** Receives the response. {@code bodyCompleted} or {@code callFailed} is the last call. */
     interface Listener {
-        /** Handles status and headers; the body follows unless this method closes the call. */
-        void headReceived(StreamingHttpResponse response);
+        /**
+         * Handles status and headers; the body follows unless this method closes the call.
+         *
+         * @param connectionReused whether the connection has carried an earlier request
+         */
+        void headReceived(StreamingHttpResponse response, boolean connectionReused);
 
         /** Handles a part of the body. */
         void bodyPartReceived(byte[] part);
@@ -120,7 +126,9 @@
             closeConnection();
             return;
         }
-        mListener.headReceived(response);
+        ReservedStreamingHttpConnection connection = Objects.requireNonNull(mConnection);
+        mListener.headReceived(
+                response, ConnectionExchanges.isReused(connection.connectionContext()));
         if (!mClosed) {
             toSource(response.payloadBody()).subscribe(new BodySubscriber());
         }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/UpstreamClients.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/UpstreamClients.java
@@ -2,6 +2,8 @@
 
 import static io.servicetalk.http.netty.HttpProtocolConfigs.h1;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import io.servicetalk.http.api.FilterableStreamingHttpLoadBalancedConnection;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpLoadBalancerFactory;
@@ -24,13 +26,16 @@
     private static final int CONNECT_LIMIT_MILLIS = 1_000;
 
     private final IoExecutor mExecutor;
+    private final Counter mUnsolicitedResponses;
     private final ConcurrentMap<String, StreamingHttpClient> mClients = new ConcurrentHashMap<>();
 
     /**
      * @param executor runs the connections; closed by its owner
+     * @param metrics gets the counter of unsolicited responses
      */
-    public UpstreamClients(IoExecutor executor) {
+    public UpstreamClients(IoExecutor executor, MetricRegistry metrics) {
         mExecutor = executor;
+        mUnsolicitedResponses = metrics.counter("kumquatweir_upstream_unsolicited_responses");
     }
 
     /** Returns the client of an address such as {@code 127.0.0.1:8000}. */
@@ -53,6 +58,7 @@
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
                 .appendConnectionFilter(new UnframedResponseFilter())
                 .appendConnectionFilter(new ResponseLimitFilter())
+                .appendConnectionFilter(new UnsolicitedBytesFilter(mUnsolicitedResponses))
                 .loadBalancerFactory(connectionsOfOneHost())
                 .buildStreaming();
     }
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -59,7 +59,8 @@
     private static final int MAXIMUM_UPSTREAMS = 2;
 
     private final IoExecutor mExecutor = NettyIoExecutors.createIoExecutor(1, "test");
-    private final UpstreamClients mClients = new UpstreamClients(mExecutor);
+    private final MetricRegistry mMetrics = new MetricRegistry();
+    private final UpstreamClients mClients = new UpstreamClients(mExecutor, mMetrics);
     private final BodyMemory mRequestMemory = new BodyMemory(REQUEST_MEMORY_BYTES);
     private final GrantInTurn mPlacement;
     private final RawUpstream mFirst;
@@ -147,6 +148,11 @@
         return mPlacement.mSilences.size();
     }
 
+    /** Returns the number of connections that were closed for bytes that belong to no request. */
+    long unsolicitedResponses() {
+        return mMetrics.counter("kumquatweir_upstream_unsolicited_responses").getCount();
+    }
+
     /** Returns the memory reserved for bodies of requests. */
     long requestBytes() {
         return mRequestMemory.usedBytes();
--- a/gateway/src/test/java/dev/kumquatweir/gateway/upstream/UpstreamAnswerEndTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/upstream/UpstreamAnswerEndTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
+import com.codahale.metrics.MetricRegistry;
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.configuration.UpstreamKind;
 import dev.kumquatweir.core.control.RecordedResponse;
@@ -50,7 +51,7 @@
     private static final String BROKEN = "broken CONNECTION_LOST";
 
     private final IoExecutor mExecutor = NettyIoExecutors.createIoExecutor(1, "test");
-    private final UpstreamClients mClients = new UpstreamClients(mExecutor);
+    private final UpstreamClients mClients = new UpstreamClients(mExecutor, new MetricRegistry());
     private final HttpUpstreamCaller mCaller =
             new HttpUpstreamCaller(mClients, LARGEST_ANSWER_BYTES);
 
--- a/gateway/src/test/java/dev/kumquatweir/gateway/upstream/UpstreamClientsTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/upstream/UpstreamClientsTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.codahale.metrics.MetricRegistry;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.api.StreamingHttpClient;
@@ -28,7 +29,7 @@
     void upstreamThatIsBackIsReachedAtOnce() throws Exception {
         int port = freePort();
         IoExecutor executor = NettyIoExecutors.createIoExecutor(1, "test");
-        UpstreamClients clients = new UpstreamClients(executor);
+        UpstreamClients clients = new UpstreamClients(executor, new MetricRegistry());
         StreamingHttpClient client = clients.of("127.0.0.1:" + port);
         for (int number = 0; number < FAILED_CONNECTS; number++) {
             assertThrows(ExecutionException.class, () -> ask(client).toFuture().get());
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -213,7 +213,7 @@
                         mMetrics,
                         mClocks,
                         mExecutor::execute);
-        UpstreamClients clients = new UpstreamClients(mExecutor);
+        UpstreamClients clients = new UpstreamClients(mExecutor, mMetrics);
         ForwardingPorts ports =
                 new ForwardingPorts(
                         entry,
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -86,13 +86,13 @@
         mControl = control;
         mClocks = clocks;
         mIoExecutor = NettyIoExecutors.createIoExecutor(IO_THREADS, "http");
-        mUpstreamClients = new UpstreamClients(mIoExecutor);
+        MetricRegistry metrics = new MetricRegistry();
+        mUpstreamClients = new UpstreamClients(mIoExecutor, metrics);
         mBurnRecorder =
                 new BurnRecorder(
                         settings.dataFolder().map(folder -> new BurnFile(folder.resolve("burn"))),
                         clocks);
         mBurnAggregator = new BurnAggregator(mBurnRecorder, network, settings.otherInstances());
-        MetricRegistry metrics = new MetricRegistry();
         mUpstreamSubsystem =
                 new UpstreamSubsystem(
                         settings,
