Bound the time that new connections hold a listening socket open at a planned stop

It now closes a second after the close began at the latest, when the balancer sends nothing any more; connections end as before. UnreadRequestsAtStopTest#steadyNewConnectionsDoNotHoldTheListeningSocketOpen failed on the merged code before (no connection was refused for 3 s). Ruled out: closing it at once, as before, which cuts connections that wait to be accepted.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/http/ServerConnections.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/http/ServerConnections.java
@@ -46,6 +46,9 @@
     /** Bound on the lines about connections that end in a stop. */
     private static final int MAXIMUM_LINES = 500;
 
+    /** Time that callers who keep connecting may hold the listening socket open. */
+    private static final long MAXIMUM_LISTEN_MILLIS = 1_000;
+
     private final String mName;
     private final Clocks mClocks;
     private final IoExecutor mExecutor;
@@ -84,7 +87,8 @@
 
     /**
      * Closes the listening socket and each connection once nothing comes any more. Each request
-     * that comes before is served.
+     * that comes before is served. The listening socket is closed a second later at the latest, so
+     * that callers who keep connecting don't hold it open.
      *
      * @param latestNanos time at which all is closed in any case
      */
@@ -96,7 +100,9 @@
         Channel listener = mListener;
         QuietRounds rounds = new QuietRounds();
         Executor loop = listener == null ? mExecutor::execute : listener.eventLoop();
-        loop.execute(() -> closeListener(server, rounds, latestNanos, closed));
+        long listenNanos =
+                mClocks.nowNanos() + TimeUnit.MILLISECONDS.toNanos(MAXIMUM_LISTEN_MILLIS);
+        loop.execute(() -> closeListener(server, rounds, listenNanos, latestNanos, closed));
         return closed;
     }
 
@@ -129,12 +135,14 @@
     private void closeListener(
             HttpServerContext server,
             QuietRounds rounds,
+            long listenNanos,
             long latestNanos,
             CompletableFuture<Object> closed) {
         long nowNanos = mClocks.nowNanos();
         logRound(rounds.begin(nowNanos));
         Channel listener = mListener;
-        boolean quiet = rounds.quietSince(mLastAcceptNanos, nowNanos);
+        boolean quiet =
+                rounds.quietSince(mLastAcceptNanos, nowNanos) || nowNanos - listenNanos >= 0;
         if (quiet && listener != null) {
             Future<?> _ = listener.close();
         }
@@ -143,7 +151,7 @@
             server.closeAsyncGracefully().whenFinally(() -> closed.complete(mName)).subscribe();
             return;
         }
-        Runnable next = () -> closeListener(server, rounds, latestNanos, closed);
+        Runnable next = () -> closeListener(server, rounds, listenNanos, latestNanos, closed);
         if (listener == null) {
             mExecutor.schedule(next, QuietRounds.ROUND_MILLIS, TimeUnit.MILLISECONDS);
         } else {
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/UnreadRequestsAtStopTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/UnreadRequestsAtStopTest.java
@@ -8,9 +8,11 @@
 import dev.kumquatweir.gateway.raw.RawCaller;
 import dev.kumquatweir.gateway.raw.RawUpstream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -112,6 +114,27 @@
         }
     }
 
+    /** Guards against callers who keep connecting and so hold the listening socket open. */
+    @Test
+    void steadyNewConnectionsDoNotHoldTheListeningSocketOpen() throws Exception {
+        try (ForwardingHarness harness = harness()) {
+            RawCaller.Response first = harness.call(ForwardingHarness.ONCE, "first");
+            assertThat(first.status(), is(200));
+            harness.beginClose();
+            long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HELD_MILLIS * 2);
+            boolean refused = false;
+            while (!refused && System.nanoTime() - endNanos < 0) {
+                try (Socket caller = harness.connect()) {
+                    assertThat(caller.isConnected(), is(true));
+                } catch (UncheckedIOException closed) {
+                    refused = true;
+                }
+                Thread.sleep(STEP_MILLIS / 10);
+            }
+            assertThat(refused, is(true));
+        }
+    }
+
     private static ForwardingHarness harness() throws Exception {
         return new ForwardingHarness(
                 UnreadRequestsAtStopTest::answer, UnreadRequestsAtStopTest::answer);
