Refuse texts and comments in place of the rest of a stream

Callers of a resumed stream could get the text of an error that has the form of a field ("error: out of memory"), or a stream that ended as complete though the next upstream sent only a comment and closed. Cause: since an additional field alone counted as an event, and any event, also a comment, counted as the beginning of the answer.

An additional field without data and without an id is now no event, and the end of a stream is believed after an event that is more than a comment. ErrorInsideStreamTest#successThatIsNoEventStreamAbortsTheStream and ResumedEventsTest#commentsAloneAreNotTheEndOfAnswersThatEndWithTheirConnection failed on the merged code before.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
@@ -96,6 +96,9 @@
     /** Set by the first body part, or in a streamed response by the first whole event. */
     private boolean mResponseStarted;
 
+    /** Set by the first event that is more than a comment. */
+    private boolean mEventReceived;
+
     private long mLastPartNanos;
 
     /**
@@ -180,7 +183,9 @@
                     head.requestId().orElse(""),
                     "connection_reused",
                     connectionReused);
-            giveUp();
+            boolean ownMisdirection =
+                    head.misdirected() && head.requestId().filter(requestId::equals).isPresent();
+            giveUp(ownMisdirection ? PlacementOutcome.MISDIRECTED : PlacementOutcome.UNPROVEN);
             return;
         }
         if (!head.misdirected()) {
@@ -215,21 +220,22 @@
             }
         }
         if (mEventSplitter.malformed() && mOwner.isCurrent(this)) {
-            giveUp();
+            giveUp(PlacementOutcome.BROKEN);
         }
     }
 
     private void handleEvent(EventStreamSplitter.Event event, boolean first) {
+        mEventReceived |= event.hasData() || event.id() != EventStreamSplitter.NO_ID;
         switch (mEvents.next(event)) {
             case FORWARD -> mOwner.eventReceived(Objects.requireNonNull(mResponse), event, first);
             case SKIP -> {}
-            case REJECT -> giveUp();
+            case REJECT -> giveUp(PlacementOutcome.BROKEN);
         }
     }
 
-    private void giveUp() {
+    private void giveUp(PlacementOutcome outcome) {
         close();
-        mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
+        mOwner.attemptFailed(outcome, "", true);
     }
 
     @Override
@@ -244,7 +250,7 @@
                     Objects.requireNonNull(mResponse), Objects.requireNonNull(mHead), body);
         } else if (!mEventSplitter.hasPartialEvent()
                 && !mEvents.endsEarly()
-                && (mResponseStarted || hasNoEventsLeft())) {
+                && (mEventReceived || hasNoEventsLeft())) {
             mOwner.streamCompleted(Objects.requireNonNull(mResponse));
         } else {
             mOwner.attemptFailed(PlacementOutcome.BROKEN, "", true);
@@ -283,7 +289,7 @@
                     mRequest.head().requestId(),
                     "collected_bytes",
                     collectedBytes);
-            giveUp();
+            giveUp(PlacementOutcome.BROKEN);
         }
     }
 
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/EventStreamSplitter.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/EventStreamSplitter.java
@@ -27,6 +27,7 @@
     private final StringBuilder mLine = new StringBuilder();
     private long mEventId = NO_ID;
     private boolean mHasData;
+    private boolean mHasAdditionalField;
     private boolean mFirstLine = true;
     private boolean mMalformed;
 
@@ -86,10 +87,16 @@
             readField(line);
             return;
         }
+        if (mHasAdditionalField && !mHasData && mEventId == NO_ID) {
+            // An additional field alone is no event, but may be the text of an error.
+            mMalformed = true;
+            return;
+        }
         events.add(new Event(mEventId, mHasData, Bytes.copyOf(mEvent.toByteArray())));
         mEvent.reset();
         mEventId = NO_ID;
         mHasData = false;
+        mHasAdditionalField = false;
     }
 
     private void readField(String line) {
@@ -100,7 +107,10 @@
             case "data" -> mHasData = true;
             case "id" -> readId(colon < 0 ? "" : line.substring(colon + 1));
             // Readers ignore fields that they don't know; upstreams add some of their own.
-            default -> mMalformed = colon < 0 || !ADDITIONAL_FIELD.matcher(name).matches();
+            default -> {
+                mHasAdditionalField = true;
+                mMalformed = colon < 0 || !ADDITIONAL_FIELD.matcher(name).matches();
+            }
         }
     }
 
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ErrorInsideStreamTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ErrorInsideStreamTest.java
@@ -55,6 +55,7 @@
                     List.of(
                             "failed",
                             "failed\n\n",
+                            "error: out of memory\n\n",
                             "{\"error\": \"failed\"}\r\n\r\n",
                             "<p>failed</p>\n\nid: 2\ndata: b\n\n",
                             LATER_HEAD)) {
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ResumedEventsTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ResumedEventsTest.java
@@ -75,6 +75,26 @@
         }
     }
 
+    /** Guards against a cut answer of comments that is taken for the rest of the stream. */
+    @Test
+    void commentsAloneAreNotTheEndOfAnswersThatEndWithTheirConnection() throws Exception {
+        List<String> comment = List.of(": keep-alive\n\n");
+        try (ForwardingHarness harness =
+                new ForwardingHarness(
+                        received -> cut(received, List.of(FIRST, SECOND)),
+                        received ->
+                                new Answer(
+                                        CutAnswer.head(
+                                                        Framing.NONE,
+                                                        ForwardingHarness.requestId(received),
+                                                        comment)
+                                                + Framing.NONE.body(comment),
+                                        Ending.CLOSE_SENDING))) {
+            RawCaller.Response response = harness.call(ForwardingHarness.RESUMABLE, "request");
+            assertThat(response.toString(), response.complete(), is(false));
+        }
+    }
+
     private static void assertAborted(List<String> parts) throws Exception {
         try (ForwardingHarness harness = resumed(parts)) {
             RawCaller.Response response = harness.call(ForwardingHarness.RESUMABLE, "request");
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementOutcome.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementOutcome.java
@@ -17,5 +17,10 @@
     /** The upstream sent nothing within the time-out. */
     SILENT,
     /** The caller disconnected, or the instance cancelled the request. */
-    CANCELLED
+    CANCELLED,
+    /**
+     * What arrived was not the answer to the request. The connection or the upstream is at fault,
+     * not the content of the request, which may have been executed.
+     */
+    UNPROVEN
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -202,6 +202,7 @@
                     primaryPart.ifPresent(part -> mAttribution.brokenOff(primary, part, nowNanos));
                 }
             }
+            case UNPROVEN -> faulty.health().recordLostAnswer(nowNanos);
             case CANCELLED -> {}
         }
         upstreams.forEach(upstream -> upstream.ended(key, nowNanos));
