Give up a success that names no request, also on a new connection

Each sound upstream names the request, so a caller could get an answer that isn't its own (MIXED). ResponseEvidenceTest#successWithoutIdProvesNothing failed on the merged code before; ownResponseIsBelieved no longer asks for the opposite.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ResponseEvidence.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ResponseEvidence.java
@@ -36,7 +36,12 @@
      * @param connectionReused whether the connection has carried an earlier request
      */
     static Verdict of(UpstreamResponseHead head, String requestId, boolean connectionReused) {
-        boolean own = head.requestId().map(id -> id.equals(requestId)).orElse(!connectionReused);
+        // Each upstream names the request in a success; a refusal of bytes that it could not read
+        // may not.
+        boolean own =
+                head.requestId()
+                        .map(id -> id.equals(requestId))
+                        .orElse(!connectionReused && !head.success());
         if (!own) {
             return Verdict.UNPROVEN;
         }
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ResponseEvidenceTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ResponseEvidenceTest.java
@@ -58,6 +58,8 @@
                         ResponseEvidence.of(head(status, Optional.of(ID), false), ID, reused),
                         is(Verdict.EXECUTED));
             }
+        }
+        for (int status : List.of(400, 404, 500, 504)) {
             assertThat(
                     ResponseEvidence.of(head(status, Optional.empty(), false), ID, false),
                     is(Verdict.EXECUTED));
@@ -67,6 +69,16 @@
         }
     }
 
+    /** Guards against a success that names no request, also on a new connection. */
+    @Test
+    void successWithoutIdProvesNothing() {
+        for (boolean reused : List.of(true, false)) {
+            assertThat(
+                    ResponseEvidence.of(head(200, Optional.empty(), false), ID, reused),
+                    is(Verdict.UNPROVEN));
+        }
+    }
+
     /** Guards against a repeated refusal that has the id of the request sent once more. */
     @Test
     void secondSendToAnUpstreamNeedsNewConnection() {
