Keep an upstream in use that answers 421 without the guarantee

A 421 without the guarantee is unproven like any other now. Sound upstreams send the header with each 421 (PROTOCOL.md, Workers), so no sound answer changes.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
@@ -183,9 +183,7 @@
                     head.requestId().orElse(""),
                     "connection_reused",
                     connectionReused);
-            boolean ownMisdirection =
-                    head.misdirected() && head.requestId().filter(requestId::equals).isPresent();
-            giveUp(ownMisdirection ? PlacementOutcome.MISDIRECTED : PlacementOutcome.UNPROVEN);
+            giveUp(PlacementOutcome.UNPROVEN);
             return;
         }
         if (!head.misdirected()) {
