Count the requests of a connection on its own I/O thread

In serve a response may be completed by another thread than the one of the connection. ServerConnections then changed its count of running requests on that thread, so a lost update could leave a connection counted as busy, and a planned stop would wait for it to its end. Found by reading the change as a newcomer; no run has shown it.

The end of a response is now handled on the connection's thread. Ruled out: atomic counters, since the decision reads three fields together.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/http/ServerConnections.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/http/ServerConnections.java
@@ -257,14 +257,24 @@
             mRunning++;
             AtomicBoolean ended = new AtomicBoolean();
             return () -> {
-                if (!ended.getAndSet(true)) {
-                    mRunning--;
-                    mPartial = false;
-                    mLastNanos = mClocks.nowNanos();
+                if (ended.getAndSet(true)) {
+                    return;
+                }
+                if (mLoop.inEventLoop()) {
+                    endRequest();
+                } else {
+                    // A response may be completed by another thread.
+                    mLoop.execute(this::endRequest);
                 }
             };
         }
 
+        private void endRequest() {
+            mRunning--;
+            mPartial = false;
+            mLastNanos = mClocks.nowNanos();
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             mPartial = true;
