--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRules.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRules.java
@@ -1,8 +1,5 @@
 package dev.kumquatweir.policy.placement;
 
-import dev.kumquatweir.core.routing.UpstreamStatus;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -61,17 +58,4 @@
                 .filter(placed -> placed.started() || placed.firstEventNanos() - nowNanos > 0)
                 .forEach(PlacedPart::markLate);
     }
-
-    /** Returns the grant of a primary, the first upstream, and of its helpers. */
-    static PlacementGrant newGrant(
-            List<PlacementUpstream> upstreams, List<Long> reservedTokens, long expectedMillis) {
-        List<PlacementHelper> helpers = new ArrayList<>();
-        for (int index = 1; index < upstreams.size(); index++) {
-            UpstreamStatus status = upstreams.get(index).notice();
-            helpers.add(
-                    new PlacementHelper(status.id(), status.address(), reservedTokens.get(index)));
-        }
-        UpstreamStatus primary = upstreams.get(0).notice();
-        return new PlacementGrant(primary.id(), primary.address(), expectedMillis, helpers);
-    }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -31,20 +31,22 @@
     /** Maximum number of late requests that wait, as a share of all slots of their service. */
     private static final double MAXIMUM_LATE_SHARE = 0.1;
 
+    private final PlacementLimits mLimits;
     private final RoutedServices mServices = new RoutedServices();
     private final PlacementUpstreams mUpstreams = new PlacementUpstreams();
     private final WaitingRequests mWaiting = new WaitingRequests();
     private final Map<PlacementKey, List<PlacementUpstream>> mPlacements = new HashMap<>();
-    private final RetryBudgets mRetries;
+    private final Map<ServiceName, SlidingRetryBudget> mRetries = new HashMap<>();
     private final CrashHistory mCrashes = new CrashHistory();
     private final CrashAttribution mAttribution = new CrashAttribution();
     private final ComparisonBudget mComparisonBudget = new ComparisonBudget();
     private final List<PlacementAction> mActions = new ArrayList<>();
+    private int mInstances = 1;
     private long mComparisons;
 
     /** Creates a scheduler without upstreams. */
     public PlacementScheduler(PlacementLimits limits) {
-        mRetries = new RetryBudgets(limits);
+        mLimits = limits;
     }
 
     /** Sets the routing table and the failure domains whose upstreams get no new work. */
@@ -61,8 +63,8 @@
      * @param seed different for each instance, so that they do not all choose the same upstreams
      */
     public void configureStandalone(int instances, int seed) {
-        mRetries.configureStandalone(Math.max(1, instances));
-        mUpstreams.configureStandalone(Math.max(1, instances), seed);
+        mInstances = Math.max(1, instances);
+        mUpstreams.configureStandalone(mInstances, seed);
     }
 
     /** Applies a heartbeat that was received at the given time. */
@@ -77,12 +79,17 @@
 
     /** Submits a request. {@link #decide} returns the decision, in its next call or later. */
     public void submit(PlacementRequest request, long nowNanos) {
+        SlidingRetryBudget retries =
+                mRetries.computeIfAbsent(request.service(), key -> new SlidingRetryBudget(mLimits));
+        if (!request.retry()) {
+            retries.recordFirstSend(nowNanos);
+        }
         if (mCrashes.quarantined(request.contentHash(), nowNanos)
                 || mAttribution.verdict(request, nowNanos) == PartVerdict.QUARANTINED) {
             reject(request, PlacementRefusal.QUARANTINED, nowNanos);
             return;
         }
-        if (!mRetries.admits(request, mWaiting.retryCount(request.service()), nowNanos)) {
+        if (request.retry() && !retries.tryRetry(mInstances, nowNanos)) {
             reject(request, PlacementRefusal.REPEAT_BUDGET, nowNanos);
             return;
         }
@@ -255,11 +262,6 @@
         return mCrashes;
     }
 
-    /** Returns the retry budgets, to read their use. */
-    public RetryBudgets retries() {
-        return mRetries;
-    }
-
     /** Returns what was concluded from crashes of upstreams since the last call. */
     public List<CrashEvent> drainCrashEvents() {
         return mAttribution.drainEvents();
@@ -299,10 +301,6 @@
             reject(request, PlacementRefusal.QUARANTINED, nowNanos);
             return;
         }
-        if (!mRetries.admits(request, 0, nowNanos)) {
-            reject(request, PlacementRefusal.REPEAT_BUDGET, nowNanos);
-            return;
-        }
         if (verdict == PartVerdict.WAIT && request.latestStartNanos() - nowNanos >= 0) {
             return;
         }
@@ -421,17 +419,26 @@
             long nowNanos) {
         withdraw(request.key());
         mAttribution.placed(request);
-        mRetries.recordPlaced(request, nowNanos);
         mPlacements.put(request.key(), upstreams);
+        List<PlacementHelper> helpers = new ArrayList<>();
         for (int index = 0; index < upstreams.size(); index++) {
-            upstreams.get(index).add(placedParts.get(index), nowNanos);
+            PlacementUpstream upstream = upstreams.get(index);
+            upstream.add(placedParts.get(index), nowNanos);
+            if (index > 0) {
+                UpstreamStatus notice = upstream.notice();
+                helpers.add(
+                        new PlacementHelper(notice.id(), notice.address(), reserved.get(index)));
+            }
         }
-        upstreams.get(0).startLimiter().started(nowNanos);
+        PlacementUpstream primary = upstreams.get(0);
+        primary.startLimiter().started(nowNanos);
+        UpstreamStatus notice = primary.notice();
         long expectedMillis = TimeUnit.NANOSECONDS.toMillis(firstEventNanos - nowNanos);
         mActions.add(
                 new PlacementAction.Grant(
                         request.key(),
-                        PlacementRules.newGrant(upstreams, reserved, expectedMillis)));
+                        new PlacementGrant(
+                                notice.id(), notice.address(), expectedMillis, helpers)));
     }
 
     private void reject(PlacementRequest request, PlacementRefusal reason, long nowNanos) {
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/SlidingRetryBudget.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/SlidingRetryBudget.java
@@ -1,54 +1,58 @@
 package dev.kumquatweir.policy.placement;
 
-import dev.kumquatweir.core.identity.InstanceId;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 
 /**
- * Counts the first sends and retries of one service within a sliding window, for each instance that
- * sends them. Unlike a token bucket it accumulates no credit, so that the retries never exceed the
- * window's share. Owned by {@link RetryBudgets}; not thread-safe.
+ * Limits the retries of one service within a sliding window. Unlike a token bucket it accumulates
+ * no credit, so that the retries never exceed the window's share. Owned by {@link
+ * PlacementScheduler}; not thread-safe.
  */
 final class SlidingRetryBudget {
+    /**
+     * Share of the limit that this scheduler uses. The rest covers retries of standalone instances.
+     */
+    private static final double USED_SHARE = 0.75;
+
     private final PlacementLimits mLimits;
-    private final Map<InstanceId, SlidingCounts> mCounts = new HashMap<>();
+    private final Deque<Long> mFirstSends = new ArrayDeque<>();
+    private final Deque<Long> mRetries = new ArrayDeque<>();
 
     SlidingRetryBudget(PlacementLimits limits) {
         mLimits = limits;
     }
 
-    void record(InstanceId sender, boolean retry, long nowNanos) {
-        mCounts.computeIfAbsent(sender, key -> new SlidingCounts(mLimits.retryWindowMillis()))
-                .add(retry, nowNanos);
+    void recordFirstSend(long nowNanos) {
+        mFirstSends.addLast(nowNanos);
+        removeExpired(nowNanos);
     }
 
     /**
-     * Applies what a sender has counted itself. It knows its sends to other schedulers as well, but
-     * not yet those that were just granted; the larger number of retries holds.
+     * Records a retry if the window allows it.
+     *
+     * @param instances number of instances that place requests without coordination
+     * @param nowNanos present time
+     * @return whether the retry is allowed
      */
-    void applyReport(InstanceId sender, List<SentCount> sent, long nowNanos) {
-        SlidingCounts reported = new SlidingCounts(mLimits.retryWindowMillis());
-        sent.forEach(count -> reported.add(count, nowNanos));
-        SlidingCounts known = mCounts.get(sender);
-        if (known == null || reported.retries(nowNanos) >= known.retries(nowNanos)) {
-            mCounts.put(sender, reported);
+    boolean tryRetry(int instances, long nowNanos) {
+        removeExpired(nowNanos);
+        double additional = (double) mLimits.additionalRetries() / instances;
+        double allowed = USED_SHARE * (mLimits.retryRatio() * mFirstSends.size() + additional);
+        if (mRetries.size() + 1 > allowed) {
+            return false;
         }
+        mRetries.addLast(nowNanos);
+        return true;
     }
 
-    /**
-     * Returns the use of the window.
-     *
-     * @param share share of the limit that this scheduler may use
-     * @param additionalShare share of the additional retries that it may use, of its share
-     * @param nowNanos present time
-     */
-    RetryUsage usage(double share, double additionalShare, long nowNanos) {
-        int firstSends =
-                mCounts.values().stream().mapToInt(counts -> counts.firstSends(nowNanos)).sum();
-        int retries = mCounts.values().stream().mapToInt(counts -> counts.retries(nowNanos)).sum();
-        double additional = additionalShare * mLimits.additionalRetries();
-        return new RetryUsage(
-                firstSends, retries, share * (mLimits.retryRatio() * firstSends + additional));
+    private void removeExpired(long nowNanos) {
+        long windowNanos = TimeUnit.MILLISECONDS.toNanos(mLimits.retryWindowMillis());
+        while (!mFirstSends.isEmpty() && nowNanos - mFirstSends.peekFirst() > windowNanos) {
+            mFirstSends.removeFirst();
+        }
+        while (!mRetries.isEmpty() && nowNanos - mRetries.peekFirst() > windowNanos) {
+            mRetries.removeFirst();
+        }
     }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/WaitingRequests.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/WaitingRequests.java
@@ -31,19 +31,18 @@
 
     private final Map<PlacementKey, WaitingRequest> mRequests = new LinkedHashMap<>();
     private final Map<ServiceName, Integer> mCountByService = new HashMap<>();
-    private final Map<ServiceName, Integer> mRetriesByService = new HashMap<>();
 
     void add(WaitingRequest waiting) {
         PlacementRequest request = waiting.request();
         if (mRequests.put(request.key(), waiting) == null) {
-            count(request, 1);
+            mCountByService.merge(request.service(), 1, Integer::sum);
         }
     }
 
     void remove(PlacementKey key) {
         @Nullable WaitingRequest removed = mRequests.remove(key);
         if (removed != null) {
-            count(removed.request(), -1);
+            mCountByService.merge(removed.request().service(), -1, Integer::sum);
         }
     }
 
@@ -61,18 +60,6 @@
         return mCountByService.getOrDefault(service, 0);
     }
 
-    /** Returns the number of retries that wait for an upstream of a service. */
-    int retryCount(ServiceName service) {
-        return mRetriesByService.getOrDefault(service, 0);
-    }
-
-    private void count(PlacementRequest request, int change) {
-        mCountByService.merge(request.service(), change, Integer::sum);
-        if (request.retry()) {
-            mRetriesByService.merge(request.service(), change, Integer::sum);
-        }
-    }
-
     /** Updates the cost model of the engines of each service. */
     void updateCosts(Function<ServiceName, Optional<EngineCost>> costs) {
         mRequests
--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
@@ -351,7 +351,6 @@
     private void tick() {
         long nowNanos = mClocks.nowNanos();
         mScheduler.setLeading(group().status().leading(), mUpstreams, mQuarantine, nowNanos);
-        mScheduler.expectReports(mWatchServer.entries(), nowNanos);
         mScheduler.decide(nowNanos);
         if (mScheduler.reportVerdicts(mQuarantine, nowNanos, mClocks.nowMillis())) {
             mWatchServer.notifyWatchers(nowNanos);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
@@ -17,7 +17,6 @@
 import dev.kumquatweir.policy.placement.PlacementRequest;
 import dev.kumquatweir.policy.placement.PlacementScheduler;
 import dev.kumquatweir.policy.placement.QuarantinedPart;
-import dev.kumquatweir.policy.placement.SentRequests;
 import dev.kumquatweir.program.instance.FrameType;
 import dev.kumquatweir.transport.PeerNetwork;
 import dev.kumquatweir.transport.TransportFailure;
@@ -59,7 +58,6 @@
     private final Clocks mClocks;
     private final Executor mExecutor;
     private final PlacementScheduler mLocalScheduler;
-    private final SentRequests mSent;
     private final Map<PlacementKey, TrackedRequest> mRequests = new LinkedHashMap<>();
     private @Nullable InstanceId mLeader;
     private long mLeaderLostNanos;
@@ -93,8 +91,6 @@
         mExecutor = executor;
         mLocalScheduler = new PlacementScheduler(limits);
         mLocalScheduler.configureStandalone(1, self.hashCode());
-        mLocalScheduler.retries().startStandalone(clocks.nowNanos());
-        mSent = new SentRequests(limits);
         mLeaderLostNanos = clocks.nowNanos();
         mLastKeyNumber = TimeUnit.MILLISECONDS.toNanos(clocks.nowMillis());
     }
@@ -118,7 +114,6 @@
     void setLeader(InstanceId leader, int entryCount) {
         mLeader = leader;
         mLocalScheduler.configureStandalone(entryCount, mSelf.hashCode());
-        send(leader, new PlacementEvent.Sent(mSent.counts(mClocks.nowNanos())));
         for (TrackedRequest tracked : List.copyOf(mRequests.values())) {
             PlacementAction.Grant grant = tracked.mGrant;
             if (grant == null) {
@@ -310,7 +305,6 @@
             return;
         }
         if (action.get() instanceof PlacementAction.Grant grant) {
-            mLocalScheduler.retries().recordFirstSend(tracked.mRequest, mClocks.nowNanos());
             mLocalScheduler.registerRunning(
                     tracked.mRequest, grant.grant().upstream(), false, mClocks.nowNanos());
         }
@@ -332,11 +326,7 @@
 
     private void applyDecision(TrackedRequest tracked, PlacementAction action) {
         switch (action) {
-            case PlacementAction.Grant grant -> {
-                tracked.mGrant = grant;
-                mSent.recordPlaced(
-                        tracked.mRequest, tracked.mScheduler != null, mClocks.nowNanos());
-            }
+            case PlacementAction.Grant grant -> tracked.mGrant = grant;
             case PlacementAction.Reject _ -> mRequests.remove(action.key());
         }
         tracked.mCallback.accept(action);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -13,10 +13,8 @@
 import dev.kumquatweir.policy.placement.PlacementAction;
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementLimits;
-import dev.kumquatweir.policy.placement.PlacementRefusal;
 import dev.kumquatweir.policy.placement.PlacementRequest;
 import dev.kumquatweir.policy.placement.PlacementScheduler;
-import dev.kumquatweir.policy.placement.RetryUsage;
 import dev.kumquatweir.transport.Responder;
 import java.util.HashMap;
 import java.util.List;
@@ -42,7 +40,7 @@
     private Set<FailureDomain> mDomainsOut = Set.of();
     private volatile int mWaitingCount;
 
-    private record PendingPlacement(PlacementRequest request, Responder responder) {}
+    private record PendingPlacement(String requestId, Responder responder) {}
 
     LeaderScheduler(PlacementLimits limits, MetricRegistry metrics, Clocks clocks) {
         mLimits = limits;
@@ -88,7 +86,6 @@
             return;
         }
         PlacementScheduler scheduler = new PlacementScheduler(mLimits);
-        scheduler.retries().startLeading(nowNanos);
         RoutingTable routing = mRouting;
         if (routing != null) {
             scheduler.setRouting(routing, mDomainsOut);
@@ -137,14 +134,6 @@
                         wallMillis);
     }
 
-    /** Adds entry instances in contact, which may have sent requests for an earlier leader. */
-    void expectReports(Set<InstanceId> entries, long nowNanos) {
-        PlacementScheduler scheduler = mScheduler;
-        if (scheduler != null) {
-            scheduler.retries().expectReports(entries, nowNanos);
-        }
-    }
-
     void place(InstanceId owner, Bytes payload, Responder responder) {
         PlacementScheduler scheduler = mScheduler;
         if (scheduler == null) {
@@ -162,7 +151,7 @@
             PlacementRequest request,
             Responder responder,
             long nowNanos) {
-        mPendingPlacements.put(request.key(), new PendingPlacement(request, responder));
+        mPendingPlacements.put(request.key(), new PendingPlacement(request.requestId(), responder));
         scheduler.submit(request, nowNanos);
     }
 
@@ -174,11 +163,10 @@
         long nowNanos = mClocks.nowNanos();
         PlacementEvent.decode(owner, payload, nowNanos)
                 .peekLeft(fault -> LOG.failure("frame_malformed", fault, "peer", owner))
-                .peek(event -> apply(scheduler, owner, event, nowNanos));
+                .peek(event -> apply(scheduler, event, nowNanos));
     }
 
-    private void apply(
-            PlacementScheduler scheduler, InstanceId owner, PlacementEvent event, long nowNanos) {
+    private void apply(PlacementScheduler scheduler, PlacementEvent event, long nowNanos) {
         switch (event) {
             case PlacementEvent.Started started ->
                     scheduler.recordFirstEvent(started.key(), nowNanos);
@@ -191,8 +179,6 @@
                 scheduler.withdraw(withdrawn.key());
                 mPendingPlacements.remove(withdrawn.key());
             }
-            case PlacementEvent.Sent sent ->
-                    scheduler.retries().applyReport(owner, sent.counts(), nowNanos);
             case PlacementEvent.Running running ->
                     scheduler.registerRunning(
                             running.request(), running.upstream(), running.started(), nowNanos);
@@ -235,7 +221,7 @@
                 LOG.info(
                         "placement_rejected",
                         "request",
-                        pending == null ? "" : pending.request().requestId(),
+                        pending == null ? "" : pending.requestId(),
                         "owner",
                         reject.key().owner(),
                         "reason",
@@ -247,7 +233,6 @@
                 mMetrics.counter("kumquatweir_scheduler_rejected").inc();
             }
             if (pending != null) {
-                recordRetry(scheduler, pending.request(), action, nowNanos);
                 pending.responder().respond(PlacementCodec.encode(Optional.of(action)));
             }
         }
@@ -255,42 +240,6 @@
         mWaitingCount = scheduler.waitingCount();
     }
 
-    private void recordRetry(
-            PlacementScheduler scheduler,
-            PlacementRequest request,
-            PlacementAction action,
-            long nowNanos) {
-        if (!request.retry()) {
-            return;
-        }
-        boolean granted = action instanceof PlacementAction.Grant;
-        boolean overBudget =
-                (action instanceof PlacementAction.Reject reject)
-                        && (reject.reason() == PlacementRefusal.REPEAT_BUDGET);
-        if (granted || overBudget) {
-            RetryUsage usage = scheduler.retries().usage(request.service(), nowNanos);
-            LOG.info(
-                    granted ? "retry_granted" : "retry_over_budget",
-                    "request",
-                    request.requestId(),
-                    "owner",
-                    request.key().owner(),
-                    "service",
-                    request.service(),
-                    "first_sends",
-                    usage.firstSends(),
-                    "retries",
-                    usage.retries(),
-                    "limit",
-                    usage.limit());
-            mMetrics.counter(
-                            granted
-                                    ? "kumquatweir_scheduler_retries_granted"
-                                    : "kumquatweir_scheduler_retries_over_budget")
-                    .inc();
-        }
-    }
-
     private void recordCrashEvent(CrashEvent event) {
         CrashEventLog.log(event);
         if (event instanceof CrashEvent.Suspects) {
--- a/program/src/main/java/dev/kumquatweir/program/fleet/PlacementEvent.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/PlacementEvent.java
@@ -2,7 +2,6 @@
 
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.identity.InstanceId;
-import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.pack.MalformedContent;
 import dev.kumquatweir.core.pack.MalformedContentException;
@@ -11,12 +10,8 @@
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementOutcome;
 import dev.kumquatweir.policy.placement.PlacementRequest;
-import dev.kumquatweir.policy.placement.SentCount;
 import io.vavr.control.Either;
 import java.io.IOException;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 
 /** Progress of a placement that an entry instance reports to the scheduler. */
 sealed interface PlacementEvent {
@@ -40,9 +35,6 @@
     record Running(PlacementRequest request, UpstreamId upstream, boolean started)
             implements PlacementEvent {}
 
-    /** What the entry instance has sent of each service, within the window of the retry budget. */
-    record Sent(Map<ServiceName, List<SentCount>> counts) implements PlacementEvent {}
-
     /** Encodes an event. */
     static Bytes encode(PlacementEvent event, long nowNanos) {
         MessagePackWriter writer = new MessagePackWriter();
@@ -66,15 +58,6 @@
                         .writeBoolean(running.started());
                 PlacementCodec.write(writer, running.request(), nowNanos);
             }
-            case Sent sent ->
-                    writer.writeString("sent")
-                            .writeList(
-                                    List.copyOf(sent.counts().entrySet()),
-                                    (target, service) ->
-                                            target.writeString(service.getKey().value())
-                                                    .writeList(
-                                                            service.getValue(),
-                                                            PlacementEvent::write));
         }
         return writer.toBytes();
     }
@@ -104,31 +87,10 @@
                 boolean started = reader.readBoolean();
                 yield new Running(PlacementCodec.read(reader, owner, nowNanos), upstream, started);
             }
-            case "sent" -> {
-                Map<ServiceName, List<SentCount>> counts = new HashMap<>();
-                reader.readList(
-                                source ->
-                                        Map.entry(
-                                                new ServiceName(source.readString()),
-                                                source.readList(PlacementEvent::readCount)))
-                        .forEach(service -> counts.put(service.getKey(), service.getValue()));
-                yield new Sent(counts);
-            }
             default -> throw new MalformedContentException("unknown placement event type: " + kind);
         };
     }
 
-    private static void write(MessagePackWriter writer, SentCount count) {
-        writer.writeLong(count.ageMillis())
-                .writeLong(count.firstSends())
-                .writeLong(count.retries());
-    }
-
-    private static SentCount readCount(MessagePackReader reader)
-            throws IOException, MalformedContentException {
-        return new SentCount(reader.readLong(), reader.readInt(), reader.readInt());
-    }
-
     private static PlacementOutcome outcome(String name) throws MalformedContentException {
         try {
             return PlacementOutcome.valueOf(name);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/WatchServer.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchServer.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -151,11 +150,6 @@
         completeConfirmations(nowNanos);
     }
 
-    /** Returns the entry instances that watch this instance. */
-    Set<InstanceId> entries() {
-        return Set.copyOf(mEntries.keySet());
-    }
-
     /** Removes and returns the entry instances without a watch request for the given time. */
     List<InstanceId> removeSilentEntries(long silentNanos, long nowNanos) {
         List<InstanceId> silentEntries =
