--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -265,6 +265,7 @@
                         grant, memory, this, mEvents, mCallerResponse.isStarted(), nowNanos);
         mAttempt = attempt;
         mSentNanos = nowNanos;
+        mStops.recordSend(mRequest, nowNanos);
         attempt.send();
     }
 
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/StopAdmission.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/StopAdmission.java
@@ -1,5 +1,6 @@
 package dev.kumquatweir.gateway.forward;
 
+import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.routing.RoutedService;
 import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.policy.stop.CompletionTimes;
@@ -15,6 +16,8 @@
  * #begin}, {@link #stopping} and {@link #brokenOffCount}.
  */
 final class StopAdmission {
+    private static final EventLog LOG = EventLog.of(StopAdmission.class);
+
     /** Expected share of the output still to be generated when a stream is resumed. */
     static final double RESUMED_OUTPUT_SHARE = 0.5;
 
@@ -40,7 +43,7 @@
     /** Returns the time since the planned stop began, 0 if there is none. */
     long stoppingMillis(long nowNanos) {
         PlannedStop stop = mStop;
-        return stop == null ? 0 : TimeUnit.NANOSECONDS.toMillis(stop.elapsedNanos(nowNanos));
+        return stop == null ? 0 : toMillis(stop.elapsedNanos(nowNanos));
     }
 
     /**
@@ -69,6 +72,9 @@
             progress = new RequestProgress.Waiting(expectedNanos(request, 1, nowNanos));
         }
         StopAction action = stop.decide(progress, nowNanos);
+        if (action != StopAction.CONTINUE) {
+            log(stop, request, action, nowNanos);
+        }
         if (action == StopAction.FAIL || action == StopAction.ABORT) {
             mBrokenOffCount.incrementAndGet();
         }
@@ -86,6 +92,32 @@
                         == StopAction.CONTINUE;
     }
 
+    /** Logs a request that is sent to an upstream during a planned stop. */
+    void recordSend(ForwardedRequest request, long nowNanos) {
+        PlannedStop stop = mStop;
+        if (stop != null) {
+            log(stop, request, StopAction.CONTINUE, nowNanos);
+        }
+    }
+
+    /** Logs a decision with the times that led to it. */
+    private void log(PlannedStop stop, ForwardedRequest request, StopAction action, long nowNanos) {
+        LOG.info(
+                "stop_decision",
+                "request",
+                request.head().requestId(),
+                "route",
+                request.route().name(),
+                "action",
+                action,
+                "stopping_ms",
+                stoppingMillis(nowNanos),
+                "expected_ms",
+                toMillis(expectedNanos(request, 1, nowNanos)),
+                "left_ms",
+                toMillis(stop.exitNanos() - nowNanos));
+    }
+
     /** Returns the number of requests that a planned stop has broken off. */
     int brokenOffCount() {
         return mBrokenOffCount.get();
@@ -95,7 +127,7 @@
     void recordAnswer(ForwardedRequest request, long sentNanos, long nowNanos) {
         boolean whole = request.head().lastEventId() < 0;
         if (whole) {
-            long tookMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos);
+            long tookMillis = toMillis(nowNanos - sentNanos);
             mCompletionTimes.record(request.route(), size(request, 1), tookMillis, nowNanos);
         }
     }
@@ -116,6 +148,10 @@
         return Math.min(expectedNanos, Math.max(0, request.deadlineNanos() - nowNanos));
     }
 
+    private static long toMillis(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nanos);
+    }
+
     private CompletionTimes.Size size(ForwardedRequest request, double outputShare) {
         return new CompletionTimes.Size(
                 mState.routing()
