--- /dev/null
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/EmptyState.java
@@ -0,0 +1,33 @@
+package dev.kumquatweir.gateway.forward;
+
+import dev.kumquatweir.core.identity.FailureDomain;
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.core.routing.RoutingTable;
+import java.util.Optional;
+import java.util.Set;
+
+/** Knows neither routing nor upstreams. */
+final class EmptyState implements ForwardingState {
+    @Override
+    public Optional<RoutingTable> routing() {
+        return Optional.empty();
+    }
+
+    @Override
+    public FailureDomain domain() {
+        return new FailureDomain("a");
+    }
+
+    @Override
+    public boolean acceptsRequests(UpstreamId upstream) {
+        return true;
+    }
+
+    @Override
+    public void recordResponse(UpstreamId upstream, UpstreamResponseHead head, long nowNanos) {}
+
+    @Override
+    public Set<UpstreamId> avoidedUpstreams(long nowNanos) {
+        return Set.of();
+    }
+}
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/StopAdmissionTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/StopAdmissionTest.java
@@ -4,11 +4,8 @@
 import static org.hamcrest.Matchers.is;
 
 import dev.kumquatweir.core.bytes.Bytes;
-import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.ServiceName;
-import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.routing.Route;
-import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.policy.stop.PlannedStop;
 import dev.kumquatweir.policy.stop.StopAction;
 import io.servicetalk.http.api.DefaultHttpHeadersFactory;
@@ -16,7 +13,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
@@ -91,29 +87,4 @@
                 0,
                 15_000 * MILLI);
     }
-
-    private static final class EmptyState implements ForwardingState {
-        @Override
-        public Optional<RoutingTable> routing() {
-            return Optional.empty();
-        }
-
-        @Override
-        public FailureDomain domain() {
-            return new FailureDomain("a");
-        }
-
-        @Override
-        public boolean acceptsRequests(UpstreamId upstream) {
-            return true;
-        }
-
-        @Override
-        public void recordResponse(UpstreamId upstream, UpstreamResponseHead head, long nowNanos) {}
-
-        @Override
-        public Set<UpstreamId> avoidedUpstreams(long nowNanos) {
-            return Set.of();
-        }
-    }
 }
