Take a request late in a planned stop only if its end is certain

Cause: a point estimate used as a guarantee: the median of recent answers was compared with the time left, and half of all requests exceed it. Ruled out for the record: waiting for a place (8 ms). Now the estimate decides on requests that arrive while callers are still sent here (2.5 s); a later one is taken only if its deadline comes before the end, and is else rejected at once as not executed, which sends its caller elsewhere. Why it works: what is taken late gets its final answer by its deadline, whatever it takes.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/StopAdmission.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/StopAdmission.java
@@ -69,7 +69,11 @@
         } else if (mayHaveExecuted) {
             progress = waitingAgain(request, answering, nowNanos);
         } else {
-            progress = new RequestProgress.Waiting(expectedNanos(request, 1, nowNanos));
+            progress =
+                    new RequestProgress.Waiting(
+                            request.arrivedNanos(),
+                            expectedNanos(request, 1, nowNanos),
+                            latestNanos(request, nowNanos));
         }
         StopAction action = stop.decide(progress, nowNanos);
         if (action != StopAction.CONTINUE) {
@@ -145,7 +149,11 @@
                 mCompletionTimes.expectedMillis(
                         request.route(), size(request, outputShare), nowNanos);
         long expectedNanos = (long) (millis * TimeUnit.MILLISECONDS.toNanos(1));
-        return Math.min(expectedNanos, Math.max(0, request.deadlineNanos() - nowNanos));
+        return Math.min(expectedNanos, latestNanos(request, nowNanos));
+    }
+
+    private static long latestNanos(ForwardedRequest request, long nowNanos) {
+        return Math.max(0, request.deadlineNanos() - nowNanos);
     }
 
     private static long toMillis(long nanos) {
--- a/policy/src/main/java/dev/kumquatweir/policy/stop/CompletionTimes.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/stop/CompletionTimes.java
@@ -48,8 +48,8 @@
     }
 
     /**
-     * Returns the expected time to the complete answer: the median, since a request that is taken
-     * in vain and one that is rejected in vain both cost their caller one attempt.
+     * Returns the expected time to the complete answer: the median, which half of the requests
+     * exceed.
      */
     public double expectedMillis(Route route, Size size, long nowNanos) {
         return idleMillis(route, size) * recentRatio(route, nowNanos).orElse(DEFAULT_RATIO);
--- a/policy/src/main/java/dev/kumquatweir/policy/stop/PlannedStop.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/stop/PlannedStop.java
@@ -50,7 +50,7 @@
         boolean ended = nowNanos - mExitNanos >= 0;
         return switch (progress) {
             case RequestProgress.Waiting waiting ->
-                    ended || !leavesTimeFor(waiting.expectedNanos(), nowNanos)
+                    ended || !leavesTimeFor(neededNanos(waiting), nowNanos)
                             ? StopAction.REJECT
                             : StopAction.CONTINUE;
             case RequestProgress.WaitingAgain waiting ->
@@ -62,6 +62,17 @@
         };
     }
 
+    /**
+     * A request that arrives while callers are still sent here is likely to end in time. A later
+     * one is rejected unless its end is certain: its caller loses less by going elsewhere at once
+     * than by an answer that is cut.
+     */
+    private long neededNanos(RequestProgress.Waiting waiting) {
+        return acceptsConnections(waiting.arrivedNanos())
+                ? waiting.expectedNanos()
+                : waiting.latestNanos();
+    }
+
     private static StopAction breakOff(boolean answering) {
         return answering ? StopAction.ABORT : StopAction.FAIL;
     }
--- a/policy/src/main/java/dev/kumquatweir/policy/stop/RequestProgress.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/stop/RequestProgress.java
@@ -5,9 +5,12 @@
     /**
      * No upstream has received the request.
      *
+     * @param arrivedNanos when it arrived
      * @param expectedNanos expected time from now to the complete answer
+     * @param latestNanos time from now to its final answer at the latest
      */
-    record Waiting(long expectedNanos) implements RequestProgress {}
+    record Waiting(long arrivedNanos, long expectedNanos, long latestNanos)
+            implements RequestProgress {}
 
     /**
      * The request has lost its upstream and waits for another one.
--- a/policy/src/test/java/dev/kumquatweir/policy/stop/LateRequestAtPlannedStopTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/stop/LateRequestAtPlannedStopTest.java
@@ -22,6 +22,7 @@
     /** Requests sent later than this after the stop began have to get a complete answer. */
     private static final long EXCUSED_MILLIS = 3_000;
 
+    private static final long TIMEOUT_MILLIS = 15_000;
     private static final long TICK_MILLIS = 50;
     private static final int STOPS = 200;
     private static final int REQUESTS_PER_STOP = 60;
@@ -87,7 +88,7 @@
     @Test
     void waitingRequestIsRejectedOnceItCannotComplete() {
         PlannedStop stop = new PlannedStop(0, DRAIN_MILLIS * MILLI);
-        RequestProgress waiting = new RequestProgress.Waiting(6_000 * MILLI);
+        RequestProgress waiting = new RequestProgress.Waiting(0, 6_000 * MILLI, 15_000 * MILLI);
         assertThat(stop.decide(waiting, 1_000 * MILLI), is(StopAction.CONTINUE));
         assertThat(stop.decide(waiting, 2_000 * MILLI), is(StopAction.REJECT));
     }
@@ -139,7 +140,10 @@
         for (long now = Math.max(0, arrivedMillis); now < endMillis; now += TICK_MILLIS) {
             RequestProgress progress =
                     now < sentMillis
-                            ? new RequestProgress.Waiting(load.expectedMillis() * MILLI)
+                            ? new RequestProgress.Waiting(
+                                    arrivedMillis * MILLI,
+                                    load.expectedMillis() * MILLI,
+                                    TIMEOUT_MILLIS * MILLI)
                             : now < answeringMillis
                                     ? new RequestProgress.Sent()
                                     : new RequestProgress.Answering();
