--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
@@ -0,0 +1,135 @@
+package dev.kumquatweir.policy.placement;
+
+import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.routing.EngineCost;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The requests that run on upstreams, and what their progress tells about these. Owned by {@link
+ * PlacementScheduler}; not thread-safe.
+ */
+final class PlacedRequests {
+    private final RoutedServices mServices;
+    private final CrashHistory mCrashes;
+    private final CrashAttribution mAttribution;
+    private final Map<PlacementKey, List<PlacementUpstream>> mPlacements = new HashMap<>();
+
+    PlacedRequests(RoutedServices services, CrashHistory crashes, CrashAttribution attribution) {
+        mServices = services;
+        mCrashes = crashes;
+        mAttribution = attribution;
+    }
+
+    /** Adds a placement; the first upstream is the one that answers. */
+    void add(PlacementKey key, List<PlacementUpstream> upstreams) {
+        mPlacements.put(key, upstreams);
+    }
+
+    boolean contains(PlacementKey key) {
+        return mPlacements.containsKey(key);
+    }
+
+    int count() {
+        return mPlacements.size();
+    }
+
+    /** Records the first event of an answer. */
+    void recordFirstEvent(PlacementKey key, long nowNanos) {
+        List<PlacementUpstream> upstreams = mPlacements.getOrDefault(key, List.of());
+        if (!upstreams.isEmpty()) {
+            PlacementUpstream primary = upstreams.get(0);
+            primary.answered(nowNanos);
+            primary.health().recordProgress(nowNanos);
+            primary.find(key)
+                    .ifPresent(part -> mAttribution.begun(primary, part.request(), nowNanos));
+            if (upstreams.size() == 1) {
+                primary.recordSlowdown(key, nowNanos);
+            }
+        }
+        upstreams.forEach(upstream -> upstream.started(key, nowNanos));
+    }
+
+    /** Records that the gap between two events of an answer exceeded its target. */
+    void recordLateEvent(PlacementKey key, long gapMillis, long nowNanos) {
+        for (PlacementUpstream upstream : mPlacements.getOrDefault(key, List.of())) {
+            upstream.find(key).ifPresent(PlacedPart::markLate);
+            Optional<EngineCost> cost = mServices.engineCost(upstream.notice().service());
+            if (cost.isPresent() && upstream.pendingPrefillMillis(nowNanos) <= 0) {
+                double passMillis =
+                        cost.get()
+                                .decodePassMillis(
+                                        upstream.decodingCount(), upstream.contextTokens());
+                upstream.health().recordSlowdown(gapMillis / Math.max(1, passMillis), nowNanos);
+            }
+            return;
+        }
+    }
+
+    /** Records that an upstream sends nothing and keeps its request. */
+    void recordSilence(PlacementKey key, long nowNanos) {
+        mPlacements.getOrDefault(key, List.of()).stream()
+                .limit(1)
+                .forEach(upstream -> upstream.health().recordLostAnswer(nowNanos));
+    }
+
+    /**
+     * Records the end of a placement.
+     *
+     * @param key key of the placement
+     * @param outcome its result
+     * @param faultyAddress address of the upstream at fault if the primary reported another one,
+     *     else empty
+     */
+    void ended(PlacementKey key, PlacementOutcome outcome, String faultyAddress, long nowNanos) {
+        List<PlacementUpstream> upstreams = mPlacements.remove(key);
+        if (upstreams == null) {
+            return;
+        }
+        mAttribution.ended(key);
+        PlacementUpstream primary = upstreams.get(0);
+        PlacementUpstream faulty =
+                upstreams.stream()
+                        .filter(upstream -> upstream.notice().address().equals(faultyAddress))
+                        .findFirst()
+                        .orElse(primary);
+        Optional<PlacedPart> primaryPart = primary.find(key);
+        String contentHash = primaryPart.map(part -> part.request().contentHash()).orElse("");
+        switch (outcome) {
+            case ANSWERED -> {
+                primary.answered(nowNanos);
+                primary.health().answered(false, nowNanos);
+                mCrashes.answered(contentHash);
+                mAttribution.progressed(primary, nowNanos);
+                primaryPart.ifPresent(part -> mAttribution.answered(part.request(), nowNanos));
+            }
+            case UPSTREAM_ERROR -> {
+                primary.answered(nowNanos);
+                primary.health().answered(true, nowNanos);
+                mAttribution.progressed(primary, nowNanos);
+            }
+            case NOT_CONNECTED -> faulty.health().failed(nowNanos);
+            case FULL -> faulty.health().recordFull(nowNanos);
+            case MISDIRECTED -> faulty.markMisdirected();
+            case BROKEN, SILENT -> {
+                faulty.health().recordLostAnswer(nowNanos);
+                mCrashes.recordCrash(contentHash, faulty.notice().id(), nowNanos);
+                if (outcome == PlacementOutcome.BROKEN && faulty == primary) {
+                    primaryPart.ifPresent(part -> mAttribution.brokenOff(primary, part, nowNanos));
+                }
+            }
+            case UNPROVEN -> faulty.health().recordLostAnswer(nowNanos);
+            case CANCELLED -> {}
+        }
+        upstreams.forEach(upstream -> upstream.ended(key, nowNanos));
+    }
+
+    /** Ends all placements of an instance that is no longer reachable. */
+    void removeOwner(InstanceId owner, long nowNanos) {
+        List<PlacementKey> orphaned =
+                mPlacements.keySet().stream().filter(key -> key.owner().equals(owner)).toList();
+        orphaned.forEach(key -> ended(key, PlacementOutcome.CANCELLED, "", nowNanos));
+    }
+}
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -35,10 +35,10 @@
     private final RoutedServices mServices = new RoutedServices();
     private final PlacementUpstreams mUpstreams = new PlacementUpstreams();
     private final WaitingRequests mWaiting = new WaitingRequests();
-    private final Map<PlacementKey, List<PlacementUpstream>> mPlacements = new HashMap<>();
     private final Map<ServiceName, SlidingRetryBudget> mRetries = new HashMap<>();
     private final CrashHistory mCrashes = new CrashHistory();
     private final CrashAttribution mAttribution = new CrashAttribution();
+    private final PlacedRequests mPlaced = new PlacedRequests(mServices, mCrashes, mAttribution);
     private final ComparisonBudget mComparisonBudget = new ComparisonBudget();
     private final List<PlacementAction> mActions = new ArrayList<>();
     private int mInstances = 1;
@@ -101,7 +101,7 @@
     public void registerRunning(
             PlacementRequest request, UpstreamId upstream, boolean started, long nowNanos) {
         PlacementUpstream known = mUpstreams.find(upstream);
-        if (known == null || mPlacements.containsKey(request.key())) {
+        if (known == null || mPlaced.contains(request.key())) {
             return;
         }
         double prefill =
@@ -116,7 +116,7 @@
             part.start(nowNanos);
         }
         known.add(part, nowNanos);
-        mPlacements.put(request.key(), List.of(known));
+        mPlaced.add(request.key(), List.of(known));
     }
 
     /** Removes a waiting request. */
@@ -126,41 +126,17 @@
 
     /** Records the first event of an answer. */
     public void recordFirstEvent(PlacementKey key, long nowNanos) {
-        List<PlacementUpstream> upstreams = mPlacements.getOrDefault(key, List.of());
-        if (!upstreams.isEmpty()) {
-            PlacementUpstream primary = upstreams.get(0);
-            primary.answered(nowNanos);
-            primary.health().recordProgress(nowNanos);
-            primary.find(key)
-                    .ifPresent(part -> mAttribution.begun(primary, part.request(), nowNanos));
-            if (upstreams.size() == 1) {
-                primary.recordSlowdown(key, nowNanos);
-            }
-        }
-        upstreams.forEach(upstream -> upstream.started(key, nowNanos));
+        mPlaced.recordFirstEvent(key, nowNanos);
     }
 
     /** Records that the gap between two events of an answer exceeded its target. */
     public void recordLateEvent(PlacementKey key, long gapMillis, long nowNanos) {
-        for (PlacementUpstream upstream : mPlacements.getOrDefault(key, List.of())) {
-            upstream.find(key).ifPresent(PlacedPart::markLate);
-            Optional<EngineCost> cost = mServices.engineCost(upstream.notice().service());
-            if (cost.isPresent() && upstream.pendingPrefillMillis(nowNanos) <= 0) {
-                double passMillis =
-                        cost.get()
-                                .decodePassMillis(
-                                        upstream.decodingCount(), upstream.contextTokens());
-                upstream.health().recordSlowdown(gapMillis / Math.max(1, passMillis), nowNanos);
-            }
-            return;
-        }
+        mPlaced.recordLateEvent(key, gapMillis, nowNanos);
     }
 
     /** Records that an upstream sends nothing and keeps its request. */
     public void recordSilence(PlacementKey key, long nowNanos) {
-        mPlacements.getOrDefault(key, List.of()).stream()
-                .limit(1)
-                .forEach(upstream -> upstream.health().recordLostAnswer(nowNanos));
+        mPlaced.recordSilence(key, nowNanos);
     }
 
     /**
@@ -173,54 +149,13 @@
      */
     public void ended(
             PlacementKey key, PlacementOutcome outcome, String faultyAddress, long nowNanos) {
-        List<PlacementUpstream> upstreams = mPlacements.remove(key);
-        if (upstreams == null) {
-            return;
-        }
-        mAttribution.ended(key);
-        PlacementUpstream primary = upstreams.get(0);
-        PlacementUpstream faulty =
-                upstreams.stream()
-                        .filter(upstream -> upstream.notice().address().equals(faultyAddress))
-                        .findFirst()
-                        .orElse(primary);
-        Optional<PlacedPart> primaryPart = primary.find(key);
-        String contentHash = primaryPart.map(part -> part.request().contentHash()).orElse("");
-        switch (outcome) {
-            case ANSWERED -> {
-                primary.answered(nowNanos);
-                primary.health().answered(false, nowNanos);
-                mCrashes.answered(contentHash);
-                mAttribution.progressed(primary, nowNanos);
-                primaryPart.ifPresent(part -> mAttribution.answered(part.request(), nowNanos));
-            }
-            case UPSTREAM_ERROR -> {
-                primary.answered(nowNanos);
-                primary.health().answered(true, nowNanos);
-                mAttribution.progressed(primary, nowNanos);
-            }
-            case NOT_CONNECTED -> faulty.health().failed(nowNanos);
-            case FULL -> faulty.health().recordFull(nowNanos);
-            case MISDIRECTED -> faulty.markMisdirected();
-            case BROKEN, SILENT -> {
-                faulty.health().recordLostAnswer(nowNanos);
-                mCrashes.recordCrash(contentHash, faulty.notice().id(), nowNanos);
-                if (outcome == PlacementOutcome.BROKEN && faulty == primary) {
-                    primaryPart.ifPresent(part -> mAttribution.brokenOff(primary, part, nowNanos));
-                }
-            }
-            case UNPROVEN -> faulty.health().recordLostAnswer(nowNanos);
-            case CANCELLED -> {}
-        }
-        upstreams.forEach(upstream -> upstream.ended(key, nowNanos));
+        mPlaced.ended(key, outcome, faultyAddress, nowNanos);
     }
 
     /** Removes all requests of an instance that is no longer reachable. */
     public void removeOwner(InstanceId owner, long nowNanos) {
         mWaiting.removeOwner(owner);
-        List<PlacementKey> orphaned =
-                mPlacements.keySet().stream().filter(key -> key.owner().equals(owner)).toList();
-        orphaned.forEach(key -> ended(key, PlacementOutcome.CANCELLED, "", nowNanos));
+        mPlaced.removeOwner(owner, nowNanos);
     }
 
     /** Decides on the waiting requests. Due after each event and while requests wait. */
@@ -279,7 +214,7 @@
 
     /** Returns the number of requests that are placed and have not ended. */
     public int placedCount() {
-        return mPlacements.size();
+        return mPlaced.count();
     }
 
     private Optional<ServiceRound> round(
@@ -419,7 +354,7 @@
             long nowNanos) {
         withdraw(request.key());
         mAttribution.placed(request);
-        mPlacements.put(request.key(), upstreams);
+        mPlaced.add(request.key(), upstreams);
         List<PlacementHelper> helpers = new ArrayList<>();
         for (int index = 0; index < upstreams.size(); index++) {
             PlacementUpstream upstream = upstreams.get(index);
