--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
@@ -77,6 +77,7 @@
     private final ForwardedRequest mRequest;
     private final RequestDialect mDialect;
     private final ForwardingState mState;
+    private final PlacementPort mPlacement;
     private final UpstreamId mUpstream;
     private final Owner mOwner;
     private final EventSequence mEvents;
@@ -118,6 +119,7 @@
         mRequest = request;
         mDialect = ports.dialect();
         mState = ports.state();
+        mPlacement = ports.placement();
         mUpstream = grant.upstream();
         mOwner = owner;
         mBody = new ResponseCollector(ports.responseMemory());
@@ -188,6 +190,7 @@
         }
         if (!head.misdirected()) {
             mState.recordResponse(mUpstream, head, mOwner.nowNanos());
+            mPlacement.recordLimit(mUpstream, head.limit(), mSentNanos);
         }
         if (verdict == ResponseEvidence.Verdict.NOT_EXECUTED) {
             call().discard();
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementPort.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementPort.java
@@ -1,5 +1,7 @@
 package dev.kumquatweir.gateway.forward;
 
+import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.policy.placement.LimitNotice;
 import dev.kumquatweir.policy.placement.PlacementAction;
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementOutcome;
@@ -34,6 +36,13 @@
     /** Reports that an upstream is silent for longer than its limit and keeps the request. */
     void recordSilence(PlacementKey key);
 
+    /**
+     * Reports what a response says about the requests that its upstream takes.
+     *
+     * @param sentNanos when the request of the response was sent
+     */
+    void recordLimit(UpstreamId upstream, LimitNotice notice, long sentNanos);
+
     /** Reports the end of a placement; see {@code PlacementScheduler#ended}. */
     void ended(PlacementKey key, PlacementOutcome outcome, String culprit);
 }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/UpstreamResponseHead.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/UpstreamResponseHead.java
@@ -1,5 +1,6 @@
 package dev.kumquatweir.gateway.forward;
 
+import dev.kumquatweir.policy.placement.LimitNotice;
 import java.util.Optional;
 
 /**
@@ -13,6 +14,7 @@
  * @param leaving whether the upstream says that it leaves
  * @param pauseMillis time for which the upstream wants no requests from this instance, 0 if it
  *     names none
+ * @param limit what the upstream says about the requests that it takes from all instances together
  */
 public record UpstreamResponseHead(
         int status,
@@ -21,7 +23,8 @@
         boolean misdirected,
         String culprit,
         boolean leaving,
-        long pauseMillis) {
+        long pauseMillis,
+        LimitNotice limit) {
 
     /** Returns whether the status is 2xx. */
     public boolean success() {
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/AvoidedUpstreamsTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/AvoidedUpstreamsTest.java
@@ -10,6 +10,7 @@
 import dev.kumquatweir.gateway.raw.RawUpstream.Answer;
 import dev.kumquatweir.gateway.raw.RawUpstream.Ending;
 import dev.kumquatweir.gateway.raw.RawUpstream.Received;
+import dev.kumquatweir.policy.placement.LimitNotice;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -84,7 +85,14 @@
 
     private static UpstreamResponseHead head(boolean leaving, long pauseMillis) {
         return new UpstreamResponseHead(
-                200, Optional.empty(), false, false, "", leaving, pauseMillis);
+                200,
+                Optional.empty(),
+                false,
+                false,
+                "",
+                leaving,
+                pauseMillis,
+                new LimitNotice.None());
     }
 
     private static long millis(long millis) {
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -17,6 +17,7 @@
 import dev.kumquatweir.gateway.raw.RawCaller;
 import dev.kumquatweir.gateway.raw.RawUpstream;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
+import dev.kumquatweir.policy.placement.LimitNotice;
 import dev.kumquatweir.policy.placement.PlacementAction;
 import dev.kumquatweir.policy.placement.PlacementGrant;
 import dev.kumquatweir.policy.placement.PlacementKey;
@@ -316,6 +317,9 @@
             mSilences.add(key);
         }
 
+        @Override
+        public void recordLimit(UpstreamId upstream, LimitNotice notice, long sentNanos) {}
+
         @Override
         public void ended(PlacementKey key, PlacementOutcome outcome, String culprit) {}
     }
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/PlainDialect.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/PlainDialect.java
@@ -1,6 +1,7 @@
 package dev.kumquatweir.gateway.forward;
 
 import dev.kumquatweir.core.routing.Route;
+import dev.kumquatweir.policy.placement.LimitNotice;
 import io.servicetalk.http.api.HttpHeaders;
 import io.servicetalk.http.api.HttpRequestMetaData;
 import io.servicetalk.http.api.HttpResponseMetaData;
@@ -56,7 +57,8 @@
                 false,
                 "",
                 response.headers().contains(LEAVING),
-                text(response.headers(), PAUSE_MILLIS).map(Long::parseLong).orElse(0L));
+                text(response.headers(), PAUSE_MILLIS).map(Long::parseLong).orElse(0L),
+                new LimitNotice.None());
     }
 
     private static Optional<String> text(HttpHeaders headers, String name) {
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ResponseEvidenceTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ResponseEvidenceTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 
 import dev.kumquatweir.gateway.forward.ResponseEvidence.Verdict;
+import dev.kumquatweir.policy.placement.LimitNotice;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -90,6 +91,7 @@
 
     private static UpstreamResponseHead head(
             int status, Optional<String> requestId, boolean notExecuted) {
-        return new UpstreamResponseHead(status, requestId, notExecuted, false, "", false, 0);
+        return new UpstreamResponseHead(
+                status, requestId, notExecuted, false, "", false, 0, new LimitNotice.None());
     }
 }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
@@ -4,11 +4,13 @@
 import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.core.routing.UpstreamStatus;
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.gateway.forward.PlacementPort;
 import dev.kumquatweir.policy.placement.CrashEvent;
+import dev.kumquatweir.policy.placement.LimitNotice;
 import dev.kumquatweir.policy.placement.PlacementAction;
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementLimits;
@@ -22,6 +24,7 @@
 import dev.kumquatweir.transport.TransportFailure;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -59,6 +62,7 @@
     private final Executor mExecutor;
     private final PlacementScheduler mLocalScheduler;
     private final Map<PlacementKey, TrackedRequest> mRequests = new LinkedHashMap<>();
+    private final Map<UpstreamId, LimitNotice> mHeardLimits = new HashMap<>();
     private @Nullable InstanceId mLeader;
     private long mLeaderLostNanos;
     private long mLastKeyNumber;
@@ -213,6 +217,17 @@
         }
     }
 
+    @Override
+    public void recordLimit(UpstreamId upstream, LimitNotice notice, long sentNanos) {
+        LimitNotice known =
+                notice instanceof LimitNotice.None
+                        ? mHeardLimits.remove(upstream)
+                        : mHeardLimits.put(upstream, notice);
+        if (!notice.equals(known) && !(known == null && notice instanceof LimitNotice.None)) {
+            LOG.info("upstream_limit_heard", "upstream", upstream, "limit", notice);
+        }
+    }
+
     @Override
     public void ended(PlacementKey key, PlacementOutcome outcome, String culprit) {
         TrackedRequest tracked = mRequests.remove(key);
