Let entry instances place requests over a link that tests can replace

EntryPlacement took the network itself, so that its messages to a leader could only be tested over sockets. SchedulerLink carries them; SchedulerLink.over(network) is the former behaviour.

--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleetView.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleetView.java
@@ -69,7 +69,9 @@
         mClocks = clocks;
         mControlInstances = controlInstances;
         mRoutingReader = routingReader;
-        mPlacement = new EntryPlacement(self, network, mQuarantine, limits, clocks, executor);
+        mPlacement =
+                new EntryPlacement(
+                        self, SchedulerLink.over(network), mQuarantine, limits, clocks, executor);
         mWatchClient =
                 new WatchClient(
                         self,
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
@@ -20,7 +20,6 @@
 import dev.kumquatweir.policy.placement.PlacementScheduler;
 import dev.kumquatweir.policy.placement.QuarantinedPart;
 import dev.kumquatweir.program.instance.FrameType;
-import dev.kumquatweir.transport.PeerNetwork;
 import dev.kumquatweir.transport.TransportFailure;
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -56,7 +55,7 @@
     private static final long NO_RETRY = 0;
 
     private final InstanceId mSelf;
-    private final PeerNetwork mNetwork;
+    private final SchedulerLink mLink;
     private final QuarantineDirectory mQuarantine;
     private final Clocks mClocks;
     private final Executor mExecutor;
@@ -83,13 +82,13 @@
 
     EntryPlacement(
             InstanceId self,
-            PeerNetwork network,
+            SchedulerLink link,
             QuarantineDirectory quarantine,
             PlacementLimits limits,
             Clocks clocks,
             Executor executor) {
         mSelf = self;
-        mNetwork = network;
+        mLink = link;
         mQuarantine = quarantine;
         mClocks = clocks;
         mExecutor = executor;
@@ -271,9 +270,9 @@
         long timeoutNanos =
                 Math.max(0, tracked.mRequest.latestStartNanos() - nowNanos) + RESPONSE_MARGIN_NANOS;
         CompletionStage<Either<TransportFailure, Bytes>> response =
-                mNetwork.request(
+                mLink.request(
                         leader,
-                        FrameType.PLACE.number(),
+                        FrameType.PLACE,
                         PlacementCodec.encode(tracked.mRequest, nowNanos),
                         timeoutNanos);
         response.thenAccept(
@@ -355,9 +354,9 @@
     }
 
     private void send(InstanceId leader, PlacementEvent event) {
-        mNetwork.send(
+        mLink.send(
                         leader,
-                        FrameType.PLACEMENT_EVENT.number(),
+                        FrameType.PLACEMENT_EVENT,
                         PlacementEvent.encode(event, mClocks.nowNanos()))
                 .peek(failure -> LOG.failure("placement_event_lost", failure, "leader", leader));
     }
--- a/program/src/test/java/dev/kumquatweir/program/fleet/EntryPlacementTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/EntryPlacementTest.java
@@ -49,7 +49,7 @@
     private final EntryPlacement mPlacement =
             new EntryPlacement(
                     SELF,
-                    mNetwork,
+                    SchedulerLink.over(mNetwork),
                     mQuarantine,
                     new PlacementLimits(0.2, 10, 1_000),
                     new Clocks(() -> mNowNanos, () -> 1_000),
