Keep to the requests per second that an upstream names

Cause: the header was read nowhere. Class: a limit that binds all instances together and is known to none. Now the scheduler that places requests counts them: the leader's with a token bucket that starts empty, a local one without a leader in windows in turn of half the rate, so that both together stay within what is allowed (docs/design.md 3.5). Instances report what they hear to each leader before any request. A limit ends with a response that names none, to a request placed after it was last named. What no limit leaves room for is rejected at once (LIMITED). Ruled out: shares with whole starts per second (none, or one each, below one a second); a bucket for each instance (saved-up tokens are spent at once).

--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
@@ -1,7 +1,9 @@
 package dev.kumquatweir.policy.placement;
 
 import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.routing.EngineCost;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +18,7 @@
     private final CrashHistory mCrashes;
     private final CrashAttribution mAttribution;
     private final Map<PlacementKey, List<PlacementUpstream>> mPlacements = new HashMap<>();
+    private final List<UpstreamId> mLiftedLimits = new ArrayList<>();
 
     PlacedRequests(RoutedServices services, CrashHistory crashes, CrashAttribution attribution) {
         mServices = services;
@@ -43,6 +46,7 @@
             PlacementUpstream primary = upstreams.get(0);
             primary.answered(nowNanos);
             primary.health().recordProgress(nowNanos);
+            primary.find(key).ifPresent(part -> liftLimit(primary, part));
             primary.find(key)
                     .ifPresent(part -> mAttribution.begun(primary, part.request(), nowNanos));
             if (upstreams.size() == 1) {
@@ -99,6 +103,7 @@
         String contentHash = primaryPart.map(part -> part.request().contentHash()).orElse("");
         switch (outcome) {
             case ANSWERED -> {
+                primaryPart.ifPresent(part -> liftLimit(primary, part));
                 primary.answered(nowNanos);
                 primary.health().answered(false, nowNanos);
                 mCrashes.answered(contentHash);
@@ -106,6 +111,7 @@
                 primaryPart.ifPresent(part -> mAttribution.answered(part.request(), nowNanos));
             }
             case UPSTREAM_ERROR -> {
+                primaryPart.ifPresent(part -> liftLimit(primary, part));
                 primary.answered(nowNanos);
                 primary.health().answered(true, nowNanos);
                 mAttribution.progressed(primary, nowNanos);
@@ -126,6 +132,22 @@
         upstreams.forEach(upstream -> upstream.ended(key, nowNanos));
     }
 
+    /** Returns the upstreams that have ceased to name a limit since the last call. */
+    List<UpstreamId> drainLiftedLimits() {
+        if (mLiftedLimits.isEmpty()) {
+            return List.of();
+        }
+        List<UpstreamId> lifted = List.copyOf(mLiftedLimits);
+        mLiftedLimits.clear();
+        return lifted;
+    }
+
+    private void liftLimit(PlacementUpstream upstream, PlacedPart part) {
+        if (upstream.liftLimit(part.grantedNanos())) {
+            mLiftedLimits.add(upstream.notice().id());
+        }
+    }
+
     /** Ends all placements of an instance that is no longer reachable. */
     void removeOwner(InstanceId owner, long nowNanos) {
         List<PlacementKey> orphaned =
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRefusal.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRefusal.java
@@ -6,6 +6,8 @@
     TOO_LATE,
     /** The service has no available upstream. */
     NO_UPSTREAM,
+    /** The limits that the upstreams name leave no room for it before it is too late. */
+    LIMITED,
     /** It is a retry, and the retry budget is exhausted. */
     REPEAT_BUDGET,
     /** Several upstreams failed while they ran the same content. */
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -31,6 +31,12 @@
     /** Maximum number of late requests that wait, as a share of all slots of their service. */
     private static final double MAXIMUM_LATE_SHARE = 0.1;
 
+    /**
+     * Share of its time for which a request may wait for limits of upstreams. The wait is an
+     * estimate, and a rejection after it would have cost the caller the whole wait.
+     */
+    private static final double LIMIT_WAIT_SHARE = 0.5;
+
     private final PlacementLimits mLimits;
     private final RoutedServices mServices = new RoutedServices();
     private final PlacementUpstreams mUpstreams = new PlacementUpstreams();
@@ -97,9 +103,17 @@
                 new WaitingRequest(request, mServices.engineCost(request.service()), nowNanos));
     }
 
-    /** Registers a request that another scheduler has placed and that is running on an upstream. */
+    /**
+     * Registers a request that another scheduler has placed and that is running on an upstream.
+     *
+     * @param grantedNanos when it was placed
+     */
     public void registerRunning(
-            PlacementRequest request, UpstreamId upstream, boolean started, long nowNanos) {
+            PlacementRequest request,
+            UpstreamId upstream,
+            boolean started,
+            long grantedNanos,
+            long nowNanos) {
         PlacementUpstream known = mUpstreams.find(upstream);
         if (known == null || mPlaced.contains(request.key())) {
             return;
@@ -110,7 +124,8 @@
                         .map(cost -> started ? 0 : cost.prefillMillis(request.promptTokens()) / 2)
                         .orElse(0.0);
         PlacedPart part =
-                new PlacedPart(request, true, prefill, request.memoryTokens(), nowNanos, nowNanos);
+                new PlacedPart(
+                        request, true, prefill, request.memoryTokens(), grantedNanos, grantedNanos);
         part.markLate();
         if (started) {
             part.start(nowNanos);
@@ -175,6 +190,29 @@
         return actions;
     }
 
+    /**
+     * Applies a limit that a response names.
+     *
+     * @param perSecond requests per second that the upstream takes from all instances together
+     * @param sentNanos when the request of the response was sent
+     * @return whether the limit of the upstream has changed
+     */
+    public boolean recordLimit(
+            UpstreamId upstream, double perSecond, long sentNanos, long nowNanos) {
+        PlacementUpstream known = mUpstreams.find(upstream);
+        return known != null && known.recordLimit(perSecond, sentNanos, nowNanos);
+    }
+
+    /** Returns the upstreams that have ceased to name a limit since the last call. */
+    public List<UpstreamId> drainLiftedLimits() {
+        return mPlaced.drainLiftedLimits();
+    }
+
+    /** Returns the limits that upstreams name, and when each was last heard. */
+    public List<UpstreamLimit> limits() {
+        return mUpstreams.limits();
+    }
+
     /** Returns the parts of prompts that are quarantined. */
     public List<QuarantinedPart> quarantinedParts(long nowNanos) {
         return mAttribution.quarantinedParts(nowNanos);
@@ -247,6 +285,17 @@
                     nowNanos);
             return;
         }
+        long limitWaitNanos = round.get().limitWaitNanos(request);
+        if (limitWaitNanos > 0) {
+            long leftNanos = request.latestStartNanos() - nowNanos;
+            if (limitWaitNanos > LIMIT_WAIT_SHARE * leftNanos) {
+                rejectFor(
+                        request,
+                        PlacementRefusal.LIMITED,
+                        mUpstreams.retryAfterMillis(limitWaitNanos));
+            }
+            return;
+        }
         Optional<EngineCost> cost = round.get().service().engineCost();
         if (cost.isPresent()) {
             decideGeneration(waiting, cost.get(), round.get(), nowNanos);
@@ -265,8 +314,8 @@
         if (chosen.isPresent()) {
             PlacedPart part = new PlacedPart(request, true, 0, 0, nowNanos, nowNanos);
             place(request, List.of(chosen.get()), List.of(part), List.of(0L), nowNanos, nowNanos);
-            round.recordPlacement(
-                    chosen.get(), mUpstreams.mayStart(chosen.get(), round.service(), nowNanos));
+            recordPlacement(chosen.get(), round, nowNanos);
+            round.countPlacement();
         }
     }
 
@@ -302,13 +351,21 @@
                 && PlacementRules.isWorthPlacing(request, option.get())) {
             round.adjustLateCount(waiting.late() ? -1 : 0);
             place(request, option.get(), nowNanos);
-            PlacementUpstream primary = option.get().primary();
-            round.recordPlacement(primary, mUpstreams.mayStart(primary, round.service(), nowNanos));
+            option.get().parts().stream()
+                    .map(PartEstimate::upstream)
+                    .forEach(upstream -> recordPlacement(upstream, round, nowNanos));
+            round.countPlacement();
         } else {
             mComparisonBudget.recordUnsuccessful(round.upstreamCount(), nowNanos);
         }
     }
 
+    private void recordPlacement(PlacementUpstream upstream, ServiceRound round, long nowNanos) {
+        if (!mUpstreams.mayStart(upstream, round.service(), nowNanos)) {
+            round.removeEligible(upstream);
+        }
+    }
+
     private void rejectTooLate(WaitingRequest waiting, ServiceRound round, long nowNanos) {
         round.adjustLateCount(waiting.late() ? -1 : 0);
         reject(waiting.request(), PlacementRefusal.TOO_LATE, nowNanos);
@@ -366,7 +423,7 @@
             }
         }
         PlacementUpstream primary = upstreams.get(0);
-        primary.startLimiter().started(nowNanos);
+        upstreams.forEach(upstream -> upstream.recordStart(nowNanos));
         UpstreamStatus notice = primary.notice();
         long expectedMillis = TimeUnit.NANOSECONDS.toMillis(firstEventNanos - nowNanos);
         mActions.add(
@@ -377,9 +434,12 @@
     }
 
     private void reject(PlacementRequest request, PlacementRefusal reason, long nowNanos) {
+        rejectFor(request, reason, mUpstreams.retryAfterMillis(request, nowNanos));
+    }
+
+    private void rejectFor(
+            PlacementRequest request, PlacementRefusal reason, long retryAfterMillis) {
         withdraw(request.key());
-        mActions.add(
-                new PlacementAction.Reject(
-                        request.key(), reason, mUpstreams.retryAfterMillis(request, nowNanos)));
+        mActions.add(new PlacementAction.Reject(request.key(), reason, retryAfterMillis));
     }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
@@ -8,8 +8,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 
 /**
  * State that the scheduler keeps of one upstream: its last heartbeat, its health and the work
@@ -34,6 +37,9 @@
     private boolean mMisdirected;
     private int mInstances = 1;
     private double mPreference;
+    private LimitShare mLimitShare = new LimitShare.Whole();
+    private @Nullable NamedLimit mLimit;
+    private OptionalLong mRestartedNanos = OptionalLong.empty();
     private int mPrimaryCount;
     private int mDecodingCount;
     private long mContextTokens;
@@ -57,6 +63,69 @@
         return mStartLimiter;
     }
 
+    /** Returns the limit that it names, empty if it names none. */
+    Optional<NamedLimit> limit() {
+        return Optional.ofNullable(mLimit);
+    }
+
+    /**
+     * Applies a limit that a response names.
+     *
+     * @param sentNanos when the request of the response was sent
+     * @return whether the limit has changed
+     */
+    boolean recordLimit(double perSecond, long sentNanos, long nowNanos) {
+        if (mRestartedNanos.isPresent() && sentNanos - mRestartedNanos.getAsLong() < 0) {
+            // It has started again since; the limit was that of its former life.
+            return false;
+        }
+        NamedLimit limit = mLimit;
+        if (limit == null) {
+            mLimit = new NamedLimit(perSecond, nowNanos);
+            return true;
+        }
+        double before = limit.perSecond();
+        limit.name(perSecond, sentNanos, nowNanos);
+        return limit.perSecond() != before;
+    }
+
+    /**
+     * Lifts the limit if no response has named it since a request was granted that is now answered:
+     * its response names none.
+     *
+     * @return whether there was a limit to lift
+     */
+    boolean liftLimit(long grantedNanos) {
+        boolean lifted = mLimit != null && mLimit.isNews(grantedNanos);
+        mLimit = lifted ? null : mLimit;
+        return lifted;
+    }
+
+    /** Returns whether the limit that it names allows another request. */
+    boolean withinLimit(long nowNanos) {
+        return mLimit == null || mLimit.allows(mLimitShare, nowNanos);
+    }
+
+    /** Returns the requests per second that this scheduler may start under its limit. */
+    OptionalDouble usablePerSecond() {
+        return mLimit == null
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(mLimitShare.perSecond(mLimit.perSecond()));
+    }
+
+    /** Records a request that starts here, also one of which it only processes a part. */
+    void recordStart(long nowNanos) {
+        mStartLimiter.started(nowNanos);
+        if (mLimit != null) {
+            mLimit.started(mLimitShare, nowNanos);
+        }
+    }
+
+    /** Returns its slots; one whose limit allows no request now has none that are free. */
+    int usableSlots(long nowNanos) {
+        return withinLimit(nowNanos) ? mNotice.slots() : Math.min(mNotice.slots(), mPrimaryCount);
+    }
+
     Collection<PlacedPart> parts() {
         return mParts.values();
     }
@@ -70,6 +139,7 @@
     void configureStandalone(int instances, double preference) {
         mInstances = instances;
         mPreference = preference;
+        mLimitShare = new LimitShare.Part(instances, preference);
     }
 
     /**
@@ -104,6 +174,8 @@
         if (restarted) {
             List.copyOf(mParts.values()).forEach(this::remove);
             mPrefillUntilNanos = heardNanos;
+            mLimit = null;
+            mRestartedNanos = OptionalLong.of(heardNanos);
         }
         if (notice.isNewerThan(mNotice)) {
             accept(notice, heardNanos);
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstreams.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstreams.java
@@ -94,6 +94,19 @@
                                         && upstream.idle());
     }
 
+    /** Returns the limits that upstreams name, and when each was last heard. */
+    List<UpstreamLimit> limits() {
+        return mUpstreams.values().stream()
+                .flatMap(
+                        upstream ->
+                                upstream.limit().stream().map(limit -> describe(upstream, limit)))
+                .toList();
+    }
+
+    private static UpstreamLimit describe(PlacementUpstream upstream, NamedLimit limit) {
+        return new UpstreamLimit(upstream.notice().id(), limit.perSecond(), limit.heardNanos());
+    }
+
     @Nullable PlacementUpstream find(UpstreamId id) {
         return mUpstreams.get(id);
     }
@@ -118,17 +131,17 @@
                 available.stream()
                         .filter(upstream -> mayStart(upstream, service, nowNanos))
                         .toList();
-        return new ServiceRound(service, available, eligible);
+        return new ServiceRound(service, available, eligible, nowNanos);
     }
 
     /**
-     * Returns whether the limit on starts per second allows another request on an upstream. A
-     * standalone instance uses its share of the limit, but at least one start per second: with many
-     * instances the share is below one, and none of them would start any request. It starts nothing
-     * on cold upstreams.
+     * Returns whether the limit that an upstream names, and the one on starts per second of a cold
+     * one, allow another request. A standalone instance uses its share of the limit, but at least
+     * one start per second: with many instances the share is below one, and none of them would
+     * start any request. It starts nothing on cold upstreams.
      */
     boolean mayStart(PlacementUpstream upstream, RoutedService service, long nowNanos) {
-        if (mStandalone && upstream.cold(nowNanos)) {
+        if (!upstream.withinLimit(nowNanos) || (mStandalone && upstream.cold(nowNanos))) {
             return false;
         }
         double share = service.coldRequestsPerSecond() / mInstances;
@@ -137,6 +150,12 @@
         return !limited || upstream.startLimiter().allows(startsPerSecond, nowNanos);
     }
 
+    /** Returns the time after which a caller should retry that would have to wait for limits. */
+    long retryAfterMillis(long limitWaitNanos) {
+        long waitMillis = TimeUnit.NANOSECONDS.toMillis(limitWaitNanos);
+        return Math.max(MINIMUM_RETRY_MILLIS, Math.min(MAXIMUM_RETRY_MILLIS, waitMillis));
+    }
+
     /**
      * Returns the time after which a rejected caller should retry, in milliseconds. Retries are
      * spread over the time in which slots become free.
@@ -145,7 +164,9 @@
         List<PlacementUpstream> available = available(request.service(), nowNanos);
         boolean saturated =
                 available.stream()
-                        .noneMatch(upstream -> upstream.primaryCount() < upstream.notice().slots());
+                        .noneMatch(
+                                upstream ->
+                                        upstream.primaryCount() < upstream.usableSlots(nowNanos));
         double backlogMillis =
                 available.stream()
                         .mapToDouble(upstream -> upstream.pendingPrefillMillis(nowNanos))
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/ServiceRound.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/ServiceRound.java
@@ -3,6 +3,7 @@
 import dev.kumquatweir.core.routing.RoutedService;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /**
  * State of one service during one scheduling round, in which the scheduler goes through all waiting
@@ -13,27 +14,32 @@
     private final List<PlacementUpstream> mAvailable;
     private final List<PlacementUpstream> mEligible;
     private final int mSlots;
+    private final boolean mAnyLimited;
     private int mSlotsInUse;
     private int mLateCount;
+    private int mWaitingForLimits;
 
     /**
      * @param service the service
      * @param available upstreams that accept new work
      * @param eligible those of them whose limit on starts allows a request now
+     * @param nowNanos present time
      */
     ServiceRound(
             RoutedService service,
             List<PlacementUpstream> available,
-            List<PlacementUpstream> eligible) {
+            List<PlacementUpstream> eligible,
+            long nowNanos) {
         mService = service;
         mAvailable = available;
         mEligible = new ArrayList<>(eligible);
         int slots = 0;
         for (PlacementUpstream upstream : available) {
-            slots += upstream.notice().slots();
+            slots += upstream.usableSlots(nowNanos);
             mSlotsInUse += upstream.primaryCount();
         }
         mSlots = slots;
+        mAnyLimited = available.stream().anyMatch(upstream -> upstream.limit().isPresent());
     }
 
     RoutedService service() {
@@ -58,6 +64,31 @@
                 .toList();
     }
 
+    /**
+     * Returns the time until the limits that upstreams name leave room for a request, 0 if it need
+     * not wait for them. Counts the request among those that wait for the limits in this round.
+     */
+    long limitWaitNanos(PlacementRequest request) {
+        if (!mAnyLimited) {
+            return 0;
+        }
+        List<PlacementUpstream> usable =
+                mAvailable.stream()
+                        .filter(upstream -> !request.excluded().contains(upstream.notice().id()))
+                        .toList();
+        boolean waits =
+                !usable.isEmpty()
+                        && usable.stream().allMatch(upstream -> upstream.limit().isPresent())
+                        && eligible(request).isEmpty();
+        if (!waits) {
+            return 0;
+        }
+        double perSecond =
+                usable.stream().mapToDouble(upstream -> upstream.usablePerSecond().orElse(0)).sum();
+        mWaitingForLimits++;
+        return (long) (mWaitingForLimits / perSecond * TimeUnit.SECONDS.toNanos(1));
+    }
+
     /** Returns whether an eligible upstream has a free slot, with its health taken into account. */
     boolean hasFreeSlot(long nowNanos) {
         for (PlacementUpstream upstream : mEligible) {
@@ -69,17 +100,14 @@
         return false;
     }
 
-    /**
-     * Records a placement.
-     *
-     * @param primary the upstream that answers
-     * @param stillEligible whether its limit on starts allows further requests
-     */
-    void recordPlacement(PlacementUpstream primary, boolean stillEligible) {
+    /** Counts a placement, which takes one slot. */
+    void countPlacement() {
         mSlotsInUse++;
-        if (!stillEligible) {
-            mEligible.remove(primary);
-        }
+    }
+
+    /** Removes an upstream whose limit on starts allows no further requests. */
+    void removeEligible(PlacementUpstream upstream) {
+        mEligible.remove(upstream);
     }
 
     /** Returns the share of the slots that are in use or waited for, at most 1. */
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
@@ -19,11 +19,11 @@
 import dev.kumquatweir.policy.placement.PlacementRequest;
 import dev.kumquatweir.policy.placement.PlacementScheduler;
 import dev.kumquatweir.policy.placement.QuarantinedPart;
+import dev.kumquatweir.policy.placement.UpstreamLimit;
 import dev.kumquatweir.program.instance.FrameType;
 import dev.kumquatweir.transport.TransportFailure;
 import io.vavr.control.Either;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -61,7 +61,6 @@
     private final Executor mExecutor;
     private final PlacementScheduler mLocalScheduler;
     private final Map<PlacementKey, TrackedRequest> mRequests = new LinkedHashMap<>();
-    private final Map<UpstreamId, LimitNotice> mHeardLimits = new HashMap<>();
     private @Nullable InstanceId mLeader;
     private long mLeaderLostNanos;
     private long mLastKeyNumber;
@@ -72,6 +71,7 @@
         private final Consumer<PlacementAction> mCallback;
         private @Nullable InstanceId mScheduler;
         private PlacementAction.@Nullable Grant mGrant;
+        private long mGrantedNanos;
         private boolean mStarted;
 
         TrackedRequest(PlacementRequest request, Consumer<PlacementAction> callback) {
@@ -117,6 +117,8 @@
     void setLeader(InstanceId leader, int entryCount) {
         mLeader = leader;
         mLocalScheduler.configureStandalone(entryCount, mSelf.hashCode());
+        // Before any request, so that a new leader doesn't place it against a limit.
+        mLocalScheduler.limits().forEach(limit -> send(leader, new PlacementEvent.Limited(limit)));
         for (TrackedRequest tracked : List.copyOf(mRequests.values())) {
             PlacementAction.Grant grant = tracked.mGrant;
             if (grant == null) {
@@ -127,7 +129,10 @@
                 notifyScheduler(
                         tracked,
                         new PlacementEvent.Running(
-                                tracked.mRequest, grant.grant().upstream(), tracked.mStarted));
+                                tracked.mRequest,
+                                grant.grant().upstream(),
+                                tracked.mStarted,
+                                tracked.mGrantedNanos));
             }
         }
     }
@@ -218,12 +223,23 @@
 
     @Override
     public void recordLimit(UpstreamId upstream, LimitNotice notice, long sentNanos) {
-        LimitNotice known =
-                notice instanceof LimitNotice.None
-                        ? mHeardLimits.remove(upstream)
-                        : mHeardLimits.put(upstream, notice);
-        if (!notice.equals(known) && !(known == null && notice instanceof LimitNotice.None)) {
-            LOG.info("upstream_limit_heard", "upstream", upstream, "limit", notice);
+        switch (notice) {
+            case LimitNotice.Named named -> {
+                UpstreamLimit limit = new UpstreamLimit(upstream, named.perSecond(), sentNanos);
+                if (mLocalScheduler.recordLimit(
+                        upstream, named.perSecond(), sentNanos, mClocks.nowNanos())) {
+                    LOG.info("upstream_limit_heard", "upstream", upstream, "limit", notice);
+                }
+                InstanceId leader = mLeader;
+                if (leader != null) {
+                    send(leader, new PlacementEvent.Limited(limit));
+                }
+            }
+            case LimitNotice.Unreadable _ ->
+                    LOG.warn("upstream_limit_unreadable", "upstream", upstream, "limit", notice);
+            // The schedulers see it when the response has ended, and none was named since its
+            // grant.
+            case LimitNotice.None _ -> {}
         }
     }
 
@@ -319,8 +335,9 @@
             return;
         }
         if (action.get() instanceof PlacementAction.Grant grant) {
+            long nowNanos = mClocks.nowNanos();
             mLocalScheduler.registerRunning(
-                    tracked.mRequest, grant.grant().upstream(), false, mClocks.nowNanos());
+                    tracked.mRequest, grant.grant().upstream(), false, nowNanos, nowNanos);
         }
         applyDecision(tracked, action.get());
     }
@@ -332,6 +349,9 @@
                 applyDecision(tracked, action);
             }
         }
+        mLocalScheduler
+                .drainLiftedLimits()
+                .forEach(upstream -> LOG.info("upstream_limit_ended", "upstream", upstream));
         List<CrashEvent> crashEvents = mLocalScheduler.drainCrashEvents();
         if (mLeader == null) {
             crashEvents.forEach(CrashEventLog::log);
@@ -340,7 +360,10 @@
 
     private void applyDecision(TrackedRequest tracked, PlacementAction action) {
         switch (action) {
-            case PlacementAction.Grant grant -> tracked.mGrant = grant;
+            case PlacementAction.Grant grant -> {
+                tracked.mGrant = grant;
+                tracked.mGrantedNanos = mClocks.nowNanos();
+            }
             case PlacementAction.Reject _ -> mRequests.remove(action.key());
         }
         tracked.mCallback.accept(action);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -6,6 +6,7 @@
 import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.core.routing.UpstreamStatus;
 import dev.kumquatweir.core.time.Clocks;
@@ -15,6 +16,7 @@
 import dev.kumquatweir.policy.placement.PlacementLimits;
 import dev.kumquatweir.policy.placement.PlacementRequest;
 import dev.kumquatweir.policy.placement.PlacementScheduler;
+import dev.kumquatweir.policy.placement.UpstreamLimit;
 import dev.kumquatweir.transport.Responder;
 import java.util.HashMap;
 import java.util.List;
@@ -39,6 +41,7 @@
     private @Nullable RoutingTable mRouting;
     private Set<FailureDomain> mDomainsOut = Set.of();
     private volatile int mWaitingCount;
+    private volatile int mLimitedCount;
 
     private record PendingPlacement(String requestId, Responder responder) {}
 
@@ -48,6 +51,8 @@
         mClocks = clocks;
         Gauge<Integer> waiting = () -> mWaitingCount;
         metrics.register("kumquatweir_scheduler_waiting", waiting);
+        Gauge<Integer> limited = () -> mLimitedCount;
+        metrics.register("kumquatweir_scheduler_limited_upstreams", limited);
     }
 
     void setRouting(RoutingTable routing, Set<FailureDomain> domainsOut) {
@@ -79,6 +84,7 @@
         LOG.info("scheduler_changed", "leading", leading, "upstreams", upstreams.size());
         if (!leading) {
             mScheduler = null;
+            mLimitedCount = 0;
             mPendingPlacements
                     .values()
                     .forEach(pending -> pending.responder().respond(notLeading()));
@@ -163,10 +169,11 @@
         long nowNanos = mClocks.nowNanos();
         PlacementEvent.decode(owner, payload, nowNanos)
                 .peekLeft(fault -> LOG.failure("frame_malformed", fault, "peer", owner))
-                .peek(event -> apply(scheduler, event, nowNanos));
+                .peek(event -> apply(scheduler, owner, event, nowNanos));
     }
 
-    private void apply(PlacementScheduler scheduler, PlacementEvent event, long nowNanos) {
+    private void apply(
+            PlacementScheduler scheduler, InstanceId owner, PlacementEvent event, long nowNanos) {
         switch (event) {
             case PlacementEvent.Started started ->
                     scheduler.recordFirstEvent(started.key(), nowNanos);
@@ -181,10 +188,40 @@
             }
             case PlacementEvent.Running running ->
                     scheduler.registerRunning(
-                            running.request(), running.upstream(), running.started(), nowNanos);
+                            running.request(),
+                            running.upstream(),
+                            running.started(),
+                            running.grantedNanos(),
+                            nowNanos);
+            case PlacementEvent.Limited limited -> recordLimit(scheduler, owner, limited, nowNanos);
         }
     }
 
+    private void recordLimit(
+            PlacementScheduler scheduler,
+            InstanceId owner,
+            PlacementEvent.Limited limited,
+            long nowNanos) {
+        UpstreamLimit limit = limited.limit();
+        if (scheduler.recordLimit(
+                limit.upstream(), limit.perSecond(), limit.heardNanos(), nowNanos)) {
+            LOG.info(
+                    "upstream_limited",
+                    "upstream",
+                    limit.upstream(),
+                    "per_second",
+                    limit.perSecond(),
+                    "told_by",
+                    owner);
+            mLimitedCount = scheduler.limits().size();
+        }
+    }
+
+    private void recordLiftedLimit(PlacementScheduler scheduler, UpstreamId upstream) {
+        LOG.info("upstream_limit_ended", "upstream", upstream);
+        mLimitedCount = scheduler.limits().size();
+    }
+
     void removeSilent(List<InstanceId> silentEntries, long nowNanos) {
         PlacementScheduler scheduler = mScheduler;
         if (scheduler != null) {
@@ -237,6 +274,7 @@
             }
         }
         scheduler.drainCrashEvents().forEach(this::recordCrashEvent);
+        scheduler.drainLiftedLimits().forEach(upstream -> recordLiftedLimit(scheduler, upstream));
         mWaitingCount = scheduler.waitingCount();
     }
 
--- a/program/src/main/java/dev/kumquatweir/program/fleet/PlacementEvent.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/PlacementEvent.java
@@ -10,11 +10,16 @@
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementOutcome;
 import dev.kumquatweir.policy.placement.PlacementRequest;
+import dev.kumquatweir.policy.placement.UpstreamLimit;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 
 /** Progress of a placement that an entry instance reports to the scheduler. */
 sealed interface PlacementEvent {
+    /** Limits are sent as a whole number of requests in this time. */
+    double LIMIT_UNIT_SECONDS = 1e6;
+
     /** The upstream sent its first event. */
     record Started(PlacementKey key) implements PlacementEvent {}
 
@@ -32,9 +37,13 @@
     record Withdrawn(PlacementKey key) implements PlacementEvent {}
 
     /** An upstream is processing a request that was placed by another scheduler. */
-    record Running(PlacementRequest request, UpstreamId upstream, boolean started)
+    record Running(
+            PlacementRequest request, UpstreamId upstream, boolean started, long grantedNanos)
             implements PlacementEvent {}
 
+    /** A response names a limit; its time is that at which the request was sent. */
+    record Limited(UpstreamLimit limit) implements PlacementEvent {}
+
     /** Encodes an event. */
     static Bytes encode(PlacementEvent event, long nowNanos) {
         MessagePackWriter writer = new MessagePackWriter();
@@ -55,9 +64,19 @@
             case Running running -> {
                 writer.writeString("held")
                         .writeString(running.upstream().value())
-                        .writeBoolean(running.started());
+                        .writeBoolean(running.started())
+                        .writeLong(
+                                TimeUnit.NANOSECONDS.toMicros(nowNanos - running.grantedNanos()));
                 PlacementCodec.write(writer, running.request(), nowNanos);
             }
+            case Limited limited -> {
+                UpstreamLimit limit = limited.limit();
+                long perUnit = Math.round(limit.perSecond() * LIMIT_UNIT_SECONDS);
+                writer.writeString("limited")
+                        .writeString(limit.upstream().value())
+                        .writeLong(Math.max(1, perUnit))
+                        .writeLong(TimeUnit.NANOSECONDS.toMicros(nowNanos - limit.heardNanos()));
+            }
         }
         return writer.toBytes();
     }
@@ -85,12 +104,27 @@
             case "held" -> {
                 UpstreamId upstream = new UpstreamId(reader.readString());
                 boolean started = reader.readBoolean();
-                yield new Running(PlacementCodec.read(reader, owner, nowNanos), upstream, started);
+                long grantedNanos = nowNanos - TimeUnit.MICROSECONDS.toNanos(reader.readLong());
+                PlacementRequest request = PlacementCodec.read(reader, owner, nowNanos);
+                yield new Running(request, upstream, started, grantedNanos);
             }
+            case "limited" ->
+                    new Limited(
+                            new UpstreamLimit(
+                                    new UpstreamId(reader.readString()),
+                                    perSecond(reader.readLong()),
+                                    nowNanos - TimeUnit.MICROSECONDS.toNanos(reader.readLong())));
             default -> throw new MalformedContentException("unknown placement event type: " + kind);
         };
     }
 
+    private static double perSecond(long perUnit) throws MalformedContentException {
+        if (perUnit <= 0) {
+            throw new MalformedContentException("limit out of range: " + perUnit);
+        }
+        return perUnit / LIMIT_UNIT_SECONDS;
+    }
+
     private static PlacementOutcome outcome(String name) throws MalformedContentException {
         try {
             return PlacementOutcome.valueOf(name);
--- a/program/src/test/java/dev/kumquatweir/program/fleet/LimitOfUpstreamTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/LimitOfUpstreamTest.java
@@ -26,7 +26,7 @@
 
     /** Guards against instances that together send more than an upstream takes. */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3})
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
     void limitHoldsUnderOneLeader(long seed) {
         LimitSimulation simulation = new LimitSimulation(4, UPSTREAMS, REQUESTS_PER_SECOND, seed);
         simulation.startLeader();
@@ -38,7 +38,7 @@
 
     /** Guards against a leader that begins with a window of its own. */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3})
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
     void limitHoldsOverLeadersInSeries(long seed) {
         LimitSimulation simulation = new LimitSimulation(4, UPSTREAMS, REQUESTS_PER_SECOND, seed);
         simulation.startLeader();
