--- a/program/src/test/java/dev/kumquatweir/program/system/PlannedStopSoak.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/PlannedStopSoak.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -95,7 +94,7 @@
             case 0, 1, 2, 3 -> terminate(pick(mFleet.entries()), mFleet.entries(), ENTRIES - 1);
             case 4 ->
                     terminate(
-                            mRandom.nextBoolean() ? leader() : pick(mFleet.controls()),
+                            mRandom.nextBoolean() ? mFleet.leader() : pick(mFleet.controls()),
                             mFleet.controls(),
                             1);
             case 5 -> mStopping.keySet().forEach(node -> node.process().beginTermination());
@@ -184,21 +183,6 @@
         }
     }
 
-    private FleetNode leader() {
-        return mFleet.controls().stream()
-                .max(Comparator.comparingLong(node -> ledTerm(node.process().log())))
-                .orElseThrow();
-    }
-
-    private static long ledTerm(String log) {
-        return log.lines()
-                .filter(line -> line.contains("event=role_changed role=LEADER term="))
-                .map(line -> line.replaceFirst(".* term=([0-9]+).*", "$1"))
-                .mapToLong(Long::parseLong)
-                .max()
-                .orElse(0);
-    }
-
     private FleetNode pick(List<FleetNode> nodes) {
         return nodes.get(mRandom.nextInt(nodes.size()));
     }
--- a/program/src/test/java/dev/kumquatweir/program/system/SoakFleet.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/SoakFleet.java
@@ -16,6 +16,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
@@ -128,6 +129,33 @@
                 faults);
     }
 
+    /** Returns the upstreams without faults. */
+    List<StandinUpstream> soundUpstreams() {
+        return mUpstreams.stream()
+                .flatMap(
+                        upstream ->
+                                upstream instanceof StandinUpstream sound
+                                        ? Stream.of(sound)
+                                        : Stream.empty())
+                .toList();
+    }
+
+    /** Returns the control instance that led last. */
+    FleetNode leader() {
+        return mControls.stream()
+                .max(Comparator.comparingLong(node -> ledTerm(node.process().log())))
+                .orElseThrow();
+    }
+
+    private static long ledTerm(String log) {
+        return log.lines()
+                .filter(line -> line.contains("event=role_changed role=LEADER term="))
+                .map(line -> line.replaceFirst(".* term=([0-9]+).*", "$1"))
+                .mapToLong(Long::parseLong)
+                .max()
+                .orElse(0);
+    }
+
     List<FleetNode> controls() {
         return mControls;
     }
