Watch whether an instance reaches upstreams, and log it

UpstreamReach (decision, virtual time) asks for a try of some upstreams when two can't be connected to or all are silent; ReachMonitor makes it and logs upstreams_unreachable and upstreams_reached. Watch messages tell control instances, and name instances that are not cut off; nothing uses these yet, and requests are placed as before.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Attempt.java
@@ -78,6 +78,7 @@
     private final RequestDialect mDialect;
     private final ForwardingState mState;
     private final PlacementPort mPlacement;
+    private final ReachMonitor mReach;
     private final UpstreamId mUpstream;
     private final Owner mOwner;
     private final EventSequence mEvents;
@@ -120,6 +121,7 @@
         mDialect = ports.dialect();
         mState = ports.state();
         mPlacement = ports.placement();
+        mReach = ports.reach();
         mUpstream = grant.upstream();
         mOwner = owner;
         mBody = new ResponseCollector(ports.responseMemory());
@@ -141,11 +143,13 @@
     }
 
     void send() {
+        mReach.sent(this, mSentNanos);
         call().send();
     }
 
     /** Closes the connection, so that the upstream cancels the request. */
     void close() {
+        mReach.ended(this);
         mBody.release();
         call().close();
     }
@@ -163,6 +167,7 @@
 
     @Override
     public void headReceived(StreamingHttpResponse response, boolean connectionReused) {
+        mReach.received(this, mOwner.nowNanos());
         if (!mOwner.isCurrent(this)) {
             close();
             return;
@@ -208,6 +213,7 @@
             return;
         }
         mLastPartNanos = mOwner.nowNanos();
+        mReach.received(this, mLastPartNanos);
         if (!mStreaming) {
             mResponseStarted = true;
             collect(part);
@@ -260,6 +266,10 @@
 
     @Override
     public void callFailed(boolean sent, Throwable exception) {
+        mReach.ended(this);
+        if (!sent) {
+            mReach.connectFailed(mUpstream, mOwner.nowNanos());
+        }
         mBody.release();
         if (mOwner.isCurrent(this)) {
             mOwner.connectionFailed(sent, exception);
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
@@ -115,6 +115,7 @@
     private void tick() {
         try {
             long nowNanos = mPorts.clocks().nowNanos();
+            mPorts.reach().tick(nowNanos);
             mHeld.tick(mPorts.state().routing().isPresent(), nowNanos);
             List.copyOf(mExchanges).forEach(exchange -> tick(exchange, nowNanos));
         } catch (RuntimeException fault) {
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingPorts.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingPorts.java
@@ -12,6 +12,7 @@
  * @param reservations reserves memory of engines
  * @param dialect encodes and decodes the headers of callers and upstreams
  * @param clients HTTP clients for upstreams
+ * @param reach whether this instance reaches upstreams
  * @param requestMemory shared by the bodies of the requests that are not yet answered
  * @param responseMemory shared by the responses that are collected before they are passed on
  * @param clocks clocks of the process
@@ -22,6 +23,7 @@
         ReservationPort reservations,
         RequestDialect dialect,
         UpstreamClients clients,
+        ReachMonitor reach,
         BodyMemory requestMemory,
         BodyMemory responseMemory,
         Clocks clocks) {}
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingState.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingState.java
@@ -3,6 +3,8 @@
 import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.routing.RoutingTable;
+import dev.kumquatweir.core.routing.UpstreamStatus;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -11,6 +13,15 @@
     /** Returns the current routing table, empty until one was received. */
     Optional<RoutingTable> routing();
 
+    /** Returns the upstreams that are known and not gone. */
+    List<UpstreamStatus> upstreams();
+
+    /**
+     * Returns the caller addresses of some other instances that reach upstreams, as {@code
+     * ip:port}.
+     */
+    List<String> carriers();
+
     /** Returns the failure domain of this instance, which its callers share. */
     FailureDomain domain();
 
--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/UpstreamClients.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/UpstreamClients.java
@@ -4,6 +4,8 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import io.servicetalk.concurrent.api.Completable;
+import io.servicetalk.concurrent.api.ListenableAsyncCloseable;
 import io.servicetalk.http.api.FilterableStreamingHttpLoadBalancedConnection;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpLoadBalancerFactory;
@@ -45,6 +47,18 @@
 
     /** Returns a client whose connections are shared with nothing else; its owner closes it. */
     public StreamingHttpClient newClient(String address) {
+        return newClient(address, CONNECT_LIMIT_MILLIS);
+    }
+
+    /** Connects to an address and closes the connection; fails if that takes too long. */
+    public Completable connect(String address, int limitMillis) {
+        StreamingHttpClient client = newClient(address, limitMillis);
+        return client.reserveConnection(client.get("/"))
+                .flatMapCompletable(ListenableAsyncCloseable::closeAsync)
+                .whenFinally(() -> client.closeAsync().subscribe());
+    }
+
+    private StreamingHttpClient newClient(String address, int connectLimitMillis) {
         int colon = address.lastIndexOf(':');
         InetSocketAddress resolved =
                 new InetSocketAddress(
@@ -54,7 +68,7 @@
                 .ioExecutor(mExecutor)
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
                 .protocols(h1().maxPipelinedRequests(1).build())
-                .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_LIMIT_MILLIS)
+                .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, connectLimitMillis)
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
                 .appendConnectionFilter(new UnframedResponseFilter())
                 .appendConnectionFilter(new ResponseLimitFilter())
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/EmptyState.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/EmptyState.java
@@ -3,6 +3,8 @@
 import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.routing.RoutingTable;
+import dev.kumquatweir.core.routing.UpstreamStatus;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -13,6 +15,16 @@
         return Optional.empty();
     }
 
+    @Override
+    public List<UpstreamStatus> upstreams() {
+        return List.of();
+    }
+
+    @Override
+    public List<String> carriers() {
+        return List.of();
+    }
+
     @Override
     public FailureDomain domain() {
         return new FailureDomain("a");
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -11,6 +11,8 @@
 import dev.kumquatweir.core.routing.RoutedService;
 import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.core.routing.ServiceShare;
+import dev.kumquatweir.core.routing.UpstreamPhase;
+import dev.kumquatweir.core.routing.UpstreamStatus;
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.gateway.http.BodyMemory;
 import dev.kumquatweir.gateway.http.ServerConnections;
@@ -73,6 +75,7 @@
     private final GrantInTurn mPlacement;
     private final RawUpstream mFirst;
     private final RawUpstream mSecond;
+    private final ReachMonitor mReach;
     private final ExchangeRegistry mExchanges;
     private final ServerConnections mConnections;
     private final HttpServerContext mServer;
@@ -85,16 +88,32 @@
             Function<RawUpstream.Received, RawUpstream.Answer> first,
             Function<RawUpstream.Received, RawUpstream.Answer> second)
             throws Exception {
+        this(first, second, List.of());
+    }
+
+    /**
+     * @param carriers caller addresses of other instances
+     */
+    ForwardingHarness(
+            Function<RawUpstream.Received, RawUpstream.Answer> first,
+            Function<RawUpstream.Received, RawUpstream.Answer> second,
+            List<String> carriers)
+            throws Exception {
         mFirst = new RawUpstream(first);
         mSecond = new RawUpstream(second);
         mPlacement = new GrantInTurn(mFirst.address(), mSecond.address());
+        List<UpstreamStatus> upstreams =
+                List.of(status("first", mFirst.address()), status("second", mSecond.address()));
+        ForwardingState state = new FixedState(upstreams, carriers);
+        mReach = new ReachMonitor(state, mClients, Clocks.system());
         ForwardingPorts ports =
                 new ForwardingPorts(
-                        new FixedState(),
+                        state,
                         mPlacement,
                         new NoReservations(),
                         new PlainDialect(),
                         mClients,
+                        mReach,
                         mRequestMemory,
                         new BodyMemory(RESPONSE_MEMORY_BYTES),
                         Clocks.system());
@@ -110,6 +129,36 @@
                                 mConnections.track(new ForwardingServer(mExchanges)));
     }
 
+    private static UpstreamStatus status(String id, String address) {
+        return new UpstreamStatus(
+                new UpstreamId(id),
+                1,
+                SERVICE,
+                address,
+                new FailureDomain("domain"),
+                1,
+                UpstreamPhase.READY,
+                0,
+                1);
+    }
+
+    /** Lets the upstreams refuse connections from now on, as if no path led to them. */
+    void cutOffFromUpstreams() throws IOException {
+        mFirst.close();
+        mSecond.close();
+    }
+
+    /** Returns whether the instance knows that it reaches no upstream. */
+    boolean cutOff() {
+        return mReach.cutOff();
+    }
+
+    /** Returns the address on which callers are served. */
+    String callerAddress() {
+        InetSocketAddress address = (InetSocketAddress) mServer.listenAddress();
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /** Sends a request without a body; the id tells the requests of a test apart. */
     RawCaller.Response call(String route, String requestId) throws IOException {
         return call(route, requestId, "", "");
@@ -326,14 +375,31 @@
 
     /** A routing table that never changes; all upstreams accept requests. */
     private static final class FixedState implements ForwardingState {
+        private final List<UpstreamStatus> mUpstreams;
+        private final List<String> mCarriers;
         private final Optional<RoutingTable> mRouting = Optional.of(ForwardingHarness.routing());
         private final AvoidedUpstreams mAvoided = new AvoidedUpstreams();
 
+        FixedState(List<UpstreamStatus> upstreams, List<String> carriers) {
+            mUpstreams = upstreams;
+            mCarriers = carriers;
+        }
+
         @Override
         public Optional<RoutingTable> routing() {
             return mRouting;
         }
 
+        @Override
+        public List<UpstreamStatus> upstreams() {
+            return mUpstreams;
+        }
+
+        @Override
+        public List<String> carriers() {
+            return mCarriers;
+        }
+
         @Override
         public FailureDomain domain() {
             return new FailureDomain("domain");
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/reach/package-info.java
@@ -0,0 +1,5 @@
+/** Decisions on whether an instance can reach any upstream. Pure: no input or output. */
+@NullMarked
+package dev.kumquatweir.policy.reach;
+
+import org.jspecify.annotations.NullMarked;
--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
@@ -99,6 +99,7 @@
                         clocks,
                         mEventLoop::offer,
                         () -> mRouting.changeCount(),
+                        () -> false,
                         this::handleWatchResponse);
         network.handle(FrameType.WATCH.number(), this::handleWatch);
         network.handle(FrameType.PLACE.number(), this::handlePlace);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleetView.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleetView.java
@@ -19,10 +19,12 @@
 import dev.kumquatweir.policy.placement.PlacementLimits;
 import dev.kumquatweir.transport.PeerNetwork;
 import io.vavr.control.Either;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 
@@ -47,6 +49,9 @@
     private final QuarantineDirectory mQuarantine = new QuarantineDirectory();
     private final WatchClient mWatchClient;
     private final EntryPlacement mPlacement;
+    private BooleanSupplier mCutOff = () -> false;
+    private int mCallerPort;
+    private List<InstanceId> mCarriers = List.of();
     private RoutingImage mRoutingImage = RoutingImage.EMPTY;
     private volatile @Nullable RoutingTable mRoutingTable;
     private volatile boolean mHasUpstreams;
@@ -81,11 +86,22 @@
                         clocks,
                         executor,
                         () -> mRoutingImage.changeCount(),
+                        () -> mCutOff.getAsBoolean(),
                         this::handleWatchResponse);
         Gauge<Integer> quarantinedParts = mQuarantine::quarantinedCount;
         metrics.register("kumquatweir_forward_quarantined_parts", quarantinedParts);
     }
 
+    /**
+     * Sets what tells whether this instance reaches upstreams. Called before the first tick.
+     *
+     * @param callerPort port on which all entry instances serve callers
+     */
+    void setReach(BooleanSupplier cutOff, int callerPort) {
+        mCutOff = cutOff;
+        mCallerPort = callerPort;
+    }
+
     /** Returns the placement client that requests upstreams. */
     EntryPlacement placement() {
         return mPlacement;
@@ -123,6 +139,16 @@
         return Optional.ofNullable(mRoutingTable);
     }
 
+    @Override
+    public List<UpstreamStatus> upstreams() {
+        return mUpstreams.present();
+    }
+
+    @Override
+    public List<String> carriers() {
+        return mCarriers.stream().map(carrier -> carrier.value() + ":" + mCallerPort).toList();
+    }
+
     @Override
     public FailureDomain domain() {
         return mDomain;
@@ -183,6 +209,7 @@
                             mUpstreams.update(aged.status(), lastSeenNanos);
                             mPlacement.updateUpstream(aged.status(), lastSeenNanos);
                         });
+        mCarriers = response.carriers();
         mHasUpstreams = mUpstreams.size() > 0;
         if (response.leading() && response.term() >= mLeaderTerm) {
             updateLeader(peer, response, nowNanos);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -9,6 +9,7 @@
 import dev.kumquatweir.gateway.forward.ExchangeRegistry;
 import dev.kumquatweir.gateway.forward.ForwardingPorts;
 import dev.kumquatweir.gateway.forward.ForwardingServer;
+import dev.kumquatweir.gateway.forward.ReachMonitor;
 import dev.kumquatweir.gateway.http.BodyMemory;
 import dev.kumquatweir.gateway.http.ServerConnections;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
@@ -219,6 +220,8 @@
                         mClocks,
                         mExecutor::execute);
         UpstreamClients clients = new UpstreamClients(mExecutor, mMetrics);
+        ReachMonitor reach = new ReachMonitor(entry, clients, mClocks);
+        entry.setReach(reach::cutOff, address.getPort());
         ForwardingPorts ports =
                 new ForwardingPorts(
                         entry,
@@ -226,6 +229,7 @@
                         new MemoryOrders(clients),
                         new HttpDialect(),
                         clients,
+                        reach,
                         new BodyMemory(Runtime.getRuntime().maxMemory() / REQUEST_MEMORY_SHARE),
                         new BodyMemory(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_SHARE),
                         mClocks);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/UpstreamDirectory.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/UpstreamDirectory.java
@@ -115,6 +115,14 @@
                 .removeIf(entry -> nowNanos - entry.lastSeenNanos() > EXPIRY_TIMEOUT_NANOS);
     }
 
+    /** Returns the statuses of all upstreams but those marked as gone. */
+    List<UpstreamStatus> present() {
+        return mEntries.values().stream()
+                .map(Entry::status)
+                .filter(status -> status.phase() != UpstreamPhase.GONE)
+                .toList();
+    }
+
     /** Returns the ids of all upstreams, including those marked as gone. */
     Set<UpstreamId> ids() {
         return Set.copyOf(mEntries.keySet());
--- a/program/src/main/java/dev/kumquatweir/program/fleet/WatchClient.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchClient.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 /**
@@ -39,6 +40,7 @@
     private final Clocks mClocks;
     private final Executor mExecutor;
     private final LongSupplier mRoutingChangeCount;
+    private final BooleanSupplier mCutOff;
     private final BiConsumer<InstanceId, WatchResponse> mListener;
     private final Map<InstanceId, WatchState> mStates = new LinkedHashMap<>();
 
@@ -58,6 +60,7 @@
      * @param quarantine verdicts on parts of prompts known to this instance
      * @param executor runs response handlers
      * @param routingChangeCount change count of the routing image known to this instance
+     * @param cutOff whether this instance reaches no upstream
      * @param listener called with each response
      */
     WatchClient(
@@ -68,6 +71,7 @@
             Clocks clocks,
             Executor executor,
             LongSupplier routingChangeCount,
+            BooleanSupplier cutOff,
             BiConsumer<InstanceId, WatchResponse> listener) {
         mSelf = self;
         mIsEntry = isEntry;
@@ -76,6 +80,7 @@
         mClocks = clocks;
         mExecutor = executor;
         mRoutingChangeCount = routingChangeCount;
+        mCutOff = cutOff;
         mListener = listener;
     }
 
@@ -113,6 +118,7 @@
                         mRoutingChangeCount.getAsLong(),
                         mQuarantine.changedSince(0, nowNanos),
                         mIsEntry,
+                        mCutOff.getAsBoolean(),
                         waitMillis);
         CompletionStage<Either<TransportFailure, Bytes>> response =
                 mNetwork.request(
--- a/program/src/main/java/dev/kumquatweir/program/fleet/WatchProgress.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchProgress.java
@@ -27,6 +27,7 @@
             long routingChangeCount,
             List<QuarantineVerdict> knownVerdicts,
             boolean fromEntry,
+            boolean cutOff,
             long maximumWaitMillis) {
         Set<String> knownParts =
                 knownVerdicts.stream().map(QuarantineVerdict::part).collect(Collectors.toSet());
@@ -38,6 +39,7 @@
                 mQuarantineRevision,
                 knownVerdicts.stream().filter(verdict -> !isShared(verdict)).toList(),
                 fromEntry,
+                cutOff,
                 maximumWaitMillis);
     }
 
--- a/program/src/main/java/dev/kumquatweir/program/fleet/WatchRequest.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchRequest.java
@@ -18,6 +18,7 @@
  *     verdicts
  * @param verdicts verdicts on parts of prompts that the receiver may lack
  * @param fromEntry whether the sender is an entry instance, which serves callers
+ * @param cutOff whether the sender reaches no upstream
  * @param maximumWaitMillis time after which it is answered at the latest
  */
 record WatchRequest(
@@ -27,6 +28,7 @@
         long quarantineRevision,
         List<QuarantineVerdict> verdicts,
         boolean fromEntry,
+        boolean cutOff,
         long maximumWaitMillis) {
     WatchRequest {
         verdicts = List.copyOf(verdicts);
@@ -40,6 +42,7 @@
                 .writeLong(quarantineRevision)
                 .writeList(verdicts, QuarantineVerdict::write)
                 .writeBoolean(fromEntry)
+                .writeBoolean(cutOff)
                 .writeLong(maximumWaitMillis)
                 .toBytes();
     }
@@ -55,6 +58,7 @@
                                 reader.readLong(),
                                 reader.readList(QuarantineVerdict::read),
                                 reader.readBoolean(),
+                                reader.readBoolean(),
                                 reader.readLong()));
     }
 }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/WatchResponse.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchResponse.java
@@ -27,6 +27,7 @@
  * @param members group members known to it
  * @param membersIndex its commit index when it learned of the members
  * @param entryCount number of entry instances that watch it
+ * @param carriers some of them that reach upstreams
  * @param newerRouting routing image, empty unless it is newer than the watcher's
  * @param directoryIncarnation start of the process to which the revision belongs
  * @param directoryRevision revision of its directory, included in {@code statuses}
@@ -40,6 +41,7 @@
         List<InstanceId> members,
         long membersIndex,
         int entryCount,
+        List<InstanceId> carriers,
         Optional<RoutingImage> newerRouting,
         long directoryIncarnation,
         long directoryRevision,
@@ -48,6 +50,7 @@
         List<QuarantineVerdict> verdicts) {
     WatchResponse {
         members = List.copyOf(members);
+        carriers = List.copyOf(carriers);
         statuses = List.copyOf(statuses);
         verdicts = List.copyOf(verdicts);
     }
@@ -56,6 +59,7 @@
         MessagePackWriter writer = new MessagePackWriter().writeLong(term).writeBoolean(leading);
         writer.writeList(members, (target, member) -> target.writeString(member.value()));
         writer.writeLong(membersIndex).writeLong(entryCount);
+        writer.writeList(carriers, (target, carrier) -> target.writeString(carrier.value()));
         writer.writeList(newerRouting.stream().toList(), StateCodec::writeRouting);
         writer.writeLong(directoryIncarnation).writeLong(directoryRevision);
         writer.writeList(statuses, WatchResponse::write);
@@ -74,6 +78,7 @@
                                 reader.readList(source -> new InstanceId(source.readString())),
                                 reader.readLong(),
                                 reader.readInt(),
+                                reader.readList(source -> new InstanceId(source.readString())),
                                 reader.readList(StateCodec::readRouting).stream().findFirst(),
                                 reader.readLong(),
                                 reader.readLong(),
--- a/program/src/main/java/dev/kumquatweir/program/fleet/WatchServer.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/WatchServer.java
@@ -4,6 +4,7 @@
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.transport.Responder;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 /**
  * Serves the long-poll watch requests of other instances on a control instance. Also completes
@@ -32,6 +34,8 @@
     /** Less than the second for which upstreams wait for a confirmation. */
     private static final long CONFIRMATION_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    private static final int MAXIMUM_CARRIERS = 8;
+
     private final UpstreamDirectory mLocalUpstreams;
     private final QuarantineDirectory mQuarantine;
     private final long mIncarnation;
@@ -62,7 +66,7 @@
     private record PendingWatch(
             WatchRequest request, Responder responder, long receivedNanos, long dueNanos) {}
 
-    private record EntryProgress(long lastRequestNanos, long knownRevision) {}
+    private record EntryProgress(long lastRequestNanos, long knownRevision, boolean cutOff) {}
 
     private record Confirmation(CompletableFuture<Boolean> done, long revision, long dueNanos) {}
 
@@ -85,7 +89,7 @@
                     request.directoryIncarnation() == mIncarnation
                             ? request.directoryRevision()
                             : 0;
-            mEntries.put(peer, new EntryProgress(nowNanos, knownRevision));
+            mEntries.put(peer, new EntryProgress(nowNanos, knownRevision, request.cutOff()));
             completeConfirmations(nowNanos);
         }
         long dueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(request.maximumWaitMillis());
@@ -199,6 +203,7 @@
                         mState.members(),
                         mState.membersIndex(),
                         mEntries.size(),
+                        request.fromEntry() ? carriers(peer, nowNanos) : List.of(),
                         includesRouting(pending) ? Optional.of(routing) : Optional.empty(),
                         mIncarnation,
                         mLocalUpstreams.revision(),
@@ -208,6 +213,28 @@
         pending.responder().respond(response.encode());
     }
 
+    /** Returns some entry instances that reach upstreams, others for each watcher. */
+    private List<InstanceId> carriers(InstanceId watcher, long nowNanos) {
+        List<InstanceId> reaching =
+                mEntries.entrySet().stream()
+                        .filter(entry -> !entry.getKey().equals(watcher))
+                        .filter(entry -> !entry.getValue().cutOff())
+                        .filter(
+                                entry ->
+                                        nowNanos - entry.getValue().lastRequestNanos()
+                                                < ENTRY_TIMEOUT_NANOS)
+                        .map(Map.Entry::getKey)
+                        .sorted(Comparator.comparing(InstanceId::value))
+                        .toList();
+        if (reaching.isEmpty()) {
+            return reaching;
+        }
+        int first = Math.floorMod(watcher.hashCode(), reaching.size());
+        return IntStream.range(0, Math.min(MAXIMUM_CARRIERS, reaching.size()))
+                .mapToObj(number -> reaching.get((first + number) % reaching.size()))
+                .toList();
+    }
+
     private void completeConfirmations(long nowNanos) {
         if (mConfirmations.isEmpty()) {
             return;
--- a/program/src/test/java/dev/kumquatweir/program/fleet/QuarantineSimulation.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/QuarantineSimulation.java
@@ -310,6 +310,7 @@
                                     0,
                                     mDirectory.changedSince(0, nowNanos()),
                                     !mIsControl,
+                                    false,
                                     WAIT_MILLIS);
             mSentVerdicts += request.verdicts().size();
             Bytes content = request.encode();
--- a/program/src/test/java/dev/kumquatweir/program/fleet/WatchCodecTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/WatchCodecTest.java
@@ -44,10 +44,11 @@
                         .writeLong(1)
                         .writeLong(9)
                         .writeBoolean(true)
+                        .writeBoolean(false)
                         .writeLong(1_000)
                         .toBytes();
         assertThat(
-                new WatchRequest(7, 1, 9, 0, List.of(), true, 1_000).encode().size(),
+                new WatchRequest(7, 1, 9, 0, List.of(), true, false, 1_000).encode().size(),
                 is(requestWithoutField.size() + 2));
         Bytes responseWithoutField =
                 new MessagePackWriter()
@@ -57,6 +58,7 @@
                         .writeLong(3)
                         .writeLong(2)
                         .writeArrayHeader(0)
+                        .writeArrayHeader(0)
                         .writeLong(1)
                         .writeLong(8)
                         .writeArrayHeader(0)
@@ -68,6 +70,7 @@
                                 List.of(new InstanceId("a")),
                                 3,
                                 2,
+                                List.of(),
                                 Optional.empty(),
                                 1,
                                 8,
@@ -104,7 +107,7 @@
     }
 
     private static WatchRequest request(List<QuarantineVerdict> verdicts) {
-        return new WatchRequest(7, 1, 9, 5, verdicts, true, 1_000);
+        return new WatchRequest(7, 1, 9, 5, verdicts, true, false, 1_000);
     }
 
     private static WatchResponse response(List<QuarantineVerdict> verdicts) {
@@ -114,6 +117,7 @@
                 List.of(new InstanceId("a"), new InstanceId("b")),
                 3,
                 2,
+                List.of(new InstanceId("c")),
                 Optional.empty(),
                 1,
                 8,
--- a/program/src/test/java/dev/kumquatweir/program/fleet/WatchServerTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/WatchServerTest.java
@@ -105,7 +105,7 @@
             List<QuarantineVerdict> verdicts, long quarantineRevision, long nowNanos) {
         mServer.watch(
                 ENTRY,
-                new WatchRequest(0, 1, 0, quarantineRevision, verdicts, true, 1_000),
+                new WatchRequest(0, 1, 0, quarantineRevision, verdicts, true, false, 1_000),
                 content -> {
                     mResponses.add(WatchResponse.decode(content).get());
                     return Option.none();
