Let another instance carry the requests of one that reaches no upstream

Cause: no instance knew whether it reached upstreams as a whole; it stayed ready and each request found out alone. Class: a fault of one's own taken for many faults of others. Now a cut-off instance is not ready, sends each request as it came to an instance that reaches upstreams, at most one hop, and passes the response on; what no instance can take is rejected at once as not executed. Ruled out: readiness alone (two failed probes, kept connections stay, nothing changes where most of a zone is cut off). Why it works: the carrier treats the request as its caller's, so at-most-once, deadlines and cancels hold as there; a second carrier is tried only if no connection to the first was made.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/CallerResponse.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/CallerResponse.java
@@ -93,6 +93,19 @@
         send(response, Bytes.ofText(content.toString()));
     }
 
+    /** Returns the response of another instance, without the headers of its connection. */
+    StreamingHttpResponse relayed(StreamingHttpResponse response) {
+        StreamingHttpResponse relayed = newResponse(response.status(), response.headers());
+        CharSequence length = response.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+        if (length != null) {
+            relayed.setHeader(HttpHeaderNames.CONTENT_LENGTH, length);
+        }
+        if (mCloseConnection.getAsBoolean()) {
+            relayed.setHeader(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        return relayed.payloadBody(response.payloadBody());
+    }
+
     /**
      * Starts a stream with the status and headers of the first upstream that sent an event.
      *
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
@@ -27,6 +27,7 @@
     private final Set<Exchange> mExchanges = new LinkedHashSet<>();
     private final HeldRequests mHeld = new HeldRequests();
     private final StopAdmission mStops;
+    private final InstanceRelay mRelay;
     private Cancellable mTimer = () -> {};
     private volatile int mRunningCount;
 
@@ -41,7 +42,8 @@
         mPorts = ports;
         mMetrics = new ForwardingMetrics(metrics);
         mExecutor = executor;
-        mStops = new StopAdmission(ports.state());
+        mStops = new StopAdmission(ports.state(), ports.reach()::cutOff);
+        mRelay = new InstanceRelay(ports, mMetrics);
         Gauge<Integer> running = () -> mRunningCount;
         metrics.register("kumquatweir_forward_requests_running", running);
         Gauge<Long> requestBytes = () -> ports.requestMemory().usedBytes();
@@ -93,6 +95,10 @@
         return mStops;
     }
 
+    InstanceRelay relay() {
+        return mRelay;
+    }
+
     ForwardingMetrics metrics() {
         return mMetrics;
     }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
@@ -227,6 +227,9 @@
                                 - TimeUnit.MILLISECONDS.toNanos(
                                         mReturningCallers.ageMillis(route, head)),
                         nowNanos + TimeUnit.MILLISECONDS.toNanos(timeLimitMillis));
+        if (!mExchanges.stops().stopping() && mExchanges.relay().takes(forwarded)) {
+            return mExchanges.relay().forward(forwarded, callerResponse);
+        }
         Exchange exchange = mExchanges.register(forwarded, callerResponse);
         Single<StreamingHttpResponse> response =
                 callerResponse.single(exchange::callerDisconnected);
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ReachMonitor.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ReachMonitor.java
@@ -28,7 +28,6 @@
 
     private final ForwardingState mState;
     private final UpstreamClients mClients;
-    private final Clocks mClocks;
     private final UpstreamReach mReach;
     private final Random mRandom = new Random();
 
@@ -41,7 +40,6 @@
     public ReachMonitor(ForwardingState state, UpstreamClients clients, Clocks clocks) {
         mState = state;
         mClients = clients;
-        mClocks = clocks;
         mReach = new UpstreamReach(clocks.nowNanos());
     }
 
@@ -50,11 +48,6 @@
         return mCutOff;
     }
 
-    /** Returns whether failures to connect may be due to this instance. */
-    boolean doubtful() {
-        return mReach.doubtful(mClocks.nowNanos());
-    }
-
     void sent(Object attempt, long nowNanos) {
         mAwaitedNanos.put(attempt, nowNanos);
     }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/RequestDialect.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/RequestDialect.java
@@ -29,6 +29,9 @@
     void encodeUpstreamRequest(
             HttpHeaders caller, UpstreamInstructions instructions, HttpHeaders target);
 
+    /** Writes the time that is left for a request, as its caller does. */
+    void encodeRemaining(long remainingMillis, HttpHeaders target);
+
     /** Decodes the head of an upstream's response. */
     UpstreamResponseHead decodeResponse(HttpResponseMetaData response);
 }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/StopAdmission.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/StopAdmission.java
@@ -9,11 +9,12 @@
 import dev.kumquatweir.policy.stop.StopAction;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Applies a planned stop to the requests of an instance. Confined to the I/O thread, except {@link
- * #begin}, {@link #stopping} and {@link #brokenOffCount}.
+ * Applies a planned stop, and the loss of all upstreams, to the requests of an instance. Confined
+ * to the I/O thread, except {@link #begin}, {@link #stopping} and {@link #brokenOffCount}.
  */
 final class StopAdmission {
     private static final EventLog LOG = EventLog.of(StopAdmission.class);
@@ -22,12 +23,17 @@
     static final double RESUMED_OUTPUT_SHARE = 0.5;
 
     private final ForwardingState mState;
+    private final BooleanSupplier mCutOff;
     private final CompletionTimes mCompletionTimes = new CompletionTimes();
     private volatile @Nullable PlannedStop mStop;
     private final AtomicInteger mBrokenOffCount = new AtomicInteger();
 
-    StopAdmission(ForwardingState state) {
+    /**
+     * @param cutOff whether this instance reaches no upstream
+     */
+    StopAdmission(ForwardingState state, BooleanSupplier cutOff) {
         mState = state;
+        mCutOff = cutOff;
     }
 
     /** Begins a planned stop. */
@@ -60,6 +66,9 @@
             boolean answering,
             long nowNanos) {
         PlannedStop stop = mStop;
+        if (mCutOff.getAsBoolean() && !sent) {
+            return withoutUpstreams(mayHaveExecuted, answering);
+        }
         if (stop == null) {
             return StopAction.CONTINUE;
         }
@@ -85,6 +94,19 @@
         return action;
     }
 
+    /** Returns what ends a request that waits for an upstream while none can be reached. */
+    private static StopAction withoutUpstreams(boolean mayHaveExecuted, boolean answering) {
+        if (answering) {
+            return StopAction.ABORT;
+        }
+        return mayHaveExecuted ? StopAction.FAIL : StopAction.REJECT;
+    }
+
+    /** Returns the reason for which requests are ended now, in the log and for callers. */
+    String reason(String whileStopping) {
+        return stopping() ? whileStopping : "cut_off";
+    }
+
     /**
      * Returns whether a request could still complete on another upstream. If not, a silent upstream
      * may yet go on and is better than none.
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/UpstreamRequests.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/UpstreamRequests.java
@@ -19,6 +19,7 @@
                 client.newRequest(request.method(), request.target());
         ports.dialect()
                 .encodeUpstreamRequest(request.headers(), instructions, upstreamRequest.headers());
+        upstreamRequest.headers().remove(InstanceRelay.MARK);
         int size = request.body().size();
         boolean bodyAnnounced =
                 request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/UpstreamClients.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/UpstreamClients.java
@@ -40,6 +40,11 @@
         mUnsolicitedResponses = metrics.counter("kumquatweir_upstream_unsolicited_responses");
     }
 
+    /** Returns what runs the connections. */
+    public IoExecutor executor() {
+        return mExecutor;
+    }
+
     /** Returns the client of an address such as {@code 127.0.0.1:8000}. */
     public StreamingHttpClient of(String address) {
         return mClients.computeIfAbsent(address, this::newClient);
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/PlainDialect.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/PlainDialect.java
@@ -48,6 +48,9 @@
         }
     }
 
+    @Override
+    public void encodeRemaining(long remainingMillis, HttpHeaders target) {}
+
     @Override
     public UpstreamResponseHead decodeResponse(HttpResponseMetaData response) {
         return new UpstreamResponseHead(
--- a/policy/src/main/java/dev/kumquatweir/policy/reach/UpstreamReach.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/reach/UpstreamReach.java
@@ -97,11 +97,6 @@
         return mCutOff;
     }
 
-    /** Returns whether failures to connect may be due to this instance. */
-    public boolean doubtful(long nowNanos) {
-        return mCutOff || mTrying || hasFailures(nowNanos);
-    }
-
     private boolean hasFailures(long nowNanos) {
         mFailedNanos.values().removeIf(failed -> nowNanos - failed > FAILURE_AGE_NANOS);
         return mFailedNanos.size() >= FAILED_UPSTREAMS;
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -240,7 +240,10 @@
         mExecutor.execute(this::tickEntry);
         mCallerListener = listen("callers", address, new ForwardingServer(forwarding));
         InetSocketAddress readiness = mSettings.readiness().orElseThrow();
-        listen("readiness", readiness, new ReadinessService(() -> !mDraining && entry.serving()));
+        listen(
+                "readiness",
+                readiness,
+                new ReadinessService(() -> !mDraining && entry.serving() && !reach.cutOff()));
     }
 
     private void tickEntry() {
