Read whether the disk has room at each tick of the control loop

Cause: a state passed as a message on a queue that drops what doesn't fit; the replica kept the last message it got. Class: an edge that is lost where a level is needed; the completion of writes was guarded against it already, the two messages about room were not, and each had two receivers. StorageSignals keeps both as state that is read at each tick. FullDiskSignalTest failed before and passes now. Ruled out by reading: FileLogStore goes on after a refused write (InjectedFaultsTest plays room running out at each operation), StorageDuty retries each 250 ms.

--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaEventLoop.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaEventLoop.java
@@ -10,8 +10,6 @@
 import dev.kumquatweir.agreement.port.LogStore;
 import dev.kumquatweir.agreement.port.MemberId;
 import dev.kumquatweir.agreement.port.Membership;
-import dev.kumquatweir.agreement.port.StorageCompletion;
-import dev.kumquatweir.agreement.port.StorageFailure;
 import dev.kumquatweir.agreement.port.StorageWrite;
 import dev.kumquatweir.agreement.port.StoredState;
 import dev.kumquatweir.agreement.raft.RaftInput;
@@ -34,7 +32,6 @@
 import dev.kumquatweir.policy.permit.PermitRequest;
 import dev.kumquatweir.program.permit.PermitIssuer;
 import dev.kumquatweir.storage.StorageDuty;
-import dev.kumquatweir.storage.StorageListener;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -45,7 +42,6 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Runs this instance's Raft replica on the event loop {@code control}. The event loop owns the Raft
@@ -69,6 +65,7 @@
     private final RoutingChangeNotifier mRoutingNotifier;
     private final int mVoterTarget;
     private final RaftNode mNode;
+    private final StorageSignals mSignals;
     private final StorageDuty mStorage;
     private final EventLoop mEventLoop;
     private final EventLoop mSnapshotLoop;
@@ -84,7 +81,6 @@
     private boolean mStorageFull;
     private volatile Optional<InstanceId> mLeader = Optional.empty();
     private volatile ReplicaStatus mStatus = ReplicaStatus.NONE;
-    private volatile @Nullable StorageCompletion mLatestCompletion;
 
     /**
      * Creates an event loop that is not yet running.
@@ -117,7 +113,11 @@
                         stored,
                         RandomGenerator.getDefault(),
                         mClocks.nowNanos());
-        mStorage = new StorageDuty(store, STORAGE_QUEUE_CAPACITY, new Listener(ports.onFatal()));
+        mSignals =
+                new StorageSignals(
+                        completion -> step(new RaftInput.StorageSynced(completion)),
+                        ports.onFatal());
+        mStorage = new StorageDuty(store, STORAGE_QUEUE_CAPACITY, mSignals);
         mSnapshotLoop =
                 new EventLoop(
                         "snapshot",
@@ -267,11 +267,9 @@
     }
 
     private void tick() {
-        StorageCompletion completion = mLatestCompletion;
-        if (completion != null) {
-            mLatestCompletion = null;
-            stepNow(new RaftInput.StorageSynced(completion));
-        }
+        mSignals.takeCompletion()
+                .ifPresent(completion -> stepNow(new RaftInput.StorageSynced(completion)));
+        updateStorageFull();
         stepNow(new RaftInput.Tick());
         if (!mNode.membership().equals(mKnownMembership)) {
             mKnownMembership = mNode.membership();
@@ -286,6 +284,14 @@
                         mNode.role() == RaftRole.LEADER, mNode.term(), mNode.commitIndex());
     }
 
+    private void updateStorageFull() {
+        boolean full = mSignals.diskFull();
+        if (full != mStorageFull) {
+            mStorageFull = full;
+            stepNow(new RaftInput.StorageFull(full));
+        }
+    }
+
     private void tickAsLeader(long nowNanos) {
         if (mFirstConfiguration.isPresent()) {
             Bytes document = mFirstConfiguration.get();
@@ -412,38 +418,4 @@
             LOG.warn("control_ring_full", "waiting", mEventLoop.queuedTasks());
         }
     }
-
-    /** Forwards reports of the storage thread to the event loop. */
-    private final class Listener implements StorageListener {
-        private final Runnable mOnFatal;
-
-        Listener(Runnable onFatal) {
-            mOnFatal = onFatal;
-        }
-
-        @Override
-        public void completed(StorageCompletion completion) {
-            // Also stored for the next tick, since a completion must not be lost when the queue is
-            // full.
-            mLatestCompletion = completion;
-            step(new RaftInput.StorageSynced(completion));
-        }
-
-        @Override
-        public void diskFull(StorageFailure.DiskFull failure) {
-            step(new RaftInput.StorageFull(true));
-            offer(() -> mStorageFull = true);
-        }
-
-        @Override
-        public void spaceReturned() {
-            step(new RaftInput.StorageFull(false));
-            offer(() -> mStorageFull = false);
-        }
-
-        @Override
-        public void failed(StorageFailure failure) {
-            mOnFatal.run();
-        }
-    }
 }
