Treat a lost path to all upstreams as a cut only if other instances reach some

If no instance reaches an upstream, the upstreams are gone: rejecting at once with a short Retry-After would use up the callers' retries before one is back, and all instances would report not ready. CutOffInstanceTest and the tests of planned stops pass.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ExchangeRegistry.java
@@ -42,7 +42,7 @@
         mPorts = ports;
         mMetrics = new ForwardingMetrics(metrics);
         mExecutor = executor;
-        mStops = new StopAdmission(ports.state(), ports.reach()::cutOff);
+        mStops = new StopAdmission(ports.state(), ports.reach()::othersCarry);
         mRelay = new InstanceRelay(ports, mMetrics);
         Gauge<Integer> running = () -> mRunningCount;
         metrics.register("kumquatweir_forward_requests_running", running);
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingState.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingState.java
@@ -18,7 +18,7 @@
 
     /**
      * Returns the caller addresses of some other instances that reach upstreams, as {@code
-     * ip:port}.
+     * ip:port}. May be called from any thread.
      */
     List<String> carriers();
 
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/InstanceRelay.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/InstanceRelay.java
@@ -43,9 +43,7 @@
 
     /** Returns whether a request is relayed rather than placed here. */
     boolean takes(ForwardedRequest request) {
-        return mPorts.reach().cutOff()
-                && !request.headers().contains(MARK)
-                && !mPorts.state().carriers().isEmpty();
+        return mPorts.reach().othersCarry() && !request.headers().contains(MARK);
     }
 
     /** Returns the response of another instance, or an error of this one. */
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ReachMonitor.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ReachMonitor.java
@@ -48,6 +48,14 @@
         return mCutOff;
     }
 
+    /**
+     * Returns whether this instance reaches no upstream, but others do; may be called from any
+     * thread. If no instance does, the upstreams are gone, and requests wait for them here.
+     */
+    public boolean othersCarry() {
+        return mCutOff && !mState.carriers().isEmpty();
+    }
+
     void sent(Object attempt, long nowNanos) {
         mAwaitedNanos.put(attempt, nowNanos);
     }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/StopAdmission.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/StopAdmission.java
@@ -29,7 +29,7 @@
     private final AtomicInteger mBrokenOffCount = new AtomicInteger();
 
     /**
-     * @param cutOff whether this instance reaches no upstream
+     * @param cutOff whether this instance reaches no upstream, but others do
      */
     StopAdmission(ForwardingState state, BooleanSupplier cutOff) {
         mState = state;
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleetView.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleetView.java
@@ -51,7 +51,7 @@
     private final EntryPlacement mPlacement;
     private BooleanSupplier mCutOff = () -> false;
     private int mCallerPort;
-    private List<InstanceId> mCarriers = List.of();
+    private volatile List<InstanceId> mCarriers = List.of();
     private RoutingImage mRoutingImage = RoutingImage.EMPTY;
     private volatile @Nullable RoutingTable mRoutingTable;
     private volatile boolean mHasUpstreams;
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -243,7 +243,7 @@
         listen(
                 "readiness",
                 readiness,
-                new ReadinessService(() -> !mDraining && entry.serving() && !reach.cutOff()));
+                new ReadinessService(() -> !mDraining && entry.serving() && !reach.othersCarry()));
     }
 
     private void tickEntry() {
