--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -423,7 +423,8 @@
             }
         }
         PlacementUpstream primary = upstreams.get(0);
-        upstreams.forEach(upstream -> upstream.recordStart(nowNanos));
+        upstreams.forEach(upstream -> upstream.recordLimitedStart(nowNanos));
+        primary.startLimiter().started(nowNanos);
         UpstreamStatus notice = primary.notice();
         long expectedMillis = TimeUnit.NANOSECONDS.toMillis(firstEventNanos - nowNanos);
         mActions.add(
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
@@ -113,9 +113,8 @@
                 : OptionalDouble.of(mLimitShare.perSecond(mLimit.perSecond()));
     }
 
-    /** Records a request that starts here, also one of which it only processes a part. */
-    void recordStart(long nowNanos) {
-        mStartLimiter.started(nowNanos);
+    /** Counts a request under its limit, also one of which it only processes a part. */
+    void recordLimitedStart(long nowNanos) {
         if (mLimit != null) {
             mLimit.started(mLimitShare, nowNanos);
         }
