Give the scheduler seams for hard load and send it team, route and output limits

Cause: the scheduler knows neither the team of a request nor its route nor the most output that its caller allows, and its rules for order, memory, score and domains share one class, so that they can't be changed apart. Change: placement requests carry these fields, and the number of events of an answer is reported at its end, but only to a leader that says in reply to the new frame CAPABILITIES that it knows them; an earlier version refuses that frame and is sent what it was sent before. WaitingOrder, EngineMemory, OptionScore, DomainPreference and DecisionList are split off without a change of behaviour. Section [scheduling] switches optional parts on; all are off by default.

--- a/core/src/main/java/dev/kumquatweir/core/pack/MessagePackReader.java
+++ b/core/src/main/java/dev/kumquatweir/core/pack/MessagePackReader.java
@@ -46,6 +46,11 @@
         }
     }
 
+    /** Returns whether there are further values, such as fields that a later version appends. */
+    public boolean hasMore() {
+        return remainingBytes() > 0;
+    }
+
     /** Reads an integer of up to 64 bits. */
     public long readLong() throws IOException {
         return mUnpacker.unpackLong();
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/CallerRequestHead.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/CallerRequestHead.java
@@ -14,6 +14,8 @@
  * @param remainingMillis time until the caller gives up, if it sent one
  * @param promptTokens length of the prompt, 0 for a request that generates nothing
  * @param expectedOutputTokens expected length of the output
+ * @param outputLimitTokens most output tokens that the caller allows, 0 if it names no limit
+ * @param outputHintTokens the caller's estimate of the output tokens, 0 if it gives none
  * @param lastEventId id of the last event that the caller received, -1 if none
  * @param sharedParts ids of the parts of the prompt that other requests may share, in order; empty
  *     if the prompt has none
@@ -28,6 +30,8 @@
         OptionalLong remainingMillis,
         long promptTokens,
         long expectedOutputTokens,
+        long outputLimitTokens,
+        long outputHintTokens,
         long lastEventId,
         List<String> sharedParts,
         String promptIdentity) {
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/EventGaps.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/EventGaps.java
@@ -14,6 +14,7 @@
     private final ExchangeLog mLog;
     private final long mTargetMillis;
     private boolean mLateEventReported;
+    private long mEventCount;
 
     EventGaps(PlacementPort placement, ForwardingMetrics metrics, ExchangeLog log, Route route) {
         mPlacement = placement;
@@ -29,6 +30,7 @@
             long sentNanos,
             long ageMillis,
             long nowNanos) {
+        mEventCount = 0;
         if (key != null && grant != null) {
             mPlacement.recordFirstEvent(key);
             mLog.firstEvent(grant, TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos), ageMillis);
@@ -46,4 +48,14 @@
             mLog.lateEvent(Optional.ofNullable(grant), gapMillis);
         }
     }
+
+    /** Counts an event of the upstream that sends at present. */
+    void countEvent() {
+        mEventCount++;
+    }
+
+    /** Returns how many events the upstream has sent that sent last. */
+    long eventCount() {
+        return mEventCount;
+    }
 }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Exchange.java
@@ -293,6 +293,7 @@
             mMetrics.recordFirstEvent(mFirstEventMillis);
             mCallerResponse.startStream(head, this::callerDisconnected);
         }
+        mEventGaps.countEvent();
         mLastEventNanos = nowNanos;
         if (!mCallerResponse.sendEvent(event.content())) {
             abort("caller_too_slow");
@@ -429,18 +430,15 @@
     private void endPlacement(PlacementOutcome outcome, String culprit) {
         PlacementKey key = mPlacementKey;
         mPlacementKey = null;
-        ReservedMemory memory = mMemory;
+        Optional.ofNullable(mMemory).ifPresent(ReservedMemory::release);
         mMemory = null;
-        if (memory != null) {
-            memory.release();
-        }
         if (key == null) {
             return;
         }
         if (mGrant == null) {
             mPorts.placement().withdraw(key);
         } else {
-            mPorts.placement().ended(key, outcome, culprit);
+            mPorts.placement().ended(key, outcome, culprit, mEventGaps.eventCount());
         }
     }
 
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementPort.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementPort.java
@@ -43,6 +43,10 @@
      */
     void recordLimit(UpstreamId upstream, LimitNotice notice, long sentNanos);
 
-    /** Reports the end of a placement; see {@code PlacementScheduler#ended}. */
-    void ended(PlacementKey key, PlacementOutcome outcome, String culprit);
+    /**
+     * Reports the end of a placement; see {@code PlacementScheduler#ended}.
+     *
+     * @param events events that the upstream sent
+     */
+    void ended(PlacementKey key, PlacementOutcome outcome, String culprit, long events);
 }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementRequests.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementRequests.java
@@ -2,6 +2,7 @@
 
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.routing.Route;
+import dev.kumquatweir.core.routing.RoutedTeam;
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementRequest;
 import java.util.HashSet;
@@ -64,6 +65,8 @@
                         head.promptTokens(),
                         (long) (head.expectedOutputTokens() * outputShare),
                         request.route().targetGapMillis())
+                .origin(request.team().map(RoutedTeam::name).orElse(""), request.route().name())
+                .output(head.outputLimitTokens(), head.outputHintTokens())
                 .priority(request.priority())
                 .domain(ports.state().domain());
     }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/Takeover.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/Takeover.java
@@ -107,7 +107,7 @@
         if (mSilent.getAsBoolean() && mPorts.state().acceptsRequests(grant.grant().upstream())) {
             mOnGrant.accept(grant);
         } else {
-            mPlacement.ended(grant.key(), PlacementOutcome.CANCELLED, "");
+            mPlacement.ended(grant.key(), PlacementOutcome.CANCELLED, "", 0);
         }
     }
 }
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardedRequestTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardedRequestTest.java
@@ -33,6 +33,8 @@
                         OptionalLong.empty(),
                         0,
                         0,
+                        0,
+                        0,
                         -1,
                         List.of("a"),
                         promptIdentity);
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -370,7 +370,8 @@
         public void recordLimit(UpstreamId upstream, LimitNotice notice, long sentNanos) {}
 
         @Override
-        public void ended(PlacementKey key, PlacementOutcome outcome, String culprit) {}
+        public void ended(
+                PlacementKey key, PlacementOutcome outcome, String culprit, long events) {}
     }
 
     /** A routing table that never changes; all upstreams accept requests. */
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/LongTailAtPlannedStopTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/LongTailAtPlannedStopTest.java
@@ -142,6 +142,8 @@
                         OptionalLong.empty(),
                         0,
                         0,
+                        0,
+                        0,
                         -1,
                         List.of(),
                         "");
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/PlainDialect.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/PlainDialect.java
@@ -29,6 +29,8 @@
                 OptionalLong.empty(),
                 0,
                 0,
+                0,
+                0,
                 text(request.headers(), RESUME_AFTER).map(Long::parseLong).orElse(-1L),
                 List.of(),
                 "");
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ReturningCallersTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ReturningCallersTest.java
@@ -34,6 +34,17 @@
 
     private static CallerRequestHead head(OptionalLong remainingMillis) {
         return new CallerRequestHead(
-                "id", "a.example", "/", Optional.empty(), remainingMillis, 0, 0, -1, List.of(), "");
+                "id",
+                "a.example",
+                "/",
+                Optional.empty(),
+                remainingMillis,
+                0,
+                0,
+                0,
+                0,
+                -1,
+                List.of(),
+                "");
     }
 }
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/StopAdmissionTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/StopAdmissionTest.java
@@ -71,6 +71,8 @@
                         OptionalLong.empty(),
                         0,
                         0,
+                        0,
+                        0,
                         -1,
                         List.of(),
                         "");
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/DomainPreference.java
@@ -0,0 +1,18 @@
+package dev.kumquatweir.policy.placement;
+
+/** The term of a placement's score for crossing between failure domains. Stateless. */
+final class DomainPreference {
+    /**
+     * Smaller than the packing weight, so that it decides only among busy engines. Keeps streams
+     * off lossy or metered links between failure domains, where a lost packet delays its event by
+     * 200 ms.
+     */
+    private static final double SAME_DOMAIN_WEIGHT = 0.04;
+
+    private DomainPreference() {}
+
+    /** Returns the term as a share of the request's value. */
+    static double score(PlacementRequest request, PlacementUpstream primary) {
+        return primary.sharesDomain(request) ? SAME_DOMAIN_WEIGHT : 0;
+    }
+}
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/EngineChooser.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/EngineChooser.java
@@ -34,11 +34,6 @@
      */
     private static final double MINIMUM_SPLIT_MILLIS = 60;
 
-    /**
-     * Largest share of an engine's memory that is allocated. Outputs may be longer than expected.
-     */
-    private static final double MEMORY_SHARE = 0.95;
-
     /** Maximum number of engines per prompt, set by the protocol. */
     private static final int MAXIMUM_ENGINES = 16;
 
@@ -54,31 +49,6 @@
      */
     private static final double MAXIMUM_BLOCKED_SHARE = 0.65;
 
-    /** Saturation above which engine time is scarce. */
-    private static final double SCARCITY_THRESHOLD = 0.7;
-
-    private static final double SPEED_WEIGHT = 0.05;
-
-    /**
-     * Exceeds the score that waiting for a pass costs a short request, so that idle engines stay
-     * idle.
-     */
-    private static final double PACKING_WEIGHT = 0.1;
-
-    /**
-     * Smaller than the packing weight, so that it decides only among busy engines. Keeps streams
-     * off lossy or metered links between failure domains, where a lost packet delays its event by
-     * 200 ms.
-     */
-    private static final double SAME_DOMAIN_WEIGHT = 0.04;
-
-    /**
-     * Smaller than the packing weight, so that a standalone instance keeps to the engines it has
-     * already chosen.
-     */
-    private static final double PREFERENCE_WEIGHT = 0.05;
-
-    private static final double ADDITIONAL_ENGINE_WEIGHT = 0.002;
     private static final double NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
     private static final Comparator<PartEstimate> LEAST_LOSS_FIRST =
@@ -106,7 +76,6 @@
             List<PlacementUpstream> eligible,
             double saturation,
             long nowNanos) {
-        double prefillMillis = cost.prefillMillis(request.promptTokens());
         List<PlacementOption> options = new ArrayList<>();
         for (PlacementUpstream upstream : eligible) {
             if (hasFreeSlot(upstream, cost, nowNanos)) {
@@ -115,8 +84,8 @@
                         .ifPresent(options::add);
             }
         }
-        boolean tooLarge = request.memoryTokens() > MEMORY_SHARE * cost.kvCacheTokens();
-        if (prefillMillis >= MINIMUM_SPLIT_MILLIS || tooLarge) {
+        boolean tooLarge = EngineMemory.exceedsOneEngine(request, cost);
+        if (!isShort(request, cost) || tooLarge) {
             options.addAll(splitOptions(request, cost, eligible, saturation, nowNanos));
         }
         return options.stream().max(Comparator.comparingDouble(PlacementOption::score));
@@ -139,6 +108,11 @@
         return prefillMillis / parts + 1.5 * passMillis;
     }
 
+    /** Returns whether the prompt is too short for its prefill to be split. */
+    static boolean isShort(PlacementRequest request, EngineCost cost) {
+        return cost.prefillMillis(request.promptTokens()) < MINIMUM_SPLIT_MILLIS;
+    }
+
     private static boolean hasFreeSlot(PlacementUpstream upstream, EngineCost cost, long nowNanos) {
         int slots = upstream.availableSlots(cost.maximumConcurrentRequests(), nowNanos);
         return upstream.primaryCount() < slots;
@@ -268,7 +242,7 @@
         if (parts.isEmpty()) {
             return Optional.empty();
         }
-        List<Long> reserved = reservations(request, cost, parts);
+        List<Long> reserved = EngineMemory.reservations(request, cost, parts);
         if (reserved.isEmpty()) {
             return Optional.empty();
         }
@@ -286,18 +260,16 @@
         if (firstEventNanos - request.latestStartNanos() > 0) {
             return Optional.empty();
         }
-        double value = request.value();
-        boolean onTime = firstEventNanos - request.targetNanos() <= 0;
-        double gain = value * (onTime ? 1 : 1 - LATE_LOSS_SHARE);
-        double windowMillis = Math.max(1, (request.targetNanos() - nowNanos) / NANOS_PER_MILLI);
-        double slowness = SPEED_WEIGHT * Math.min(2, firstEventMillis / windowMillis);
-        double packingScore = packingScore(cost, request, primary, parts.size());
-        double displacedValue = displacedValue(request, cost, saturation);
+        double displacedValue = OptionScore.displacedValue(request, cost, saturation);
         double score =
-                gain * (1 - errorRate)
-                        - lostValue
-                        - displacedValue
-                        + value * (packingScore - slowness);
+                OptionScore.score(
+                        request,
+                        cost,
+                        parts,
+                        firstEventNanos,
+                        errorRate,
+                        lostValue + displacedValue,
+                        nowNanos);
         return Optional.of(
                 new PlacementOption(
                         primary.upstream(),
@@ -309,21 +281,6 @@
                         score));
     }
 
-    /**
-     * Returns the value of the tokens that the engines could decode instead of the prefill,
-     * weighted by the scarcity of slots. During a burst of short requests on few engines, one very
-     * long prompt would displace more of them than it is worth.
-     */
-    private static double displacedValue(
-            PlacementRequest request, EngineCost cost, double saturation) {
-        int requests = cost.maximumConcurrentRequests();
-        double tokens = (double) requests * cost.stepsPerPass();
-        double valuePerMilli =
-                PlacementRequest.outputValue(tokens) / cost.decodePassMillis(requests, 0);
-        double scarcity = Math.max(0, (saturation - SCARCITY_THRESHOLD) / (1 - SCARCITY_THRESHOLD));
-        return scarcity * valuePerMilli * cost.prefillMillis(request.promptTokens());
-    }
-
     /**
      * Returns the number of further engines that the prefill of long prompts may block for short
      * requests.
@@ -337,40 +294,4 @@
                         .count();
         return (int) (MAXIMUM_BLOCKED_SHARE * eligible.size() - blocked);
     }
-
-    /**
-     * Returns a score that favours busy engines for short prompts and idle engines for long ones.
-     */
-    private static double packingScore(
-            EngineCost cost, PlacementRequest request, PartEstimate primary, int engines) {
-        double occupied =
-                (double) primary.upstream().primaryCount() / cost.maximumConcurrentRequests();
-        boolean shortPrompt = cost.prefillMillis(request.promptTokens()) < MINIMUM_SPLIT_MILLIS;
-        double attraction = occupied > 0 ? (1 + occupied) / 2 : 0;
-        return PACKING_WEIGHT * (shortPrompt ? attraction : -attraction)
-                + PREFERENCE_WEIGHT * primary.upstream().preference()
-                + (primary.upstream().sharesDomain(request) ? SAME_DOMAIN_WEIGHT : 0)
-                - ADDITIONAL_ENGINE_WEIGHT * (engines - 1);
-    }
-
-    /**
-     * Returns the tokens to reserve on each engine for the primary: all 0 if the primary has memory
-     * for the whole request, an empty list if the engines together lack memory.
-     */
-    private static List<Long> reservations(
-            PlacementRequest request, EngineCost cost, List<PartEstimate> parts) {
-        long missingTokens = request.memoryTokens() - freeTokens(parts.get(0), cost);
-        List<Long> reserved = new ArrayList<>();
-        reserved.add(0L);
-        for (PartEstimate helper : parts.subList(1, parts.size())) {
-            long reservable = Math.max(0, Math.min(missingTokens, freeTokens(helper, cost)));
-            reserved.add(reservable);
-            missingTokens -= reservable;
-        }
-        return missingTokens <= 0 ? reserved : List.of();
-    }
-
-    private static long freeTokens(PartEstimate part, EngineCost cost) {
-        return (long) (MEMORY_SHARE * cost.kvCacheTokens()) - part.upstream().memoryTokens();
-    }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedPart.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedPart.java
@@ -14,6 +14,7 @@
     private boolean mAnswerStarted;
     private long mStartedNanos;
     private boolean mLate;
+    private long mEventCount;
 
     /**
      * @param request the request
@@ -85,4 +86,13 @@
     void markLate() {
         mLate = true;
     }
+
+    /** Returns how many events the upstream sent, 0 until that is known at the end. */
+    long eventCount() {
+        return mEventCount;
+    }
+
+    void recordEventCount(long events) {
+        mEventCount = events;
+    }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
@@ -79,6 +79,14 @@
                 .forEach(upstream -> upstream.health().recordLostAnswer(nowNanos));
     }
 
+    /** Records how many events the upstream that answers has sent. */
+    void recordEventCount(PlacementKey key, long events, long nowNanos) {
+        mPlacements.getOrDefault(key, List.of()).stream()
+                .limit(1)
+                .flatMap(upstream -> upstream.find(key).stream())
+                .forEach(part -> part.recordEventCount(events));
+    }
+
     /**
      * Records the end of a placement.
      *
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRequest.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRequest.java
@@ -63,6 +63,10 @@
         private boolean mRetry;
         private @Nullable FailureDomain mDomain;
         private Set<UpstreamId> mExcluded = Set.of();
+        private String mTeam = "";
+        private String mRoute = "";
+        private long mOutputLimitTokens;
+        private long mOutputHintTokens;
 
         private Builder(PlacementKey key, String requestId, ServiceName service) {
             mKey = key;
@@ -120,6 +124,28 @@
             return this;
         }
 
+        /**
+         * Sets who sent the request and on which route. Both are empty if they are not known, as
+         * with requests from instances of an earlier version.
+         */
+        public Builder origin(String team, String route) {
+            mTeam = team;
+            mRoute = route;
+            return this;
+        }
+
+        /**
+         * Sets what the caller says about the length of the answer.
+         *
+         * @param limitTokens most output tokens that it allows, 0 if it names no limit
+         * @param hintTokens its estimate of the output tokens, 0 if it gives none
+         */
+        public Builder output(long limitTokens, long hintTokens) {
+            mOutputLimitTokens = limitTokens;
+            mOutputHintTokens = hintTokens;
+            return this;
+        }
+
         /** Sets the priority; 0 is served first. */
         public Builder priority(int value) {
             mPriority = value;
@@ -196,6 +222,26 @@
         return mValues.mOutputTokens;
     }
 
+    /** Returns the name of the caller's team, empty if it is not known. */
+    public String team() {
+        return mValues.mTeam;
+    }
+
+    /** Returns the name of the route, empty if it is not known. */
+    public String route() {
+        return mValues.mRoute;
+    }
+
+    /** Returns the most output tokens that the caller allows, 0 if it names no limit. */
+    public long outputLimitTokens() {
+        return mValues.mOutputLimitTokens;
+    }
+
+    /** Returns the caller's estimate of the output tokens, 0 if it gives none. */
+    public long outputHintTokens() {
+        return mValues.mOutputHintTokens;
+    }
+
     /** Returns the longest gap between two events that is on time, 0 for no limit. */
     public long targetGapMillis() {
         return mValues.mTargetGapMillis;
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -7,7 +7,6 @@
 import dev.kumquatweir.core.routing.EngineCost;
 import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.core.routing.UpstreamStatus;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,6 +37,7 @@
     private static final double LIMIT_WAIT_SHARE = 0.5;
 
     private final PlacementLimits mLimits;
+    private final SchedulerFeatures mFeatures;
     private final RoutedServices mServices = new RoutedServices();
     private final PlacementUpstreams mUpstreams = new PlacementUpstreams();
     private final WaitingRequests mWaiting = new WaitingRequests();
@@ -46,13 +46,24 @@
     private final CrashAttribution mAttribution = new CrashAttribution();
     private final PlacedRequests mPlaced = new PlacedRequests(mServices, mCrashes, mAttribution);
     private final ComparisonBudget mComparisonBudget = new ComparisonBudget();
-    private final List<PlacementAction> mActions = new ArrayList<>();
+    private final DecisionList mDecisions = new DecisionList();
     private int mInstances = 1;
     private long mComparisons;
 
-    /** Creates a scheduler without upstreams. */
+    /** Creates a scheduler without upstreams and without optional parts. */
     public PlacementScheduler(PlacementLimits limits) {
+        this(limits, SchedulerFeatures.NONE);
+    }
+
+    /** Creates a scheduler without upstreams. */
+    public PlacementScheduler(PlacementLimits limits, SchedulerFeatures features) {
         mLimits = limits;
+        mFeatures = features;
+    }
+
+    /** Returns the optional parts that are switched on. */
+    public SchedulerFeatures features() {
+        return mFeatures;
     }
 
     /** Sets the routing table and the failure domains whose upstreams get no new work. */
@@ -154,6 +165,15 @@
         mPlaced.recordSilence(key, nowNanos);
     }
 
+    /**
+     * Records how many events an answer had. Precedes the end of the placement.
+     *
+     * @param events events that the upstream sent for this placement
+     */
+    public void recordEventCount(PlacementKey key, long events, long nowNanos) {
+        mPlaced.recordEventCount(key, events, nowNanos);
+    }
+
     /**
      * Records the end of a placement.
      *
@@ -185,9 +205,7 @@
             }
             ordered.forEach(waiting -> decide(waiting, round(waiting, rounds, nowNanos), nowNanos));
         }
-        List<PlacementAction> actions = List.copyOf(mActions);
-        mActions.clear();
-        return actions;
+        return mDecisions.drain();
     }
 
     /**
@@ -412,26 +430,12 @@
         withdraw(request.key());
         mAttribution.placed(request);
         mPlaced.add(request.key(), upstreams);
-        List<PlacementHelper> helpers = new ArrayList<>();
         for (int index = 0; index < upstreams.size(); index++) {
-            PlacementUpstream upstream = upstreams.get(index);
-            upstream.add(placedParts.get(index), nowNanos);
-            if (index > 0) {
-                UpstreamStatus notice = upstream.notice();
-                helpers.add(
-                        new PlacementHelper(notice.id(), notice.address(), reserved.get(index)));
-            }
+            upstreams.get(index).add(placedParts.get(index), nowNanos);
         }
-        PlacementUpstream primary = upstreams.get(0);
         upstreams.forEach(upstream -> upstream.recordLimitedStart(nowNanos));
-        primary.startLimiter().started(nowNanos);
-        UpstreamStatus notice = primary.notice();
-        long expectedMillis = TimeUnit.NANOSECONDS.toMillis(firstEventNanos - nowNanos);
-        mActions.add(
-                new PlacementAction.Grant(
-                        request.key(),
-                        new PlacementGrant(
-                                notice.id(), notice.address(), expectedMillis, helpers)));
+        upstreams.get(0).startLimiter().started(nowNanos);
+        mDecisions.grant(request.key(), upstreams, reserved, firstEventNanos, nowNanos);
     }
 
     private void reject(PlacementRequest request, PlacementRefusal reason, long nowNanos) {
@@ -441,6 +445,6 @@
     private void rejectFor(
             PlacementRequest request, PlacementRefusal reason, long retryAfterMillis) {
         withdraw(request.key());
-        mActions.add(new PlacementAction.Reject(request.key(), reason, retryAfterMillis));
+        mDecisions.reject(request.key(), reason, retryAfterMillis);
     }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/WaitingRequests.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/WaitingRequests.java
@@ -4,7 +4,6 @@
 import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.routing.EngineCost;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,17 +17,6 @@
  * PlacementScheduler}; not thread-safe.
  */
 final class WaitingRequests {
-    /**
-     * Requests that can still meet their target first, then retries and resumptions that were late
-     * on arrival; then by priority, then by value per millisecond of engine time, so that a burst
-     * of long prompts does not delay short ones.
-     */
-    private static final Comparator<WaitingRequest> ORDER =
-            Comparator.comparing(WaitingRequest::late)
-                    .thenComparing(waiting -> !waiting.lateOnArrival())
-                    .thenComparingInt(waiting -> waiting.request().priority())
-                    .thenComparingDouble(waiting -> -waiting.valueDensity());
-
     private final Map<PlacementKey, WaitingRequest> mRequests = new LinkedHashMap<>();
     private final Map<ServiceName, Integer> mCountByService = new HashMap<>();
 
@@ -72,7 +60,7 @@
         List<WaitingRequest> ordered = new ArrayList<>(mRequests.values());
         ordered.forEach(waiting -> waiting.beginRound(nowNanos));
         if (ordered.size() > 1) {
-            ordered.sort(ORDER);
+            ordered.sort(WaitingOrder.COMPARATOR);
         }
         return ordered;
     }
--- a/program/src/main/java/dev/kumquatweir/program/command/WarmCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/WarmCommand.java
@@ -7,6 +7,7 @@
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.program.fleet.FleetDaemon;
 import dev.kumquatweir.settings.FleetSettings;
+import dev.kumquatweir.settings.SchedulingSettings;
 import io.servicetalk.http.api.BlockingHttpClient;
 import io.servicetalk.http.netty.HttpClients;
 import java.io.IOException;
@@ -68,7 +69,8 @@
                 0,
                 0,
                 0,
-                1);
+                1,
+                SchedulingSettings.NONE);
     }
 
     private static InetSocketAddress unusedAddress() throws IOException {
--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
@@ -16,6 +16,7 @@
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.gateway.fleet.FleetPort;
 import dev.kumquatweir.policy.placement.PlacementLimits;
+import dev.kumquatweir.policy.placement.SchedulerFeatures;
 import dev.kumquatweir.program.control.GroupControl;
 import dev.kumquatweir.program.control.ReplicaStatus;
 import dev.kumquatweir.program.instance.FrameType;
@@ -75,6 +76,7 @@
             PeerNetwork network,
             ControlInstanceDirectory controlInstances,
             PlacementLimits limits,
+            SchedulerFeatures features,
             Function<Bytes, ? extends Either<? extends Failure, RoutingTable>> routingReader,
             MetricRegistry metrics,
             Clocks clocks) {
@@ -82,7 +84,7 @@
         mControlInstances = controlInstances;
         mRoutingReader = routingReader;
         mWatchServer = new WatchServer(mLocalUpstreams, mQuarantine, clocks.nowMillis());
-        mScheduler = new LeaderScheduler(limits, metrics, clocks);
+        mScheduler = new LeaderScheduler(limits, features, metrics, clocks);
         mEventLoop =
                 new EventLoop(
                         "fleet",
@@ -104,6 +106,9 @@
         network.handle(FrameType.WATCH.number(), this::handleWatch);
         network.handle(FrameType.PLACE.number(), this::handlePlace);
         network.handle(FrameType.PLACEMENT_EVENT.number(), this::handleEvent);
+        network.handle(
+                FrameType.CAPABILITIES.number(),
+                (peer, payload, responder) -> responder.respond(PeerCapabilities.OWN.encode()));
         Gauge<Integer> upstreams = mUpstreams::size;
         metrics.register("kumquatweir_fleet_upstreams", upstreams);
         Gauge<Integer> quarantinedParts = mQuarantine::quarantinedCount;
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleetView.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryFleetView.java
@@ -17,6 +17,8 @@
 import dev.kumquatweir.gateway.forward.ForwardingState;
 import dev.kumquatweir.gateway.forward.UpstreamResponseHead;
 import dev.kumquatweir.policy.placement.PlacementLimits;
+import dev.kumquatweir.policy.placement.PlacementScheduler;
+import dev.kumquatweir.policy.placement.SchedulerFeatures;
 import dev.kumquatweir.transport.PeerNetwork;
 import io.vavr.control.Either;
 import java.util.List;
@@ -66,6 +68,7 @@
             PeerNetwork network,
             ControlInstanceDirectory controlInstances,
             PlacementLimits limits,
+            SchedulerFeatures features,
             Function<Bytes, ? extends Either<? extends Failure, RoutingTable>> routingReader,
             MetricRegistry metrics,
             Clocks clocks,
@@ -76,7 +79,12 @@
         mRoutingReader = routingReader;
         mPlacement =
                 new EntryPlacement(
-                        self, SchedulerLink.over(network), mQuarantine, limits, clocks, executor);
+                        self,
+                        SchedulerLink.over(network),
+                        mQuarantine,
+                        new PlacementScheduler(limits, features),
+                        clocks,
+                        executor);
         mWatchClient =
                 new WatchClient(
                         self,
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
@@ -13,7 +13,6 @@
 import dev.kumquatweir.policy.placement.LimitNotice;
 import dev.kumquatweir.policy.placement.PlacementAction;
 import dev.kumquatweir.policy.placement.PlacementKey;
-import dev.kumquatweir.policy.placement.PlacementLimits;
 import dev.kumquatweir.policy.placement.PlacementOutcome;
 import dev.kumquatweir.policy.placement.PlacementRefusal;
 import dev.kumquatweir.policy.placement.PlacementRequest;
@@ -43,6 +42,7 @@
 final class EntryPlacement implements PlacementPort {
     private static final EventLog LOG = EventLog.of(EntryPlacement.class);
     private static final long RESPONSE_MARGIN_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long CAPABILITIES_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /**
      * Time since the last crash on a part in which requests with it are rejected here. Later the
@@ -54,6 +54,8 @@
     /** Quarantined requests get no time after which to come back. */
     private static final long NO_RETRY = 0;
 
+    private static final Bytes NO_CONTENT = Bytes.ofText("");
+
     private final InstanceId mSelf;
     private final SchedulerLink mLink;
     private final QuarantineDirectory mQuarantine;
@@ -62,6 +64,7 @@
     private final PlacementScheduler mLocalScheduler;
     private final Map<PlacementKey, TrackedRequest> mRequests = new LinkedHashMap<>();
     private @Nullable InstanceId mLeader;
+    private PeerCapabilities mCapabilities = PeerCapabilities.NONE;
     private long mLeaderLostNanos;
     private long mLastKeyNumber;
 
@@ -84,7 +87,7 @@
             InstanceId self,
             SchedulerLink link,
             QuarantineDirectory quarantine,
-            PlacementLimits limits,
+            PlacementScheduler localScheduler,
             Clocks clocks,
             Executor executor) {
         mSelf = self;
@@ -92,7 +95,7 @@
         mQuarantine = quarantine;
         mClocks = clocks;
         mExecutor = executor;
-        mLocalScheduler = new PlacementScheduler(limits);
+        mLocalScheduler = localScheduler;
         mLocalScheduler.configureStandalone(1, self.hashCode());
         mLeaderLostNanos = clocks.nowNanos();
         mLastKeyNumber = TimeUnit.MILLISECONDS.toNanos(clocks.nowMillis());
@@ -115,6 +118,9 @@
     }
 
     void setLeader(InstanceId leader, int entryCount) {
+        if (!leader.equals(mLeader)) {
+            askCapabilities(leader);
+        }
         mLeader = leader;
         mLocalScheduler.configureStandalone(entryCount, mSelf.hashCode());
         // Before any request, so that a new leader doesn't place it against a limit.
@@ -137,6 +143,21 @@
         }
     }
 
+    private void askCapabilities(InstanceId leader) {
+        mCapabilities = PeerCapabilities.NONE;
+        mLink.request(leader, FrameType.CAPABILITIES, NO_CONTENT, CAPABILITIES_TIMEOUT_NANOS)
+                .thenAccept(
+                        response ->
+                                mExecutor.execute(
+                                        () -> {
+                                            if (leader.equals(mLeader)) {
+                                                mCapabilities =
+                                                        response.map(PeerCapabilities::decode)
+                                                                .getOrElse(PeerCapabilities.NONE);
+                                            }
+                                        }));
+    }
+
     void clearLeader() {
         mLeader = null;
         mLeaderLostNanos = mClocks.nowNanos();
@@ -244,9 +265,13 @@
     }
 
     @Override
-    public void ended(PlacementKey key, PlacementOutcome outcome, String culprit) {
+    public void ended(PlacementKey key, PlacementOutcome outcome, String culprit, long events) {
         TrackedRequest tracked = mRequests.remove(key);
         if (tracked != null) {
+            if (mCapabilities.placementDetails()) {
+                notifyScheduler(tracked, new PlacementEvent.Measured(key, events));
+            }
+            mLocalScheduler.recordEventCount(key, events, mClocks.nowNanos());
             notifyScheduler(tracked, new PlacementEvent.Ended(key, outcome, culprit));
             mLocalScheduler.ended(key, outcome, culprit, mClocks.nowNanos());
             decideLocally();
@@ -289,7 +314,8 @@
                 mLink.request(
                         leader,
                         FrameType.PLACE,
-                        PlacementCodec.encode(tracked.mRequest, nowNanos),
+                        PlacementCodec.encode(
+                                tracked.mRequest, mCapabilities.placementDetails(), nowNanos),
                         timeoutNanos);
         response.thenAccept(
                 content -> mExecutor.execute(() -> handleLeaderResponse(leader, tracked, content)));
@@ -380,7 +406,8 @@
         mLink.send(
                         leader,
                         FrameType.PLACEMENT_EVENT,
-                        PlacementEvent.encode(event, mClocks.nowNanos()))
+                        PlacementEvent.encode(
+                                event, mCapabilities.placementDetails(), mClocks.nowNanos()))
                 .peek(failure -> LOG.failure("placement_event_lost", failure, "leader", leader));
     }
 }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -19,10 +19,12 @@
 import dev.kumquatweir.platform.ReadinessService;
 import dev.kumquatweir.platform.RoutingDocuments;
 import dev.kumquatweir.policy.placement.PlacementLimits;
+import dev.kumquatweir.policy.placement.SchedulerFeatures;
 import dev.kumquatweir.policy.stop.PlannedStop;
 import dev.kumquatweir.program.control.GroupControl;
 import dev.kumquatweir.program.instance.MetricsText;
 import dev.kumquatweir.settings.FleetSettings;
+import dev.kumquatweir.settings.SchedulingSettings;
 import dev.kumquatweir.transport.ClusterKey;
 import dev.kumquatweir.transport.PeerNetwork;
 import io.servicetalk.http.api.HttpExecutionStrategies;
@@ -182,6 +184,16 @@
                 mSettings.repeatRatio(), mSettings.repeatExtra(), mSettings.repeatWindowMillis());
     }
 
+    private SchedulerFeatures schedulerFeatures() {
+        SchedulingSettings scheduling = mSettings.scheduling();
+        return SchedulerFeatures.builder()
+                .teamSharing(scheduling.teamSharing())
+                .learnedCosts(scheduling.learnedCosts())
+                .domainBalance(scheduling.domainBalance())
+                .memoryConfidence(scheduling.memoryConfidence())
+                .build();
+    }
+
     private void startControl(InetSocketAddress address) {
         ControlFleetService control =
                 new ControlFleetService(
@@ -189,6 +201,7 @@
                         mNetwork,
                         mControlInstances,
                         placementLimits(),
+                        schedulerFeatures(),
                         mRoutingReader,
                         mMetrics,
                         mClocks);
@@ -215,6 +228,7 @@
                         mNetwork,
                         mControlInstances,
                         placementLimits(),
+                        schedulerFeatures(),
                         mRoutingReader,
                         mMetrics,
                         mClocks,
--- a/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -16,6 +16,7 @@
 import dev.kumquatweir.policy.placement.PlacementLimits;
 import dev.kumquatweir.policy.placement.PlacementRequest;
 import dev.kumquatweir.policy.placement.PlacementScheduler;
+import dev.kumquatweir.policy.placement.SchedulerFeatures;
 import dev.kumquatweir.policy.placement.UpstreamLimit;
 import dev.kumquatweir.transport.Responder;
 import java.util.HashMap;
@@ -34,6 +35,7 @@
     private static final EventLog LOG = EventLog.of(LeaderScheduler.class);
 
     private final PlacementLimits mLimits;
+    private final SchedulerFeatures mFeatures;
     private final MetricRegistry mMetrics;
     private final Clocks mClocks;
     private final Map<PlacementKey, PendingPlacement> mPendingPlacements = new HashMap<>();
@@ -45,8 +47,13 @@
 
     private record PendingPlacement(String requestId, Responder responder) {}
 
-    LeaderScheduler(PlacementLimits limits, MetricRegistry metrics, Clocks clocks) {
+    LeaderScheduler(
+            PlacementLimits limits,
+            SchedulerFeatures features,
+            MetricRegistry metrics,
+            Clocks clocks) {
         mLimits = limits;
+        mFeatures = features;
         mMetrics = metrics;
         mClocks = clocks;
         Gauge<Integer> waiting = () -> mWaitingCount;
@@ -91,7 +98,7 @@
             mPendingPlacements.clear();
             return;
         }
-        PlacementScheduler scheduler = new PlacementScheduler(mLimits);
+        PlacementScheduler scheduler = new PlacementScheduler(mLimits, mFeatures);
         RoutingTable routing = mRouting;
         if (routing != null) {
             scheduler.setRouting(routing, mDomainsOut);
@@ -193,6 +200,8 @@
                             running.started(),
                             running.grantedNanos(),
                             nowNanos);
+            case PlacementEvent.Measured measured ->
+                    scheduler.recordEventCount(measured.key(), measured.events(), nowNanos);
             case PlacementEvent.Limited limited -> recordLimit(scheduler, owner, limited, nowNanos);
         }
     }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/PlacementCodec.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/PlacementCodec.java
@@ -29,9 +29,14 @@
 final class PlacementCodec {
     private PlacementCodec() {}
 
-    static Bytes encode(PlacementRequest request, long nowNanos) {
+    /**
+     * Encodes a request.
+     *
+     * @param details whether the receiver knows the fields after the shared parts
+     */
+    static Bytes encode(PlacementRequest request, boolean details, long nowNanos) {
         MessagePackWriter writer = new MessagePackWriter();
-        write(writer, request, nowNanos);
+        write(writer, request, details, nowNanos);
         return writer.toBytes();
     }
 
@@ -40,7 +45,8 @@
         return MessagePackReader.decode(content, reader -> read(reader, owner, nowNanos));
     }
 
-    static void write(MessagePackWriter writer, PlacementRequest request, long nowNanos) {
+    static void write(
+            MessagePackWriter writer, PlacementRequest request, boolean details, long nowNanos) {
         writer.writeLong(request.key().number()).writeString(request.requestId());
         writer.writeString(request.service().value()).writeString(request.contentHash());
         writer.writeLong(toMicros(request.targetNanos() - nowNanos));
@@ -54,6 +60,10 @@
         writer.writeBoolean(request.retry());
         writer.writeString(request.domain().map(FailureDomain::value).orElse(""));
         writer.writeList(request.sharedParts(), MessagePackWriter::writeString);
+        if (details) {
+            writer.writeString(request.team()).writeString(request.route());
+            writer.writeLong(request.outputLimitTokens()).writeLong(request.outputHintTokens());
+        }
     }
 
     static PlacementRequest read(MessagePackReader reader, InstanceId owner, long nowNanos)
@@ -76,6 +86,10 @@
             builder.domain(new FailureDomain(domain));
         }
         builder.sharedParts(reader.readList(MessagePackReader::readString));
+        if (reader.hasMore()) {
+            builder.origin(reader.readString(), reader.readString());
+            builder.output(reader.readLong(), reader.readLong());
+        }
         return builder.build();
     }
 
--- a/program/src/main/java/dev/kumquatweir/program/fleet/PlacementEvent.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/PlacementEvent.java
@@ -41,11 +41,18 @@
             PlacementRequest request, UpstreamId upstream, boolean started, long grantedNanos)
             implements PlacementEvent {}
 
+    /** The number of events that the upstream sent. Precedes the end of the placement. */
+    record Measured(PlacementKey key, long events) implements PlacementEvent {}
+
     /** A response names a limit; its time is that at which the request was sent. */
     record Limited(UpstreamLimit limit) implements PlacementEvent {}
 
-    /** Encodes an event. */
-    static Bytes encode(PlacementEvent event, long nowNanos) {
+    /**
+     * Encodes an event.
+     *
+     * @param details whether the receiver knows the details of placement requests
+     */
+    static Bytes encode(PlacementEvent event, boolean details, long nowNanos) {
         MessagePackWriter writer = new MessagePackWriter();
         switch (event) {
             case Started started -> writer.writeString("started").writeLong(started.key().number());
@@ -67,8 +74,12 @@
                         .writeBoolean(running.started())
                         .writeLong(
                                 TimeUnit.NANOSECONDS.toMicros(nowNanos - running.grantedNanos()));
-                PlacementCodec.write(writer, running.request(), nowNanos);
+                PlacementCodec.write(writer, running.request(), details, nowNanos);
             }
+            case Measured measured ->
+                    writer.writeString("measured")
+                            .writeLong(measured.key().number())
+                            .writeLong(measured.events());
             case Limited limited -> {
                 UpstreamLimit limit = limited.limit();
                 long perUnit = Math.round(limit.perSecond() * LIMIT_UNIT_SECONDS);
@@ -108,6 +119,8 @@
                 PlacementRequest request = PlacementCodec.read(reader, owner, nowNanos);
                 yield new Running(request, upstream, started, grantedNanos);
             }
+            case "measured" ->
+                    new Measured(new PlacementKey(owner, reader.readLong()), reader.readLong());
             case "limited" ->
                     new Limited(
                             new UpstreamLimit(
--- a/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/FrameType.java
@@ -37,6 +37,8 @@
     PLACE(21),
     /** Reports the outcome of a placement to the scheduler. */
     PLACEMENT_EVENT(22),
+    /** Asks a control instance which extensions of these messages it knows. */
+    CAPABILITIES(23),
     /** Asks an instance for the sums of its burn counters. */
     BURN(40);
 
--- a/program/src/test/java/dev/kumquatweir/program/fleet/EntryPlacementTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/EntryPlacementTest.java
@@ -14,6 +14,7 @@
 import dev.kumquatweir.policy.placement.PlacementLimits;
 import dev.kumquatweir.policy.placement.PlacementRefusal;
 import dev.kumquatweir.policy.placement.PlacementRequest;
+import dev.kumquatweir.policy.placement.PlacementScheduler;
 import dev.kumquatweir.transport.ClusterKey;
 import dev.kumquatweir.transport.PeerNetwork;
 import java.net.InetAddress;
@@ -51,7 +52,7 @@
                     SELF,
                     SchedulerLink.over(mNetwork),
                     mQuarantine,
-                    new PlacementLimits(0.2, 10, 1_000),
+                    new PlacementScheduler(new PlacementLimits(0.2, 10, 1_000)),
                     new Clocks(() -> mNowNanos, () -> 1_000),
                     mCallbacks::add);
 
--- a/program/src/test/java/dev/kumquatweir/program/fleet/LimitSimulation.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/LimitSimulation.java
@@ -18,6 +18,8 @@
 import dev.kumquatweir.policy.placement.PlacementLimits;
 import dev.kumquatweir.policy.placement.PlacementOutcome;
 import dev.kumquatweir.policy.placement.PlacementRequest;
+import dev.kumquatweir.policy.placement.PlacementScheduler;
+import dev.kumquatweir.policy.placement.SchedulerFeatures;
 import dev.kumquatweir.program.instance.FrameType;
 import dev.kumquatweir.transport.TransportFailure;
 import io.vavr.control.Either;
@@ -276,7 +278,7 @@
                             mId,
                             new Link(this),
                             new QuarantineDirectory(),
-                            LIMITS,
+                            new PlacementScheduler(LIMITS),
                             new Clocks(this::nowNanos, () -> 1_000),
                             Runnable::run);
             mPlacement.setRouting(routing(), Set.of());
@@ -340,7 +342,7 @@
                         mPlacement.recordFirstEvent(key);
                         schedule(
                                 mRandom.nextLong(1_500 * MILLI),
-                                () -> mPlacement.ended(key, PlacementOutcome.ANSWERED, ""));
+                                () -> mPlacement.ended(key, PlacementOutcome.ANSWERED, "", 1));
                     });
         }
     }
@@ -355,7 +357,10 @@
             mId = id;
             mScheduler =
                     new LeaderScheduler(
-                            LIMITS, new MetricRegistry(), new Clocks(this::nowNanos, () -> 1_000));
+                            LIMITS,
+                            SchedulerFeatures.NONE,
+                            new MetricRegistry(),
+                            new Clocks(this::nowNanos, () -> 1_000));
             UpstreamDirectory directory = new UpstreamDirectory();
             mUpstreams.forEach(upstream -> directory.update(upstream.status(), nowNanos()));
             mScheduler.setRouting(routing(), Set.of());
--- a/program/src/test/java/dev/kumquatweir/program/fleet/QuarantineSpreadTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/fleet/QuarantineSpreadTest.java
@@ -9,6 +9,7 @@
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.policy.placement.PlacementLimits;
+import dev.kumquatweir.policy.placement.SchedulerFeatures;
 import dev.kumquatweir.program.fleet.QuarantineSimulation.Instance;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -240,6 +241,7 @@
         LeaderScheduler scheduler =
                 new LeaderScheduler(
                         new PlacementLimits(0.2, 10, 1_000),
+                        SchedulerFeatures.NONE,
                         new MetricRegistry(),
                         new Clocks(() -> 0, () -> 0));
         QuarantineDirectory directory = new QuarantineDirectory();
--- a/settings/src/main/java/dev/kumquatweir/settings/FleetSettings.java
+++ b/settings/src/main/java/dev/kumquatweir/settings/FleetSettings.java
@@ -29,6 +29,7 @@
  * @param repeatRatio requests that may be sent again, as a share of first sends
  * @param repeatExtra requests that may be sent again besides, within one window
  * @param repeatWindowMillis length of the window
+ * @param scheduling optional parts of the scheduler
  */
 public record FleetSettings(
         String name,
@@ -48,7 +49,8 @@
         long drainMillis,
         double repeatRatio,
         int repeatExtra,
-        long repeatWindowMillis) {
+        long repeatWindowMillis,
+        SchedulingSettings scheduling) {
     /** Copies the list. */
     public FleetSettings {
         seeds = List.copyOf(seeds);
--- a/settings/src/main/java/dev/kumquatweir/settings/FleetSettingsReader.java
+++ b/settings/src/main/java/dev/kumquatweir/settings/FleetSettingsReader.java
@@ -61,7 +61,8 @@
                         limits.decimal("repeat_ratio", 0, MOST_REPEATS_PER_SEND, 0.1),
                         // Rounded down, so that the budget is never exceeded.
                         (int) limits.decimal("repeat_extra", 0, MOST_EXTRA_REPEATS, 10),
-                        milliseconds(limits, "repeat_window", 0.001, LONGEST_WINDOW_SECONDS, 10));
+                        milliseconds(limits, "repeat_window", 0.001, LONGEST_WINDOW_SECONDS, 10),
+                        SchedulingSettings.read(root.table("scheduling")));
         checkRole(listen, settings);
         List.of(instance, cluster, listen, limits).forEach(TomlTable::refuseUnknownKeys);
         return settings;
