Keep the test of a full disk from blocking its own thread

The reply to ReadMembers was complete before the callback that blocks the event loop was added, so that CompletableFuture ran it on the test's thread, which then waited for itself (stack of the forked JVM: awaitUninterruptibly below thenRun in the main thread). Change: the callback blocks only on another thread, and the test asks again until it does. The checks are the same. Ruled out: the product, whose event loop was idle. Evidence: the test passes; a run in which the reply is early repeats the request instead of blocking.

--- a/program/src/test/java/dev/kumquatweir/program/control/FullDiskSignalTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/control/FullDiskSignalTest.java
@@ -76,7 +76,7 @@
         Thread.sleep(SIGNAL_MILLIS);
         assertThat(propose(3), instanceOf(ControlReply.Failed.class));
         CountDownLatch busy = new CountDownLatch(1);
-        mReplica.handle(new ControlRequest.ReadMembers()).thenRun(() -> awaitUninterruptibly(busy));
+        occupyEventLoop(busy);
         ControlReply refused = new ControlReply.Done();
         while (!(refused instanceof ControlReply.Failed)) {
             refused =
@@ -94,6 +94,28 @@
         await(() -> propose(4) instanceof ControlReply.Applied);
     }
 
+    /**
+     * Blocks the event loop until the latch is released. A reply that is complete before the
+     * callback is added runs it on this thread; then another one is asked for.
+     */
+    private void occupyEventLoop(CountDownLatch released) throws Exception {
+        Thread test = Thread.currentThread();
+        boolean occupied = false;
+        while (!occupied) {
+            CompletableFuture<Boolean> onEventLoop = new CompletableFuture<>();
+            mReplica.handle(new ControlRequest.ReadMembers())
+                    .thenRun(
+                            () -> {
+                                boolean other = Thread.currentThread() != test;
+                                onEventLoop.complete(other);
+                                if (other) {
+                                    awaitUninterruptibly(released);
+                                }
+                            });
+            occupied = onEventLoop.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        }
+    }
+
     private ControlReply propose(long version) {
         try {
             return submit(version).get(LIMIT_SECONDS, TimeUnit.SECONDS);
