Take a status over 599 for no proof of an answer

Cause: an upstream in trouble may send a status line that names no status of HTTP. 000, 0, 99, 099, 1000, negative numbers, letters and an empty status were refused already, but 600 and 999 were passed on to the caller. Change: a response with a status outside 200 to 599 proves nothing about the request; what may be repeated is sent to another upstream, the rest ends with 502. Ruled out: an early response without a length whose connection is reset during the upload, which UnframedAnswerTest covers for plain calls and streams; it was and is not passed on as complete. Evidence: OddStatusTest plays 12 statuses on four kinds of routes with two framings; before, it failed at 600 (status 600 at the caller).

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ResponseEvidence.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ResponseEvidence.java
@@ -17,6 +17,12 @@
     /** Callers take each of these for a guarantee that the request was not executed. */
     private static final Set<Integer> STATUSES_NOT_EXECUTED = Set.of(408, 421, 429, 503);
 
+    /** Interim responses, which have lower statuses, are handled by the library. */
+    private static final int LOWEST_FINAL_STATUS = 200;
+
+    /** RFC 9110 calls higher ones invalid; some upstreams send them when they are in trouble. */
+    private static final int HIGHEST_STATUS = 599;
+
     private ResponseEvidence() {}
 
     /**
@@ -42,7 +48,8 @@
                 head.requestId()
                         .map(id -> id.equals(requestId))
                         .orElse(!connectionReused && !head.success());
-        if (!own) {
+        boolean valid = head.status() >= LOWEST_FINAL_STATUS && head.status() <= HIGHEST_STATUS;
+        if (!own || !valid) {
             return Verdict.UNPROVEN;
         }
         if (head.notExecuted()) {
