Recognise returning callers by their recorded rejection

Cause: ReturningCallers took the difference between the longest time limit seen on a route and that of a request as the age of the request.

Change: RecentRejections remembers what the scheduler rejected, at most 10,000 requests until their deadlines. A request with the same content hash and the same deadline (tolerance 200 ms) keeps the target of its first arrival. The entry instance shortens a caller's time to the timeout of the route, so the deadline of a caller with more time moves with each attempt; it is recognised by its content and by its return within 1 s after the time that the rejection named. ReturningCallers and firstAttemptNanos are removed: the entry instance always sends the target from the arrival.

ReturningCallersTest is removed, as it tested the guess itself. CallerTimeLimitTest requires what it denied, that a first attempt with less time keeps the full target; ReturningRequestsTest covers returning requests, tolerance, equal contents, second rejections and the bound.

With instances of different builds: an entry instance of the previous build still sends its guess; a leader of the previous build treats returning requests of new entry instances as first attempts.

--- a/core/src/main/java/dev/kumquatweir/core/routing/RoutingTable.java
+++ b/core/src/main/java/dev/kumquatweir/core/routing/RoutingTable.java
@@ -61,6 +61,11 @@
                 .findFirst();
     }
 
+    /** Returns all routes. */
+    public List<Route> routes() {
+        return mRoutesByHost.values().stream().flatMap(List::stream).toList();
+    }
+
     /** Returns the service of this name, empty if there is none. */
     public Optional<RoutedService> service(ServiceName name) {
         return Optional.ofNullable(mServices.get(name));
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardedRequest.java
@@ -23,8 +23,6 @@
  * @param service the service that runs it
  * @param team the caller's team, if the route requires an API key
  * @param arrivedNanos monotonic time at which its last byte was read
- * @param firstAttemptNanos estimated time at which the caller first sent it, earlier than {@code
- *     arrivedNanos} if it was retried after a rejection
  * @param deadlineNanos time by which the response must be complete
  */
 record ForwardedRequest(
@@ -37,7 +35,6 @@
         ServiceName service,
         Optional<RoutedTeam> team,
         long arrivedNanos,
-        long firstAttemptNanos,
         long deadlineNanos) {
 
     /**
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
@@ -44,8 +44,6 @@
     private static final AttributeKey<Integer> REQUESTS_ON_CONNECTION =
             AttributeKey.valueOf(ForwardingServer.class, "requests");
 
-    private final ReturningCallers mReturningCallers = new ReturningCallers();
-
     /** Creates a server that registers its requests with the given registry. */
     public ForwardingServer(ExchangeRegistry exchanges) {
         mExchanges = exchanges;
@@ -223,9 +221,6 @@
                         service,
                         team,
                         nowNanos,
-                        nowNanos
-                                - TimeUnit.MILLISECONDS.toNanos(
-                                        mReturningCallers.ageMillis(route, head)),
                         nowNanos + TimeUnit.MILLISECONDS.toNanos(timeLimitMillis));
         if (!mExchanges.stops().stopping() && mExchanges.relay().takes(forwarded)) {
             return mExchanges.relay().forward(forwarded, callerResponse);
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementRequests.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/PlacementRequests.java
@@ -24,7 +24,7 @@
         Route route = request.route();
         return builder(key, request, ports, 1)
                 .times(
-                        request.firstAttemptNanos() + millisToNanos(route.targetLatencyMillis()),
+                        request.arrivedNanos() + millisToNanos(route.targetLatencyMillis()),
                         request.arrivedNanos() + callerTimeoutNanos(request, ports),
                         request.deadlineNanos())
                 .previousAttempts(excluded(triedUpstreams, ports, nowNanos), retry)
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardedRequestTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardedRequestTest.java
@@ -48,7 +48,6 @@
                 new ServiceName("engines"),
                 Optional.empty(),
                 0,
-                0,
                 0);
     }
 }
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -249,6 +249,11 @@
         mPlacement.mHoldsRetries = true;
     }
 
+    /** Returns the placements that were requested, in order. */
+    List<PlacementRequest> placements() {
+        return List.copyOf(mPlacement.mRequests);
+    }
+
     /** Returns the number of silences that were reported to the scheduler. */
     int silences() {
         return mPlacement.mSilences.size();
@@ -320,6 +325,7 @@
         private final String mSecondAddress;
         private final AtomicLong mNumbers = new AtomicLong();
         private final List<PlacementKey> mSilences = new CopyOnWriteArrayList<>();
+        private final List<PlacementRequest> mRequests = new CopyOnWriteArrayList<>();
         private volatile boolean mRejectsRetries;
         private volatile boolean mHoldsRetries;
 
@@ -335,6 +341,7 @@
 
         @Override
         public void submit(PlacementRequest request, Consumer<PlacementAction> onDecision) {
+            mRequests.add(request);
             PlacementKey key = request.key();
             boolean again = request.retry() || request.excluded().contains(new UpstreamId("first"));
             if (again && mHoldsRetries) {
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/LongTailAtPlannedStopTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/LongTailAtPlannedStopTest.java
@@ -157,7 +157,6 @@
                 new ServiceName("service"),
                 Optional.empty(),
                 arrivedNanos,
-                arrivedNanos,
                 arrivedNanos + timeoutMillis * MILLI);
     }
 }
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/PlainDialect.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/PlainDialect.java
@@ -16,6 +16,7 @@
     static final String NOT_EXECUTED = "Refused";
     static final String LEAVING = "Leaving";
     static final String PAUSE_MILLIS = "Pause";
+    static final String REMAINING_MILLIS = "Remaining";
 
     private static final long CALLER_TIMEOUT_MILLIS = 5_000;
 
@@ -26,7 +27,7 @@
                 text(request.headers(), "host").orElse(""),
                 request.rawPath(),
                 Optional.empty(),
-                OptionalLong.empty(),
+                remaining(request.headers()),
                 0,
                 0,
                 0,
@@ -66,6 +67,10 @@
                 new LimitNotice.None());
     }
 
+    private static OptionalLong remaining(HttpHeaders headers) {
+        return text(headers, REMAINING_MILLIS).stream().mapToLong(Long::parseLong).findFirst();
+    }
+
     private static Optional<String> text(HttpHeaders headers, String name) {
         return Optional.ofNullable(headers.get(name)).map(CharSequence::toString);
     }
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/StopAdmissionTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/StopAdmissionTest.java
@@ -86,7 +86,6 @@
                 new ServiceName("service"),
                 Optional.empty(),
                 0,
-                0,
                 15_000 * MILLI);
     }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRequest.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRequest.java
@@ -20,10 +20,12 @@
     private static final double OUTPUT_TOKEN_WEIGHT = 10;
 
     private final Builder mValues;
+    private final long mTargetNanos;
     private final double mValue;
 
-    private PlacementRequest(Builder values) {
+    private PlacementRequest(Builder values, long targetNanos) {
         mValues = values;
+        mTargetNanos = targetNanos;
         double tokens = values.mPromptTokens + OUTPUT_TOKEN_WEIGHT * values.mOutputTokens;
         mValue = values.mPromptTokens > 0 ? tokens / TOKENS_PER_CALL : 1;
     }
@@ -166,7 +168,7 @@
 
         /** Returns the request. The builder must not be used afterwards. */
         public PlacementRequest build() {
-            return new PlacementRequest(this);
+            return new PlacementRequest(this, mTargetNanos);
         }
     }
 
@@ -199,7 +201,12 @@
 
     /** Returns the time until which the answer, or the first event of a stream, is on time. */
     public long targetNanos() {
-        return mValues.mTargetNanos;
+        return mTargetNanos;
+    }
+
+    /** Returns the same request with another target. */
+    PlacementRequest withTargetNanos(long targetNanos) {
+        return new PlacementRequest(mValues, targetNanos);
     }
 
     /** Returns the time after which the caller gives up if nothing has arrived. */
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -70,7 +70,7 @@
     public void setRouting(RoutingTable routing, Set<FailureDomain> domainsOut) {
         mServices.setRouting(routing);
         mUpstreams.setDomainsOut(domainsOut);
-        mWaiting.updateCosts(mServices::engineCost);
+        mWaiting.setRouting(routing, mServices::engineCost);
     }
 
     /**
@@ -110,8 +110,7 @@
             reject(request, PlacementRefusal.REPEAT_BUDGET, nowNanos);
             return;
         }
-        mWaiting.add(
-                new WaitingRequest(request, mServices.engineCost(request.service()), nowNanos));
+        mWaiting.add(request, mServices.engineCost(request.service()), nowNanos);
     }
 
     /**
@@ -310,7 +309,8 @@
                 rejectFor(
                         request,
                         PlacementRefusal.LIMITED,
-                        mUpstreams.retryAfterMillis(limitWaitNanos));
+                        mUpstreams.retryAfterMillis(limitWaitNanos),
+                        nowNanos);
             }
             return;
         }
@@ -439,12 +439,12 @@
     }
 
     private void reject(PlacementRequest request, PlacementRefusal reason, long nowNanos) {
-        rejectFor(request, reason, mUpstreams.retryAfterMillis(request, nowNanos));
+        rejectFor(request, reason, mUpstreams.retryAfterMillis(request, nowNanos), nowNanos);
     }
 
     private void rejectFor(
-            PlacementRequest request, PlacementRefusal reason, long retryAfterMillis) {
-        withdraw(request.key());
-        mDecisions.reject(request.key(), reason, retryAfterMillis);
+            PlacementRequest request, PlacementRefusal reason, long retryAfter, long nowNanos) {
+        mWaiting.reject(request, retryAfter, nowNanos);
+        mDecisions.reject(request.key(), reason, retryAfter);
     }
 }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/WaitingRequest.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/WaitingRequest.java
@@ -12,6 +12,7 @@
     private static final double NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final PlacementRequest mRequest;
+    private final long mArrivedNanos;
     private final boolean mLateOnArrival;
     private double mValueDensity;
     private long mTypicalNanos;
@@ -26,6 +27,7 @@
      */
     WaitingRequest(PlacementRequest request, Optional<EngineCost> cost, long nowNanos) {
         mRequest = request;
+        mArrivedNanos = nowNanos;
         updateCost(cost);
         mLateOnArrival = willMissTarget(nowNanos);
     }
@@ -49,6 +51,11 @@
         return mRequest;
     }
 
+    /** Returns the time at which it was submitted. */
+    long arrivedNanos() {
+        return mArrivedNanos;
+    }
+
     /** Returns whether it could not meet its target when it was submitted. */
     boolean lateOnArrival() {
         return mLateOnArrival;
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/WaitingRequests.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/WaitingRequests.java
@@ -3,12 +3,15 @@
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.routing.EngineCost;
+import dev.kumquatweir.core.routing.Route;
+import dev.kumquatweir.core.routing.RoutingTable;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 
@@ -19,14 +22,43 @@
 final class WaitingRequests {
     private final Map<PlacementKey, WaitingRequest> mRequests = new LinkedHashMap<>();
     private final Map<ServiceName, Integer> mCountByService = new HashMap<>();
+    private final RecentRejections mRejections = new RecentRejections();
+    private final Map<String, Long> mTimeoutNanosByRoute = new HashMap<>();
 
-    void add(WaitingRequest waiting) {
-        PlacementRequest request = waiting.request();
+    /** Sets the routes, and the cost model of the engines of each service. */
+    void setRouting(RoutingTable routing, Function<ServiceName, Optional<EngineCost>> costs) {
+        mTimeoutNanosByRoute.clear();
+        for (Route route : routing.routes()) {
+            mTimeoutNanosByRoute.merge(
+                    route.name(), TimeUnit.MILLISECONDS.toNanos(route.timeoutMillis()), Math::max);
+        }
+        mRequests
+                .values()
+                .forEach(waiting -> waiting.updateCost(costs.apply(waiting.request().service())));
+    }
+
+    /**
+     * Adds a request. One that its caller sends again after a rejection keeps its first target.
+     *
+     * @param cost cost model of the engines of its service; empty for a plain service
+     */
+    void add(PlacementRequest request, Optional<EngineCost> cost, long nowNanos) {
+        PlacementRequest recognised = mRejections.recognise(request, nowNanos);
+        WaitingRequest waiting = new WaitingRequest(recognised, cost, nowNanos);
         if (mRequests.put(request.key(), waiting) == null) {
             mCountByService.merge(request.service(), 1, Integer::sum);
         }
     }
 
+    /** Removes a request that is rejected, to recognise it when its caller sends it again. */
+    void reject(PlacementRequest request, long retryAfterMillis, long nowNanos) {
+        @Nullable WaitingRequest waiting = mRequests.get(request.key());
+        long arrivedNanos = waiting == null ? nowNanos : waiting.arrivedNanos();
+        long timeoutNanos = mTimeoutNanosByRoute.getOrDefault(request.route(), 0L);
+        mRejections.add(request, arrivedNanos, timeoutNanos, retryAfterMillis, nowNanos);
+        remove(request.key());
+    }
+
     void remove(PlacementKey key) {
         @Nullable WaitingRequest removed = mRequests.remove(key);
         if (removed != null) {
@@ -48,13 +80,6 @@
         return mCountByService.getOrDefault(service, 0);
     }
 
-    /** Updates the cost model of the engines of each service. */
-    void updateCosts(Function<ServiceName, Optional<EngineCost>> costs) {
-        mRequests
-                .values()
-                .forEach(waiting -> waiting.updateCost(costs.apply(waiting.request().service())));
-    }
-
     /** Starts a scheduling round and returns all requests in the order in which they are placed. */
     List<WaitingRequest> ordered(long nowNanos) {
         List<WaitingRequest> ordered = new ArrayList<>(mRequests.values());
