Fail calls of serve whose upstream names a status over 599

Cause: serve recorded the answer of a plain service under any status of three digits, so that callers got 600 and 999 as answers. Change: such an answer ends the attempt as an error of the upstream; its body is read up to the limit of answers. The bound stands once, in ResponseFraming, for fleet and serve. Ruled out: an early answer without a length whose connection is reset during the upload; serve reports the connection as lost for plain calls and generations. Evidence: answerWithoutStatusIsBroken failed before at 600 (answered 600 text); unframedAnswerBeforeTheRequestIsReadIsCutByReset passes before and after.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ResponseEvidence.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ResponseEvidence.java
@@ -1,5 +1,6 @@
 package dev.kumquatweir.gateway.forward;
 
+import dev.kumquatweir.gateway.http.ResponseFraming;
 import java.util.Set;
 
 /** Decides what the head of an upstream's response proves about a request. Holds no state. */
@@ -20,9 +21,6 @@
     /** Interim responses, which have lower statuses, are handled by the library. */
     private static final int LOWEST_FINAL_STATUS = 200;
 
-    /** RFC 9110 calls higher ones invalid; some upstreams send them when they are in trouble. */
-    private static final int HIGHEST_STATUS = 599;
-
     private ResponseEvidence() {}
 
     /**
@@ -48,7 +46,9 @@
                 head.requestId()
                         .map(id -> id.equals(requestId))
                         .orElse(!connectionReused && !head.success());
-        boolean valid = head.status() >= LOWEST_FINAL_STATUS && head.status() <= HIGHEST_STATUS;
+        boolean valid =
+                head.status() >= LOWEST_FINAL_STATUS
+                        && head.status() <= ResponseFraming.HIGHEST_STATUS;
         if (!own || !valid) {
             return Verdict.UNPROVEN;
         }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/http/ResponseFraming.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/http/ResponseFraming.java
@@ -5,8 +5,14 @@
 import io.servicetalk.http.api.HttpResponseMetaData;
 import io.servicetalk.http.api.HttpResponseStatus;
 
-/** How a response marks the end of its body. Holds no state. */
+/** Status and end of a response, as HTTP defines them. Holds no state. */
 public final class ResponseFraming {
+    /**
+     * RFC 9110 calls higher statuses invalid; some upstreams send them when they are in trouble.
+     * The library refuses statuses that are not numbers of three digits.
+     */
+    public static final int HIGHEST_STATUS = 599;
+
     private ResponseFraming() {}
 
     /**
--- a/gateway/src/main/java/dev/kumquatweir/gateway/upstream/ServiceClient.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/upstream/ServiceClient.java
@@ -6,6 +6,7 @@
 import dev.kumquatweir.gateway.dispatch.AttemptOrder;
 import dev.kumquatweir.gateway.dispatch.Work;
 import dev.kumquatweir.gateway.http.BodyCollector;
+import dev.kumquatweir.gateway.http.ResponseFraming;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.api.Publisher;
@@ -56,14 +57,16 @@
 
     private Single<RecordedResponse> collect(
             StreamingHttpResponse response, AttemptListener listener) {
+        int status = response.status().code();
+        if (status > ResponseFraming.HIGHEST_STATUS) {
+            return BodyCollector.drain(response.payloadBody(), mLargestAnswerBytes)
+                    .concat(Single.failed(new UnexpectedAnswerException("status " + status)));
+        }
         listener.accepted();
         CharSequence type = response.headers().get(HttpHeaderNames.CONTENT_TYPE);
         String contentType = type == null ? "" : type.toString();
         return BodyCollector.collect(response.payloadBody(), mLargestAnswerBytes)
-                .map(
-                        body ->
-                                new RecordedResponse(
-                                        response.status().code(), contentType, body, true));
+                .map(body -> new RecordedResponse(status, contentType, body, true));
     }
 
     private static void release(AttemptOrder order, StreamingHttpClient client) {
--- a/gateway/src/test/java/dev/kumquatweir/gateway/upstream/UpstreamAnswerEndTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/upstream/UpstreamAnswerEndTest.java
@@ -196,6 +196,42 @@
                 List.of("accepted", "token 0 abc ", "finished length"));
     }
 
+    /** Guards against a status line that names no status of HTTP and is recorded as an answer. */
+    @Test
+    void answerWithoutStatusIsBroken() throws Exception {
+        Work call = new Work.ServiceCall("POST", "/", List.of(), Bytes.ofText("{}"));
+        for (String status : List.of("000", "99", "1000", "600", "999", "2OO", "")) {
+            String whole =
+                    Framing.LENGTH
+                            .head(200, "", List.of("text"))
+                            .replace(" 200 ", " " + status + " ");
+            Answer answer = new Answer(whole + "text", Ending.KEEP_OPEN);
+            for (Work work : List.of(call, generation())) {
+                String end = heard(work, answer).getLast();
+                assertThat("'" + status + "' " + end, end.startsWith("broken"), is(true));
+            }
+        }
+    }
+
+    /**
+     * Guards against an early answer without a length that counts as complete when its connection
+     * is reset while the request is still being written.
+     */
+    @Test
+    void unframedAnswerBeforeTheRequestIsReadIsCutByReset() throws Exception {
+        String large = "x".repeat(6 << 20);
+        Work call = new Work.ServiceCall("POST", "/", List.of(), Bytes.ofText(large));
+        Work generation =
+                new Work.Generation(new ModelName("model"), large, 1, JsonBodies.object());
+        String head = Framing.NONE.head(200, "", List.of());
+        for (Ending ending : List.of(Ending.RESET, Ending.RESET_LATER)) {
+            assertThat(heard(call, new Answer(head + "part", ending, true)).getLast(), is(BROKEN));
+            assertThat(
+                    heard(generation, new Answer(head + TOKEN, ending, true)).getLast(),
+                    is(BROKEN));
+        }
+    }
+
     private void assertGivenUp(Work work, String answer, List<String> heard) throws Exception {
         Answer endless = new Answer(answer, Ending.WITHOUT_END);
         try (RawUpstream upstream = new RawUpstream(received -> endless)) {
