Forecast the memory of engines and keep placements within it

Change: with memory_confidence, a placement may not let the forecast of an engine exceed its memory. The forecast takes the sum of the means plus a quantile of the sum of log-normal lengths, learned by route; an error that all requests of a route share is added up rather than averaged out. Answers that run longer than expected are expected to grow further; memory counts until the end is reported. Instances without a leader share the memory. Without memory_confidence nothing changes.

--- a/policy/src/main/java/dev/kumquatweir/policy/placement/EngineChooser.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/EngineChooser.java
@@ -157,7 +157,12 @@
         for (PlacementUpstream upstream : eligible) {
             boolean mayHelp =
                     upstream.helperCount() < cost.maximumConcurrentRequests()
-                            && upstream.health().availableSlots(2, nowNanos) > 1;
+                            && upstream.health().availableSlots(2, nowNanos) > 1
+                            && EngineMemory.hasMemoryForPart(
+                                    upstream,
+                                    cost,
+                                    request.promptTokens() / MAXIMUM_ENGINES,
+                                    nowNanos);
             if (mayHelp) {
                 parts.add(estimatePart(upstream, request, cost, typicalParts, nowNanos));
             }
@@ -242,7 +247,7 @@
         if (parts.isEmpty()) {
             return Optional.empty();
         }
-        List<Long> reserved = EngineMemory.reservations(request, cost, parts);
+        List<Long> reserved = EngineMemory.reservations(request, cost, parts, nowNanos);
         if (reserved.isEmpty()) {
             return Optional.empty();
         }
@@ -268,7 +273,9 @@
                         parts,
                         firstEventNanos,
                         errorRate,
-                        lostValue + displacedValue,
+                        lostValue
+                                + displacedValue
+                                + EngineMemory.tightnessLoss(request, cost, primary.upstream()),
                         nowNanos);
         return Optional.of(
                 new PlacementOption(
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedPart.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedPart.java
@@ -1,5 +1,8 @@
 package dev.kumquatweir.policy.placement;
 
+import dev.kumquatweir.core.routing.EngineCost;
+import java.util.Optional;
+
 /**
  * The share of one placement that one upstream processes. Owned by {@link PlacementUpstream}; not
  * thread-safe.
@@ -15,6 +18,7 @@
     private long mStartedNanos;
     private boolean mLate;
     private long mEventCount;
+    private long mPromptTokens;
 
     /**
      * @param request the request
@@ -40,6 +44,43 @@
         mFirstEventNanos = firstEventNanos;
     }
 
+    /** Returns the part of a request that another scheduler has placed on one upstream. */
+    static PlacedPart running(
+            PlacementRequest request,
+            Optional<EngineCost> cost,
+            boolean started,
+            long grantedNanos,
+            long nowNanos) {
+        double prefill =
+                cost.map(model -> started ? 0 : model.prefillMillis(request.promptTokens()) / 2)
+                        .orElse(0.0);
+        PlacedPart part =
+                new PlacedPart(
+                        request, true, prefill, request.memoryTokens(), grantedNanos, grantedNanos);
+        part.markLate();
+        if (started) {
+            part.start(nowNanos);
+        }
+        return part;
+    }
+
+    /**
+     * Returns the part of the same request on a helper, whose prefill is not estimated.
+     *
+     * @param reservedTokens tokens that the helper stores until the end
+     * @param partCount number of engines that share the prompt
+     */
+    PlacedPart helping(long reservedTokens, int partCount, long nowNanos) {
+        PlacedPart part =
+                new PlacedPart(mRequest, false, 0, reservedTokens, mGrantedNanos, mGrantedNanos)
+                        .withPromptTokens(mRequest.promptTokens() / partCount);
+        part.markLate();
+        if (mAnswerStarted) {
+            part.start(nowNanos);
+        }
+        return part;
+    }
+
     PlacementRequest request() {
         return mRequest;
     }
@@ -56,6 +97,16 @@
         return mMemoryTokens;
     }
 
+    /** Returns the prompt tokens that a helper prefills and holds until the answer starts. */
+    long promptTokens() {
+        return mPromptTokens;
+    }
+
+    PlacedPart withPromptTokens(long tokens) {
+        mPromptTokens = tokens;
+        return this;
+    }
+
     long grantedNanos() {
         return mGrantedNanos;
     }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The requests that run on upstreams, and what their progress tells about these. Owned by {@link
@@ -31,6 +33,35 @@
         mPlacements.put(key, upstreams);
     }
 
+    /**
+     * Registers the engines that help with a request which another scheduler has placed. Unknown
+     * placements and engines are ignored, and those that are registered already.
+     */
+    void registerHelpers(
+            PlacementKey key,
+            List<PlacementHelper> helpers,
+            Function<UpstreamId, @Nullable PlacementUpstream> find,
+            long nowNanos) {
+        List<PlacementUpstream> upstreams = mPlacements.getOrDefault(key, List.of());
+        Optional<PlacedPart> primary =
+                upstreams.stream().findFirst().flatMap(first -> first.find(key));
+        if (primary.isEmpty() || upstreams.size() > 1) {
+            return;
+        }
+        List<PlacementUpstream> all = new ArrayList<>(upstreams);
+        for (PlacementHelper helper : helpers) {
+            PlacementUpstream known = find.apply(helper.upstream());
+            if (known != null && !all.contains(known)) {
+                PlacedPart part =
+                        primary.get()
+                                .helping(helper.reservedTokens(), 1 + helpers.size(), nowNanos);
+                known.add(part, nowNanos);
+                all.add(known);
+            }
+        }
+        mPlacements.put(key, all);
+    }
+
     boolean contains(PlacementKey key) {
         return mPlacements.containsKey(key);
     }
@@ -112,6 +143,7 @@
         switch (outcome) {
             case ANSWERED -> {
                 primaryPart.ifPresent(part -> liftLimit(primary, part));
+                primaryPart.ifPresent(part -> learnLength(primary, part));
                 primary.answered(nowNanos);
                 primary.health().answered(false, nowNanos);
                 mCrashes.answered(contentHash);
@@ -150,6 +182,14 @@
         return lifted;
     }
 
+    private void learnLength(PlacementUpstream upstream, PlacedPart part) {
+        UpstreamMemory memory = upstream.memory();
+        Optional<EngineCost> cost = mServices.engineCost(upstream.notice().service());
+        if (memory != null && cost.isPresent()) {
+            memory.answered(part, cost.get());
+        }
+    }
+
     private void liftLimit(PlacementUpstream upstream, PlacedPart part) {
         if (upstream.liftLimit(part.grantedNanos())) {
             mLiftedLimits.add(upstream.notice().id());
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementOption.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementOption.java
@@ -32,14 +32,15 @@
             boolean isPrimary = index == 0;
             placedParts.add(
                     new PlacedPart(
-                            request,
-                            isPrimary,
-                            parts.get(index).prefillMillis(),
-                            isPrimary
-                                    ? request.memoryTokens() - reserved
-                                    : reservedTokens.get(index),
-                            nowNanos,
-                            firstEventNanos));
+                                    request,
+                                    isPrimary,
+                                    parts.get(index).prefillMillis(),
+                                    isPrimary
+                                            ? request.memoryTokens() - reserved
+                                            : reservedTokens.get(index),
+                                    nowNanos,
+                                    firstEventNanos)
+                            .withPromptTokens(request.promptTokens() / parts.size()));
         }
         return placedParts;
     }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -59,6 +59,7 @@
     public PlacementScheduler(PlacementLimits limits, SchedulerFeatures features) {
         mLimits = limits;
         mFeatures = features;
+        mUpstreams.forecastMemory(features.memoryConfidence());
     }
 
     /** Returns the optional parts that are switched on. */
@@ -129,22 +130,26 @@
         if (known == null || mPlaced.contains(request.key())) {
             return;
         }
-        double prefill =
-                mServices
-                        .engineCost(request.service())
-                        .map(cost -> started ? 0 : cost.prefillMillis(request.promptTokens()) / 2)
-                        .orElse(0.0);
-        PlacedPart part =
-                new PlacedPart(
-                        request, true, prefill, request.memoryTokens(), grantedNanos, grantedNanos);
-        part.markLate();
-        if (started) {
-            part.start(nowNanos);
-        }
-        known.add(part, nowNanos);
+        Optional<EngineCost> cost = mServices.engineCost(request.service());
+        known.add(PlacedPart.running(request, cost, started, grantedNanos, nowNanos), nowNanos);
         mPlaced.add(request.key(), List.of(known));
     }
 
+    /** Registers the engines that help with a running request that another scheduler placed. */
+    public void registerHelpers(PlacementKey key, List<PlacementHelper> helpers, long nowNanos) {
+        mPlaced.registerHelpers(key, helpers, mUpstreams::find, nowNanos);
+    }
+
+    /** Records that a former scheduler placed requests that are not registered yet. */
+    public void beginTakeover(long nowNanos) {
+        mUpstreams.beginTakeover(nowNanos);
+    }
+
+    /** Returns the use of the memory of engines by forecast. */
+    public MemoryUse memoryUse() {
+        return mUpstreams.memoryUse(mServices::engineCost);
+    }
+
     /** Removes a waiting request. */
     public void withdraw(PlacementKey key) {
         mWaiting.remove(key);
@@ -165,11 +170,7 @@
         mPlaced.recordSilence(key, nowNanos);
     }
 
-    /**
-     * Records how many events an answer had. Precedes the end of the placement.
-     *
-     * @param events events that the upstream sent for this placement
-     */
+    /** Records how many events the upstream sent for a placement. Precedes its end. */
     public void recordEventCount(PlacementKey key, long events, long nowNanos) {
         mPlaced.recordEventCount(key, events, nowNanos);
     }
@@ -246,9 +247,7 @@
         mAttribution.removeQuarantinedParts(parts, nowNanos);
     }
 
-    /**
-     * Returns the crashes of upstreams on request contents, to share them with other schedulers.
-     */
+    /** Returns the crashes of upstreams on request contents, to share with other schedulers. */
     public CrashHistory crashes() {
         return mCrashes;
     }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
@@ -39,6 +39,7 @@
     private double mPreference;
     private LimitShare mLimitShare = new LimitShare.Whole();
     private @Nullable NamedLimit mLimit;
+    private @Nullable UpstreamMemory mMemory;
     private OptionalLong mRestartedNanos = OptionalLong.empty();
     private int mPrimaryCount;
     private int mDecodingCount;
@@ -63,6 +64,16 @@
         return mStartLimiter;
     }
 
+    /** Returns the forecast of its memory, null if none is made. */
+    @Nullable UpstreamMemory memory() {
+        return mMemory;
+    }
+
+    /** Makes a forecast of its memory. Called before anything is placed. */
+    void forecastMemory(MemoryModel model) {
+        mMemory = new UpstreamMemory(model);
+    }
+
     /** Returns the limit that it names, empty if it names none. */
     Optional<NamedLimit> limit() {
         return Optional.ofNullable(mLimit);
@@ -172,6 +183,9 @@
         boolean restarted = notice.startedAtMillis() > mNotice.startedAtMillis();
         if (restarted) {
             List.copyOf(mParts.values()).forEach(this::remove);
+            if (mMemory != null) {
+                mMemory.restarted();
+            }
             mPrefillUntilNanos = heardNanos;
             mLimit = null;
             mRestartedNanos = OptionalLong.of(heardNanos);
@@ -221,6 +235,9 @@
 
     void add(PlacedPart part, long nowNanos) {
         mParts.put(part.request().key(), part);
+        if (mMemory != null) {
+            mMemory.add(part, nowNanos);
+        }
         mMemoryTokens += part.memoryTokens();
         mPrimaryCount += part.primary() ? 1 : 0;
         if (part.started()) {
@@ -240,6 +257,9 @@
         PlacedPart part = mParts.get(key);
         if (part != null && !part.started()) {
             part.start(nowNanos);
+            if (mMemory != null) {
+                mMemory.started(part, nowNanos);
+            }
             addStartedAnswer(part);
             capPrefillEstimate(nowNanos);
         }
@@ -304,6 +324,9 @@
 
     private void remove(PlacedPart part) {
         mParts.remove(part.request().key());
+        if (mMemory != null) {
+            mMemory.remove(part);
+        }
         mMemoryTokens -= part.memoryTokens();
         mPrimaryCount -= part.primary() ? 1 : 0;
         if (part.started()) {
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstreams.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstreams.java
@@ -3,13 +3,18 @@
 import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.identity.UpstreamId;
+import dev.kumquatweir.core.routing.EngineCost;
 import dev.kumquatweir.core.routing.RoutedService;
 import dev.kumquatweir.core.routing.UpstreamStatus;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -35,18 +40,63 @@
     /** While all slots are in use, an earlier retry would be rejected again. */
     private static final long SATURATED_RETRY_MILLIS = 1_000;
 
+    /** Part of an upstream's memory that is divided among those that prefer it, and the rest. */
+    private static final double DIVIDED_SHARE = 0.5;
+
+    /** No length is certain; the quantile of a probability of 1 is infinite. */
+    private static final double MAXIMUM_CONFIDENCE = 0.9999;
+
     private static final int HASH_MULTIPLIER = 0x9E3779B9;
 
     private final Map<UpstreamId, PlacementUpstream> mUpstreams = new LinkedHashMap<>();
     private Set<FailureDomain> mDomainsOut = Set.of();
     private int mInstances = 1;
     private boolean mStandalone;
+    private @Nullable MemoryModel mMemory;
     private int mSeed;
 
     void setDomainsOut(Set<FailureDomain> domainsOut) {
         mDomainsOut = Set.copyOf(domainsOut);
     }
 
+    /**
+     * Makes forecasts of the memory of upstreams. Called before the first upstream is heard of.
+     *
+     * @param confidence probability with which requests fit into memory; 0 for no forecasts
+     */
+    void forecastMemory(double confidence) {
+        mMemory = confidence > 0 ? new MemoryModel(Math.min(MAXIMUM_CONFIDENCE, confidence)) : null;
+    }
+
+    /** Records that another scheduler has placed requests that are not reported yet. */
+    void beginTakeover(long nowNanos) {
+        for (PlacementUpstream upstream : mUpstreams.values()) {
+            UpstreamMemory memory = upstream.memory();
+            if (memory != null) {
+                memory.beginTakeover(nowNanos);
+            }
+        }
+    }
+
+    /** Returns the use of memory by forecast. */
+    MemoryUse memoryUse(Function<ServiceName, Optional<EngineCost>> costs) {
+        double highest = 0;
+        int tight = 0;
+        for (PlacementUpstream upstream : mUpstreams.values()) {
+            UpstreamMemory memory = upstream.memory();
+            Optional<EngineCost> cost = costs.apply(upstream.notice().service());
+            if (memory != null && cost.isPresent()) {
+                double used = memory.usedShare(cost.get());
+                highest = Math.max(highest, used);
+                tight += used > MemoryUse.TIGHT_SHARE ? 1 : 0;
+            }
+        }
+        MemoryModel model = mMemory;
+        return model == null
+                ? MemoryUse.NONE
+                : new MemoryUse((int) (100 * highest), tight, model.passedOverCount());
+    }
+
     /**
      * Sets that several instances place work without coordination.
      *
@@ -58,6 +108,40 @@
         mInstances = instances;
         mSeed = seed;
         mUpstreams.values().forEach(this::assignPreference);
+        assignMemoryShares();
+    }
+
+    /**
+     * Divides the memory of each service's upstreams among instances without coordination: half of
+     * it among those instances that prefer the upstream, the other half among all. Whole prompts
+     * fit only into the first half.
+     */
+    private void assignMemoryShares() {
+        if (!mStandalone || mMemory == null) {
+            return;
+        }
+        Map<ServiceName, List<PlacementUpstream>> services =
+                mUpstreams.values().stream()
+                        .collect(Collectors.groupingBy(upstream -> upstream.notice().service()));
+        services.values().forEach(this::assignMemoryShares);
+    }
+
+    private void assignMemoryShares(List<PlacementUpstream> upstreams) {
+        int preferred = Math.max(1, upstreams.size() / mInstances);
+        double sharers = Math.max(1, (double) mInstances * preferred / upstreams.size());
+        List<PlacementUpstream> ranked =
+                upstreams.stream()
+                        .sorted(
+                                Comparator.comparingDouble(PlacementUpstream::preference)
+                                        .reversed())
+                        .toList();
+        for (int rank = 0; rank < ranked.size(); rank++) {
+            UpstreamMemory memory = ranked.get(rank).memory();
+            if (memory != null) {
+                double divided = rank < preferred ? sharers : mInstances;
+                memory.setShare(mInstances == 1 ? 1 : DIVIDED_SHARE / divided);
+            }
+        }
     }
 
     private void assignPreference(PlacementUpstream upstream) {
@@ -78,8 +162,13 @@
         PlacementUpstream known = mUpstreams.get(notice.id());
         if (known == null) {
             PlacementUpstream upstream = new PlacementUpstream(notice, heardNanos);
+            MemoryModel model = mMemory;
+            if (model != null) {
+                upstream.forecastMemory(model);
+            }
             assignPreference(upstream);
             mUpstreams.put(notice.id(), upstream);
+            assignMemoryShares();
         } else {
             known.heard(notice, heardNanos);
         }
--- /dev/null
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/UpstreamMemory.java
@@ -0,0 +1,143 @@
+package dev.kumquatweir.policy.placement;
+
+import dev.kumquatweir.core.routing.EngineCost;
+import dev.kumquatweir.policy.memory.forecast.HeldRequest;
+import dev.kumquatweir.policy.memory.forecast.MemoryForecast;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Forecast of the memory of one upstream, and the part of that memory that this scheduler may use.
+ * Owned by {@link PlacementUpstream}; not thread-safe.
+ */
+final class UpstreamMemory {
+    /**
+     * Time in which entry instances report to a new leader what they run: they notice it within the
+     * time after which they would schedule alone.
+     */
+    private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(750);
+
+    /**
+     * Share of the memory used meanwhile. It is enough for one short request, and answers rarely
+     * need the whole margin that the former leader kept for them. A ramp from 0 to the whole memory
+     * over the same time let two engines in 50 replays crash, since long prompts were placed beside
+     * others that were not reported yet.
+     */
+    private static final double UNREPORTED_SHARE = 0.125;
+
+    /** Memory that is released within this time counts as free soon: a few decoding passes. */
+    private static final double SOON_MILLIS = 500;
+
+    private final MemoryModel mModel;
+    private final MemoryForecast mForecast;
+    private final Map<PlacementKey, HeldRequest> mHeld = new HashMap<>();
+    private double mShare = 1;
+    private OptionalLong mTakeoverNanos = OptionalLong.empty();
+
+    UpstreamMemory(MemoryModel model) {
+        mModel = model;
+        mForecast = model.forEngine();
+    }
+
+    // Placements.
+
+    void add(PlacedPart part, long nowNanos) {
+        if (part.request().promptTokens() > 0) {
+            HeldRequest held = mModel.held(part);
+            mHeld.put(part.request().key(), held);
+            mForecast.add(held);
+            if (part.started()) {
+                mForecast.started(held, nowNanos);
+            }
+        }
+    }
+
+    void started(PlacedPart part, long nowNanos) {
+        HeldRequest held = mHeld.get(part.request().key());
+        if (held != null) {
+            mForecast.started(held, nowNanos);
+        }
+    }
+
+    void remove(PlacedPart part) {
+        HeldRequest held = mHeld.remove(part.request().key());
+        if (held != null) {
+            mForecast.remove(held);
+        }
+    }
+
+    void answered(PlacedPart part, EngineCost cost) {
+        mModel.answered(part, cost);
+    }
+
+    // Shares.
+
+    /** Sets the share of the memory that this scheduler may use beside others, 0 to 1. */
+    void setShare(double share) {
+        mShare = share;
+    }
+
+    /**
+     * Records that another scheduler has placed requests here that have not been reported yet.
+     * Until they are, only a small part of the memory is used.
+     */
+    void beginTakeover(long nowNanos) {
+        mTakeoverNanos = OptionalLong.of(nowNanos);
+    }
+
+    /** Records that the upstream has started anew and holds only what is placed from now on. */
+    void restarted() {
+        mTakeoverNanos = OptionalLong.empty();
+    }
+
+    /** Returns the tokens that the requests of this scheduler may hold here. */
+    double usableTokens(EngineCost cost, long nowNanos) {
+        boolean unreported =
+                mTakeoverNanos.isPresent() && nowNanos - mTakeoverNanos.getAsLong() < REPORT_NANOS;
+        return (unreported ? UNREPORTED_SHARE : 1) * mShare * cost.kvCacheTokens();
+    }
+
+    // Forecasts.
+
+    /** Considers the output generated so far by a number of running answers. */
+    void update(EngineCost cost, int decodingCount, long nowNanos) {
+        double passMillis = cost.decodePassMillis(Math.max(1, decodingCount), 0);
+        mForecast.update(cost.stepsPerPass() / passMillis, nowNanos);
+    }
+
+    /** Returns the tokens missing for all of a request, negative if there are more than needed. */
+    double missingTokens(PlacementRequest request, EngineCost cost, long nowNanos) {
+        return mForecast.tokensWith(mModel.candidate(request)) - usableTokens(cost, nowNanos);
+    }
+
+    /** Returns the tokens that further requests may hold, at least 0. */
+    double freeTokens(EngineCost cost, long nowNanos) {
+        return Math.max(0, usableTokens(cost, nowNanos) - mForecast.tokens());
+    }
+
+    void countPassedOver() {
+        mModel.countPassedOver();
+    }
+
+    /** Returns the share of the memory that its requests hold at most, at the confidence. */
+    double usedShare(EngineCost cost) {
+        return mForecast.tokens() / cost.kvCacheTokens();
+    }
+
+    /**
+     * Returns how short the memory will be with a further request, 0 to 1. Memory that is released
+     * soon counts half.
+     */
+    double tightness(PlacementRequest request, EngineCost cost) {
+        double capacity = cost.kvCacheTokens();
+        double used = mForecast.tokensWith(mModel.candidate(request)) / capacity;
+        if (used <= MemoryUse.TIGHT_SHARE) {
+            return 0;
+        }
+        double lasting = used - mForecast.releasedWithin(SOON_MILLIS) / capacity / 2;
+        return Math.max(
+                0, Math.min(1, (lasting - MemoryUse.TIGHT_SHARE) / (1 - MemoryUse.TIGHT_SHARE)));
+    }
+}
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryPlacement.java
@@ -154,10 +154,23 @@
                                                 mCapabilities =
                                                         response.map(PeerCapabilities::decode)
                                                                 .getOrElse(PeerCapabilities.NONE);
+                                                reportHelpers(leader);
                                             }
                                         }));
     }
 
+    /** Reports to a new leader which engines hold memory for requests that it did not place. */
+    private void reportHelpers(InstanceId leader) {
+        if (mCapabilities.helperMemory()) {
+            for (TrackedRequest tracked : mRequests.values()) {
+                PlacementAction.Grant grant = tracked.mGrant;
+                if (grant != null && !grant.grant().helpers().isEmpty()) {
+                    send(leader, new PlacementEvent.Helped(grant.key(), grant.grant().helpers()));
+                }
+            }
+        }
+    }
+
     void clearLeader() {
         mLeader = null;
         mLeaderLostNanos = mClocks.nowNanos();
@@ -364,6 +377,7 @@
             long nowNanos = mClocks.nowNanos();
             mLocalScheduler.registerRunning(
                     tracked.mRequest, grant.grant().upstream(), false, nowNanos, nowNanos);
+            mLocalScheduler.registerHelpers(key, grant.grant().helpers(), nowNanos);
         }
         applyDecision(tracked, action.get());
     }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -111,6 +111,7 @@
                                         aged.status(),
                                         nowNanos
                                                 - TimeUnit.MILLISECONDS.toNanos(aged.ageMillis())));
+        scheduler.beginTakeover(nowNanos);
         scheduler.addQuarantinedParts(quarantine.quarantinedParts(nowNanos), nowNanos);
         scheduler.crashes().add(quarantine.crashes(nowNanos), nowNanos);
         mScheduler = scheduler;
@@ -200,6 +201,8 @@
                             running.started(),
                             running.grantedNanos(),
                             nowNanos);
+            case PlacementEvent.Helped helped ->
+                    scheduler.registerHelpers(helped.key(), helped.helpers(), nowNanos);
             case PlacementEvent.Measured measured ->
                     scheduler.recordEventCount(measured.key(), measured.events(), nowNanos);
             case PlacementEvent.Limited limited -> recordLimit(scheduler, owner, limited, nowNanos);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/PeerCapabilities.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/PeerCapabilities.java
@@ -19,8 +19,11 @@
 
     private static final String PLACEMENT_DETAILS = "placement-details";
 
+    private static final String HELPER_MEMORY = "helper-memory";
+
     /** Of this version. */
-    static final PeerCapabilities OWN = new PeerCapabilities(Set.of(PLACEMENT_DETAILS));
+    static final PeerCapabilities OWN =
+            new PeerCapabilities(Set.of(PLACEMENT_DETAILS, HELPER_MEMORY));
 
     PeerCapabilities {
         names = Set.copyOf(names);
@@ -34,6 +37,11 @@
         return names.contains(PLACEMENT_DETAILS);
     }
 
+    /** Returns whether the helpers of running requests may be reported. */
+    boolean helperMemory() {
+        return names.contains(HELPER_MEMORY);
+    }
+
     Bytes encode() {
         return new MessagePackWriter()
                 .writeList(List.copyOf(names), MessagePackWriter::writeString)
--- a/program/src/main/java/dev/kumquatweir/program/fleet/PlacementEvent.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/PlacementEvent.java
@@ -7,12 +7,14 @@
 import dev.kumquatweir.core.pack.MalformedContentException;
 import dev.kumquatweir.core.pack.MessagePackReader;
 import dev.kumquatweir.core.pack.MessagePackWriter;
+import dev.kumquatweir.policy.placement.PlacementHelper;
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementOutcome;
 import dev.kumquatweir.policy.placement.PlacementRequest;
 import dev.kumquatweir.policy.placement.UpstreamLimit;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /** Progress of a placement that an entry instance reports to the scheduler. */
@@ -20,6 +22,9 @@
     /** Limits are sent as a whole number of requests in this time. */
     double LIMIT_UNIT_SECONDS = 1e6;
 
+    /** The scheduler knows the addresses of engines. */
+    String NO_ADDRESS = "";
+
     /** The upstream sent its first event. */
     record Started(PlacementKey key) implements PlacementEvent {}
 
@@ -41,6 +46,14 @@
             PlacementRequest request, UpstreamId upstream, boolean started, long grantedNanos)
             implements PlacementEvent {}
 
+    /** Engines that help with a request that another scheduler has placed. Follows its report. */
+    record Helped(PlacementKey key, List<PlacementHelper> helpers) implements PlacementEvent {
+        /** Copies the list. */
+        public Helped {
+            helpers = List.copyOf(helpers);
+        }
+    }
+
     /** The number of events that the upstream sent. Precedes the end of the placement. */
     record Measured(PlacementKey key, long events) implements PlacementEvent {}
 
@@ -76,6 +89,14 @@
                                 TimeUnit.NANOSECONDS.toMicros(nowNanos - running.grantedNanos()));
                 PlacementCodec.write(writer, running.request(), details, nowNanos);
             }
+            case Helped helped ->
+                    writer.writeString("helped")
+                            .writeLong(helped.key().number())
+                            .writeList(
+                                    helped.helpers(),
+                                    (content, helper) ->
+                                            content.writeString(helper.upstream().value())
+                                                    .writeLong(helper.reservedTokens()));
             case Measured measured ->
                     writer.writeString("measured")
                             .writeLong(measured.key().number())
@@ -119,6 +140,15 @@
                 PlacementRequest request = PlacementCodec.read(reader, owner, nowNanos);
                 yield new Running(request, upstream, started, grantedNanos);
             }
+            case "helped" ->
+                    new Helped(
+                            new PlacementKey(owner, reader.readLong()),
+                            reader.readList(
+                                    content ->
+                                            new PlacementHelper(
+                                                    new UpstreamId(content.readString()),
+                                                    NO_ADDRESS,
+                                                    content.readLong())));
             case "measured" ->
                     new Measured(new PlacementKey(owner, reader.readLong()), reader.readLong());
             case "limited" ->
