--- a/policy/src/main/java/dev/kumquatweir/policy/placement/EngineMemory.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/EngineMemory.java
@@ -53,7 +53,7 @@
     static boolean hasMemoryForPart(
             PlacementUpstream upstream, EngineCost cost, long partTokens, long nowNanos) {
         UpstreamMemory memory = upstream.memory();
-        return memory == null || currentFreeTokens(memory, upstream, cost, nowNanos) >= partTokens;
+        return memory == null || helperTokens(memory, upstream, cost, nowNanos) >= partTokens;
     }
 
     /** Returns the value lost by using memory that is short; less where memory is free soon. */
@@ -81,7 +81,7 @@
             double freeTokens =
                     memory == null
                             ? freeTokens(helper, cost)
-                            : currentFreeTokens(memory, helper.upstream(), cost, nowNanos);
+                            : helperTokens(memory, helper.upstream(), cost, nowNanos);
             if (freeTokens < partTokens) {
                 return List.of();
             }
@@ -98,10 +98,10 @@
         return reserved;
     }
 
-    private static double currentFreeTokens(
+    private static double helperTokens(
             UpstreamMemory memory, PlacementUpstream upstream, EngineCost cost, long nowNanos) {
         memory.update(cost, upstream.decodingCount(), nowNanos);
-        return memory.freeTokens(cost, nowNanos);
+        return memory.helperTokens(cost, nowNanos);
     }
 
     private static long freeTokens(PartEstimate part, EngineCost cost) {
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/UpstreamMemory.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/UpstreamMemory.java
@@ -94,9 +94,11 @@
 
     /** Returns the tokens that the requests of this scheduler may hold here. */
     double usableTokens(EngineCost cost, long nowNanos) {
-        boolean unreported =
-                mTakeoverNanos.isPresent() && nowNanos - mTakeoverNanos.getAsLong() < REPORT_NANOS;
-        return (unreported ? UNREPORTED_SHARE : 1) * mShare * cost.kvCacheTokens();
+        return (awaitsReports(nowNanos) ? UNREPORTED_SHARE : 1) * mShare * cost.kvCacheTokens();
+    }
+
+    private boolean awaitsReports(long nowNanos) {
+        return mTakeoverNanos.isPresent() && nowNanos - mTakeoverNanos.getAsLong() < REPORT_NANOS;
     }
 
     // Forecasts.
@@ -112,9 +114,14 @@
         return mForecast.tokensWith(mModel.candidate(request)) - usableTokens(cost, nowNanos);
     }
 
-    /** Returns the tokens that further requests may hold, at least 0. */
-    double freeTokens(EngineCost cost, long nowNanos) {
-        return Math.max(0, usableTokens(cost, nowNanos) - mForecast.tokens());
+    /**
+     * Returns the tokens that may be held here for answers of other engines, at least 0. None until
+     * reports have arrived: parts of long prompts would fill the small share that is usable then.
+     */
+    double helperTokens(EngineCost cost, long nowNanos) {
+        return awaitsReports(nowNanos)
+                ? 0
+                : Math.max(0, usableTokens(cost, nowNanos) - mForecast.tokens());
     }
 
     void countPassedOver() {
