Switch the memory forecast on where the deployment expects memory pressure

Cause: the forecast is off by default, and a deployment says in a list of the platform, not in a setting, that its engines crash when memory runs out. Change: the template passes the list on as requested_features, RequestedFeatures decodes it, and FleetDaemon uses a confidence of 0.99 for it unless memory_confidence is set, also to 0.

--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -17,6 +17,7 @@
 import dev.kumquatweir.platform.HttpDialect;
 import dev.kumquatweir.platform.MemoryOrders;
 import dev.kumquatweir.platform.ReadinessService;
+import dev.kumquatweir.platform.RequestedFeatures;
 import dev.kumquatweir.platform.RoutingDocuments;
 import dev.kumquatweir.policy.placement.PlacementLimits;
 import dev.kumquatweir.policy.placement.SchedulerFeatures;
@@ -186,11 +187,13 @@
 
     private SchedulerFeatures schedulerFeatures() {
         SchedulingSettings scheduling = mSettings.scheduling();
+        RequestedFeatures requested = RequestedFeatures.decode(scheduling.requestedFeatures());
         return SchedulerFeatures.builder()
                 .teamSharing(scheduling.teamSharing())
                 .learnedCosts(scheduling.learnedCosts())
                 .domainBalance(scheduling.domainBalance())
-                .memoryConfidence(scheduling.memoryConfidence())
+                .memoryConfidence(
+                        scheduling.memoryConfidence().orElse(requested.memoryConfidence()))
                 .build();
     }
 
--- a/settings/src/main/java/dev/kumquatweir/settings/SchedulingSettings.java
+++ b/settings/src/main/java/dev/kumquatweir/settings/SchedulingSettings.java
@@ -1,5 +1,7 @@
 package dev.kumquatweir.settings;
 
+import java.util.OptionalDouble;
+
 /**
  * Optional parts of the scheduler, from the section {@code [scheduling]}. Immutable.
  *
@@ -7,12 +9,19 @@
  * @param learnedCosts whether the cost of requests is learned from their answers
  * @param domainBalance whether placements weigh the time of crossing between failure domains
  * @param memoryConfidence probability with which the requests on an engine have to fit into its
- *     memory; 0 for no margin
+ *     memory, 0 for no margin; empty to leave that to the requested features
+ * @param requestedFeatures what the deployment asks for, in the terms of the platform and as it
+ *     lists them; empty if it asks for nothing
  */
 public record SchedulingSettings(
-        boolean teamSharing, boolean learnedCosts, boolean domainBalance, double memoryConfidence) {
+        boolean teamSharing,
+        boolean learnedCosts,
+        boolean domainBalance,
+        OptionalDouble memoryConfidence,
+        String requestedFeatures) {
     /** All parts switched off. */
-    public static final SchedulingSettings NONE = new SchedulingSettings(false, false, false, 0);
+    public static final SchedulingSettings NONE =
+            new SchedulingSettings(false, false, false, OptionalDouble.empty(), "");
 
     static SchedulingSettings read(TomlTable scheduling) {
         SchedulingSettings settings =
@@ -20,8 +29,14 @@
                         scheduling.flag("team_sharing", false),
                         scheduling.flag("learned_costs", false),
                         scheduling.flag("domain_balance", false),
-                        scheduling.decimal("memory_confidence", 0, 1, 0));
+                        memoryConfidence(scheduling),
+                        scheduling.textOrEmpty("requested_features"));
         scheduling.refuseUnknownKeys();
         return settings;
     }
+
+    private static OptionalDouble memoryConfidence(TomlTable scheduling) {
+        double confidence = scheduling.decimal("memory_confidence", 0, 1, -1);
+        return confidence < 0 ? OptionalDouble.empty() : OptionalDouble.of(confidence);
+    }
 }
--- a/settings/src/main/java/dev/kumquatweir/settings/TomlTable.java
+++ b/settings/src/main/java/dev/kumquatweir/settings/TomlTable.java
@@ -57,6 +57,21 @@
         return value == null ? otherwise : textOf(key, value);
     }
 
+    /**
+     * Returns the text of a key that may be missing or empty; rendered settings have such texts.
+     */
+    String textOrEmpty(String key) {
+        JsonNode value = value(key);
+        if (value == null) {
+            return "";
+        }
+        if (!value.isTextual()) {
+            fault(key, "a text is allowed");
+            return "";
+        }
+        return value.textValue().strip();
+    }
+
     long wholeNumber(String key, long lowest, long highest, long otherwise) {
         JsonNode value = value(key);
         if (value == null) {
