--- a/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -11,6 +11,7 @@
 import dev.kumquatweir.core.routing.UpstreamStatus;
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.policy.placement.CrashEvent;
+import dev.kumquatweir.policy.placement.MemoryUse;
 import dev.kumquatweir.policy.placement.PlacementAction;
 import dev.kumquatweir.policy.placement.PlacementKey;
 import dev.kumquatweir.policy.placement.PlacementLimits;
@@ -44,6 +45,7 @@
     private Set<FailureDomain> mDomainsOut = Set.of();
     private volatile int mWaitingCount;
     private volatile int mLimitedCount;
+    private volatile MemoryUse mMemoryUse = MemoryUse.NONE;
 
     private record PendingPlacement(String requestId, Responder responder) {}
 
@@ -60,6 +62,12 @@
         metrics.register("kumquatweir_scheduler_waiting", waiting);
         Gauge<Integer> limited = () -> mLimitedCount;
         metrics.register("kumquatweir_scheduler_limited_upstreams", limited);
+        Gauge<Integer> memoryPercent = () -> mMemoryUse.highestPercent();
+        metrics.register("kumquatweir_scheduler_memory_percent", memoryPercent);
+        Gauge<Integer> tightEngines = () -> mMemoryUse.tightEngines();
+        metrics.register("kumquatweir_scheduler_memory_tight_engines", tightEngines);
+        Gauge<Long> passedOver = () -> mMemoryUse.passedOver();
+        metrics.register("kumquatweir_scheduler_memory_passed_over", passedOver);
     }
 
     void setRouting(RoutingTable routing, Set<FailureDomain> domainsOut) {
@@ -88,10 +96,18 @@
         if (leading == (mScheduler != null)) {
             return;
         }
-        LOG.info("scheduler_changed", "leading", leading, "upstreams", upstreams.size());
+        LOG.info(
+                "scheduler_changed",
+                "leading",
+                leading,
+                "upstreams",
+                upstreams.size(),
+                "memory_confidence",
+                mFeatures.memoryConfidence());
         if (!leading) {
             mScheduler = null;
             mLimitedCount = 0;
+            mMemoryUse = MemoryUse.NONE;
             mPendingPlacements
                     .values()
                     .forEach(pending -> pending.responder().respond(notLeading()));
@@ -234,10 +250,26 @@
         mLimitedCount = scheduler.limits().size();
     }
 
+    /** Logs when the memory of engines becomes tight, and when none is tight any more. */
+    private void recordMemoryUse(MemoryUse use) {
+        if (use.tightEngines() > 0 != mMemoryUse.tightEngines() > 0) {
+            LOG.info(
+                    use.tightEngines() > 0 ? "engine_memory_tight" : "engine_memory_relaxed",
+                    "engines",
+                    use.tightEngines(),
+                    "highest_percent",
+                    use.highestPercent(),
+                    "passed_over",
+                    use.passedOver());
+        }
+        mMemoryUse = use;
+    }
+
     void removeSilent(List<InstanceId> silentEntries, long nowNanos) {
         PlacementScheduler scheduler = mScheduler;
         if (scheduler != null) {
             scheduler.removeSilentUpstreams(nowNanos);
+            recordMemoryUse(scheduler.memoryUse());
             silentEntries.forEach(
                     entry -> {
                         LOG.info("entry_lost", "entry", entry);
