Share scarce upstreams among teams by their predicted work

Cause: under overload the order of waiting requests does not consider teams, so the team that sends most gets most.

TeamOrder applies them while requests of a service find no room and for 1 s after; without that, and without SchedulerFeatures.teamSharing, the order and the rule for late requests are as before. A request that the accounts owe to its team displaces others whatever they are worth. Requests whose estimated wait exceeds their time are rejected at once; Retry-After is the time at which the team's turns for returning requests reach the caller, at most a third of its time.

--- a/core/src/main/java/dev/kumquatweir/core/routing/RoutingTable.java
+++ b/core/src/main/java/dev/kumquatweir/core/routing/RoutingTable.java
@@ -17,6 +17,7 @@
     private final Map<String, List<Route>> mRoutesByHost;
     private final Map<ServiceName, RoutedService> mServices;
     private final Map<String, RoutedTeam> mTeamsByKey;
+    private final Map<String, Double> mTeamWeights = new HashMap<>();
     private final boolean mHasTeams;
     private final CallerLimits mLimits;
 
@@ -45,6 +46,7 @@
                         .collect(Collectors.toMap(RoutedService::name, Function.identity()));
         mTeamsByKey = new HashMap<>();
         teams.forEach(team -> team.apiKeys().forEach(key -> mTeamsByKey.put(key, team)));
+        teams.forEach(team -> mTeamWeights.put(team.name(), team.weight()));
         mHasTeams = !teams.isEmpty();
         mLimits = limits;
     }
@@ -76,6 +78,11 @@
         return Optional.ofNullable(mTeamsByKey.get(key));
     }
 
+    /** Returns the weight of a team's share in scarce upstreams, 1 for an unknown team. */
+    public double teamWeight(String team) {
+        return mTeamWeights.getOrDefault(team, 1.0);
+    }
+
     /** Returns whether callers of a route have to send an API key. Never, if there are no teams. */
     public boolean requiresApiKey(Route route) {
         return mHasTeams && route.apiKeyRequired();
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRules.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRules.java
@@ -1,5 +1,6 @@
 package dev.kumquatweir.policy.placement;
 
+import dev.kumquatweir.core.routing.EngineCost;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -16,24 +17,37 @@
     /** Lost value up to this share of the request's value is within the error of the estimates. */
     private static final double NEGLIGIBLE_LOSS_SHARE = 0.02;
 
+    /** Maximum number of late requests that wait, as a share of all slots of their service. */
+    private static final double MAXIMUM_LATE_SHARE = 0.1;
+
+    /**
+     * The same while teams share the service. Answers that began together end together, so that no
+     * slot becomes free for up to a second; the requests that a small team sends in this time are
+     * late, but within its share.
+     */
+    private static final double MAXIMUM_SHARED_LATE_SHARE = 0.4;
+
     private PlacementRules() {}
 
     /**
      * Returns whether to place the request now. A placement that delays no other request is
      * accepted if the request is worth more than the work it displaces. A placement that delays
-     * others is accepted only if waiting for a better one would make this request late.
+     * others is accepted only if waiting for a better one would make this request late. A request
+     * that the share of its team owes to it displaces others whatever they are worth.
      */
-    static boolean isWorthPlacing(PlacementRequest request, PlacementOption option) {
+    static boolean isWorthPlacing(WaitingRequest waiting, PlacementOption option) {
+        PlacementRequest request = waiting.request();
         boolean onTime = option.firstEventNanos() - request.targetNanos() <= 0;
         double gain = request.value() * (onTime ? 1 : 1 - EngineChooser.LATE_LOSS_SHARE);
+        double displacedValue = waiting.owed() ? 0 : option.displacedValue();
         if (option.lostValue() <= NEGLIGIBLE_LOSS_SHARE * request.value()) {
-            return option.displacedValue() <= gain;
+            return displacedValue <= gain;
         }
         long latestFirstEventNanos = onTime ? request.targetNanos() : request.latestStartNanos();
         boolean mustPlaceNow =
                 latestFirstEventNanos - option.firstEventNanos() - WAIT_MARGIN_NANOS < 0;
         double acceptableLoss = onTime ? gain * EngineChooser.LATE_LOSS_SHARE : gain;
-        return mustPlaceNow && option.lostValue() + option.displacedValue() < acceptableLoss;
+        return mustPlaceNow && option.lostValue() + displacedValue < acceptableLoss;
     }
 
     /**
@@ -47,6 +61,20 @@
                 && !waiting.willMissTarget(nowNanos);
     }
 
+    /**
+     * Returns whether to reject a late request that finds no room, as too many late ones wait.
+     * While teams share the service, these are the last ones in the order of the shares.
+     */
+    static boolean shouldShed(WaitingRequest waiting, ServiceRound round, EngineCost cost) {
+        if (!waiting.late() || waiting.lateOnArrival()) {
+            return false;
+        }
+        double slots = (double) round.upstreamCount() * cost.maximumConcurrentRequests();
+        return waiting.shared()
+                ? waiting.lateAhead() >= MAXIMUM_SHARED_LATE_SHARE * slots
+                : round.lateCount() > MAXIMUM_LATE_SHARE * slots;
+    }
+
     /**
      * Marks the parts that this placement delays as late, so that later decisions do not count the
      * same loss again.
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -27,9 +27,6 @@
     /** A call of a plain service that starts later than this cannot complete in time. */
     private static final long MINIMUM_CALL_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
-    /** Maximum number of late requests that wait, as a share of all slots of their service. */
-    private static final double MAXIMUM_LATE_SHARE = 0.1;
-
     /**
      * Share of its time for which a request may wait for limits of upstreams. The wait is an
      * estimate, and a rejection after it would have cost the caller the whole wait.
@@ -40,7 +37,7 @@
     private final SchedulerFeatures mFeatures;
     private final RoutedServices mServices = new RoutedServices();
     private final PlacementUpstreams mUpstreams = new PlacementUpstreams();
-    private final WaitingRequests mWaiting = new WaitingRequests();
+    private final WaitingRequests mWaiting;
     private final Map<ServiceName, SlidingRetryBudget> mRetries = new HashMap<>();
     private final CrashHistory mCrashes = new CrashHistory();
     private final CrashAttribution mAttribution = new CrashAttribution();
@@ -59,6 +56,7 @@
     public PlacementScheduler(PlacementLimits limits, SchedulerFeatures features) {
         mLimits = limits;
         mFeatures = features;
+        mWaiting = new WaitingRequests(features);
     }
 
     /** Returns the optional parts that are switched on. */
@@ -142,6 +140,7 @@
         }
         known.add(part, nowNanos);
         mPlaced.add(request.key(), List.of(known));
+        mWaiting.registerRunning(request, mServices.engineCost(request.service()), nowNanos);
     }
 
     /** Removes a waiting request. */
@@ -318,12 +317,14 @@
         if (cost.isPresent()) {
             decideGeneration(waiting, cost.get(), round.get(), nowNanos);
         } else {
-            decidePlainCall(request, round.get(), nowNanos);
+            decidePlainCall(waiting, round.get(), nowNanos);
         }
     }
 
-    private void decidePlainCall(PlacementRequest request, ServiceRound round, long nowNanos) {
-        if (request.latestStartNanos() - MINIMUM_CALL_NANOS - nowNanos < 0) {
+    private void decidePlainCall(WaitingRequest waiting, ServiceRound round, long nowNanos) {
+        PlacementRequest request = waiting.request();
+        long minimumNanos = MINIMUM_CALL_NANOS + waiting.expectedWaitNanos();
+        if (request.latestStartNanos() - minimumNanos - nowNanos < 0) {
             reject(request, PlacementRefusal.TOO_LATE, nowNanos);
             return;
         }
@@ -334,6 +335,8 @@
             place(request, List.of(chosen.get()), List.of(part), List.of(0L), nowNanos, nowNanos);
             recordPlacement(chosen.get(), round, nowNanos);
             round.countPlacement();
+        } else {
+            mWaiting.recordShortage(request, nowNanos);
         }
     }
 
@@ -342,7 +345,8 @@
         PlacementRequest request = waiting.request();
         double minimumMillis = EngineChooser.minimumMillis(request, cost, round.upstreamCount());
         long minimumNanos = (long) (minimumMillis * TimeUnit.MILLISECONDS.toNanos(1));
-        if (nowNanos + minimumNanos - request.latestStartNanos() > 0) {
+        if (nowNanos + waiting.expectedWaitNanos() + minimumNanos - request.latestStartNanos()
+                > 0) {
             rejectTooLate(waiting, round, nowNanos);
             return;
         }
@@ -366,7 +370,7 @@
             mComparisonBudget.recordUnsuccessful(round.upstreamCount(), nowNanos);
             shedIfLate(waiting, cost, round, nowNanos);
         } else if (!PlacementRules.shouldWaitForTarget(waiting, option.get(), nowNanos)
-                && PlacementRules.isWorthPlacing(request, option.get())) {
+                && PlacementRules.isWorthPlacing(waiting, option.get())) {
             round.adjustLateCount(waiting.late() ? -1 : 0);
             place(request, option.get(), nowNanos);
             option.get().parts().stream()
@@ -390,17 +394,14 @@
     }
 
     /**
-     * Sheds a late request if too many late ones wait. Requests that can be on time are placed
-     * first, so that under sustained overload it would wait until its caller gives up.
+     * Records that a request finds no room, and sheds it if too many late ones wait. Requests that
+     * can be on time are placed first, so that under sustained overload it would wait until its
+     * caller gives up.
      */
     private void shedIfLate(
             WaitingRequest waiting, EngineCost cost, ServiceRound round, long nowNanos) {
-        boolean sheddable = waiting.late() && !waiting.lateOnArrival();
-        if (sheddable
-                && round.lateCount()
-                        > MAXIMUM_LATE_SHARE
-                                * round.upstreamCount()
-                                * cost.maximumConcurrentRequests()) {
+        mWaiting.recordShortage(waiting.request(), nowNanos);
+        if (PlacementRules.shouldShed(waiting, round, cost)) {
             rejectTooLate(waiting, round, nowNanos);
         }
     }
@@ -408,9 +409,7 @@
     private void place(PlacementRequest request, PlacementOption option, long nowNanos) {
         List<PlacementUpstream> upstreams =
                 option.parts().stream().map(PartEstimate::upstream).toList();
-        if (option.lostValue() > 0) {
-            PlacementRules.markDelayedParts(option, nowNanos);
-        }
+        PlacementRules.markDelayedParts(option, nowNanos);
         place(
                 request,
                 upstreams,
@@ -427,7 +426,7 @@
             List<Long> reserved,
             long firstEventNanos,
             long nowNanos) {
-        withdraw(request.key());
+        mWaiting.place(request, nowNanos);
         mAttribution.placed(request);
         mPlaced.add(request.key(), upstreams);
         for (int index = 0; index < upstreams.size(); index++) {
@@ -439,7 +438,8 @@
     }
 
     private void reject(PlacementRequest request, PlacementRefusal reason, long nowNanos) {
-        rejectFor(request, reason, mUpstreams.retryAfterMillis(request, nowNanos), nowNanos);
+        long retryMillis = mUpstreams.retryAfterMillis(request, mWaiting, nowNanos);
+        rejectFor(request, reason, retryMillis, nowNanos);
     }
 
     private void rejectFor(
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstreams.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstreams.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -157,10 +158,23 @@
     }
 
     /**
-     * Returns the time after which a rejected caller should retry, in milliseconds. Retries are
-     * spread over the time in which slots become free.
+     * Returns the time after which a rejected caller should retry, in milliseconds: when the share
+     * of its team reaches it, or without shares a time spread over that in which slots become free.
      */
-    long retryAfterMillis(PlacementRequest request, long nowNanos) {
+    long retryAfterMillis(PlacementRequest request, WaitingRequests waiting, long nowNanos) {
+        long leftNanos = Math.max(0, request.deadlineNanos() - nowNanos);
+        long maximumNanos =
+                Math.min(
+                        TimeUnit.MILLISECONDS.toNanos(MAXIMUM_RETRY_MILLIS),
+                        leftNanos / RecentRejections.TIME_LEFT_PARTS);
+        OptionalLong returnNanos = waiting.returnNanos(request, maximumNanos, nowNanos);
+        return returnNanos.isPresent()
+                ? retryAfterMillis(returnNanos.getAsLong())
+                : retryAfterMillis(request, nowNanos);
+    }
+
+    /** Spreads retries over the time in which slots become free. */
+    private long retryAfterMillis(PlacementRequest request, long nowNanos) {
         List<PlacementUpstream> available = available(request.service(), nowNanos);
         boolean saturated =
                 available.stream()
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/RecentRejections.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/RecentRejections.java
@@ -30,7 +30,7 @@
     private static final long RETURN_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     /** Callers wait at most one part of this many of the time they have left. */
-    private static final int TIME_LEFT_PARTS = 3;
+    static final int TIME_LEFT_PARTS = 3;
 
     /** About 15 s of rejections at 700 per second. */
     private static final int MAXIMUM_COUNT = 10_000;
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/WaitingRequest.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/WaitingRequest.java
@@ -13,12 +13,18 @@
 
     private final PlacementRequest mRequest;
     private final long mArrivedNanos;
+    private final long mFirstArrivedNanos;
     private final boolean mLateOnArrival;
     private double mValueDensity;
+    private double mWork;
     private long mTypicalNanos;
     private boolean mLate;
     private boolean mCompared;
     private long mComparedNanos;
+    private long mExpectedWaitNanos;
+    private boolean mShared;
+    private boolean mOwed;
+    private int mLateAhead;
 
     /**
      * @param request the request
@@ -26,14 +32,31 @@
      * @param nowNanos present time; a request that is late on arrival is a retry or a resumption
      */
     WaitingRequest(PlacementRequest request, Optional<EngineCost> cost, long nowNanos) {
+        this(request, cost, nowNanos, nowNanos);
+    }
+
+    /**
+     * @param request the request
+     * @param cost cost model of the engines of its service; empty for a plain service
+     * @param firstArrivedNanos time of its first arrival, earlier than the present if its caller
+     *     sends it again after a rejection
+     * @param nowNanos present time
+     */
+    WaitingRequest(
+            PlacementRequest request,
+            Optional<EngineCost> cost,
+            long firstArrivedNanos,
+            long nowNanos) {
         mRequest = request;
         mArrivedNanos = nowNanos;
+        mFirstArrivedNanos = firstArrivedNanos;
         updateCost(cost);
         mLateOnArrival = willMissTarget(nowNanos);
     }
 
     /** Sets the cost model of the engines of its service. */
     void updateCost(Optional<EngineCost> cost) {
+        mWork = cost.map(known -> engineMillis(mRequest, known)).orElse(1.0);
         mTypicalNanos =
                 cost.map(known -> EngineChooser.typicalMillis(mRequest, known) * NANOS_PER_MILLI)
                         .orElse(0.0)
@@ -47,6 +70,17 @@
                         .orElse(1.0);
     }
 
+    /**
+     * Returns the time of one engine that a generation takes, in milliseconds: its prefill, and its
+     * part of the passes of a full batch.
+     */
+    private static double engineMillis(PlacementRequest request, EngineCost cost) {
+        int requests = Math.max(1, cost.maximumConcurrentRequests());
+        double passes = (double) request.outputTokens() / Math.max(1, cost.stepsPerPass());
+        return cost.prefillMillis(request.promptTokens())
+                + passes * cost.decodePassMillis(requests, 0) / requests;
+    }
+
     PlacementRequest request() {
         return mRequest;
     }
@@ -61,6 +95,55 @@
         return mLateOnArrival;
     }
 
+    /** Returns the time of its first arrival, from which its target is counted. */
+    long firstArrivedNanos() {
+        return mFirstArrivedNanos;
+    }
+
+    /** Returns whether its caller sends it again after a rejection. */
+    boolean returning() {
+        return mFirstArrivedNanos != mArrivedNanos;
+    }
+
+    /** Returns its predicted work: milliseconds of one engine, 1 for a call of a plain service. */
+    double work() {
+        return mWork;
+    }
+
+    /** Returns whether teams share its service, as it is overloaded. */
+    boolean shared() {
+        return mShared;
+    }
+
+    /** Returns the least time until the share of its team reaches it, 0 if it is not known. */
+    long expectedWaitNanos() {
+        return mExpectedWaitNanos;
+    }
+
+    /**
+     * Returns whether its service is overloaded and its team has received less than the others, so
+     * that it is placed even if it displaces work that is worth more.
+     */
+    boolean owed() {
+        return mOwed;
+    }
+
+    /**
+     * Returns the number of late requests of its service that are served before it, 0 unless teams
+     * share the service.
+     */
+    int lateAhead() {
+        return mLateAhead;
+    }
+
+    /** Sets its turn in the present scheduling round. */
+    void setTurn(long expectedWaitNanos, boolean owed, int lateAhead) {
+        mShared = true;
+        mExpectedWaitNanos = expectedWaitNanos;
+        mOwed = owed;
+        mLateAhead = lateAhead;
+    }
+
     /** Returns its value per millisecond of engine time. */
     double valueDensity() {
         return mValueDensity;
@@ -82,6 +165,8 @@
 
     void beginRound(long nowNanos) {
         mLate = willMissTarget(nowNanos);
+        setTurn(0, false, 0);
+        mShared = false;
     }
 
     /** Returns whether engines have been compared for this request. */
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/WaitingRequests.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/WaitingRequests.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
@@ -24,9 +25,15 @@
     private final Map<ServiceName, Integer> mCountByService = new HashMap<>();
     private final RecentRejections mRejections = new RecentRejections();
     private final Map<String, Long> mTimeoutNanosByRoute = new HashMap<>();
+    private final TeamOrder mTeamOrder;
+
+    WaitingRequests(SchedulerFeatures features) {
+        mTeamOrder = new TeamOrder(features.teamSharing());
+    }
 
     /** Sets the routes, and the cost model of the engines of each service. */
     void setRouting(RoutingTable routing, Function<ServiceName, Optional<EngineCost>> costs) {
+        mTeamOrder.setRouting(routing);
         mTimeoutNanosByRoute.clear();
         for (Route route : routing.routes()) {
             mTimeoutNanosByRoute.merge(
@@ -44,12 +51,44 @@
      */
     void add(PlacementRequest request, Optional<EngineCost> cost, long nowNanos) {
         PlacementRequest recognised = mRejections.recognise(request, nowNanos);
-        WaitingRequest waiting = new WaitingRequest(recognised, cost, nowNanos);
+        long ageNanos = request.targetNanos() - recognised.targetNanos();
+        WaitingRequest waiting =
+                new WaitingRequest(recognised, cost, nowNanos - ageNanos, nowNanos);
         if (mRequests.put(request.key(), waiting) == null) {
             mCountByService.merge(request.service(), 1, Integer::sum);
         }
     }
 
+    /** Removes a request that is placed. */
+    void place(PlacementRequest request, long nowNanos) {
+        @Nullable WaitingRequest waiting = mRequests.get(request.key());
+        if (waiting != null) {
+            mTeamOrder.recordPlacement(waiting, nowNanos);
+        }
+        remove(request.key());
+    }
+
+    /** Records a running request that another scheduler placed. */
+    void registerRunning(PlacementRequest request, Optional<EngineCost> cost, long nowNanos) {
+        mTeamOrder.registerRunning(new WaitingRequest(request, cost, nowNanos));
+    }
+
+    /** Records that a request found no room on the upstreams of its service. */
+    void recordShortage(PlacementRequest request, long nowNanos) {
+        mTeamOrder.recordShortage(request.service(), nowNanos);
+    }
+
+    /**
+     * Returns the time in nanoseconds after which the caller of a request should return if it is
+     * rejected now: when the share of its team reaches it. Empty without overload.
+     */
+    OptionalLong returnNanos(PlacementRequest request, long maximumNanos, long nowNanos) {
+        @Nullable WaitingRequest waiting = mRequests.get(request.key());
+        return waiting == null
+                ? OptionalLong.empty()
+                : mTeamOrder.returnNanos(waiting, maximumNanos, nowNanos);
+    }
+
     /** Removes a request that is rejected, to recognise it when its caller sends it again. */
     void reject(PlacementRequest request, long retryAfterMillis, long nowNanos) {
         @Nullable WaitingRequest waiting = mRequests.get(request.key());
@@ -84,9 +123,6 @@
     List<WaitingRequest> ordered(long nowNanos) {
         List<WaitingRequest> ordered = new ArrayList<>(mRequests.values());
         ordered.forEach(waiting -> waiting.beginRound(nowNanos));
-        if (ordered.size() > 1) {
-            ordered.sort(WaitingOrder.COMPARATOR);
-        }
-        return ordered;
+        return ordered.isEmpty() ? ordered : mTeamOrder.sort(ordered, nowNanos);
     }
 }
--- a/policy/src/test/java/dev/kumquatweir/policy/placement/ReplayOutcome.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/ReplayOutcome.java
@@ -17,6 +17,7 @@
     final long mArrivedNanos;
     final Set<UpstreamId> mTried = new HashSet<>();
     int mSends;
+    long mPlacedNanos = -1;
     double mFirstEventMillis = -1;
     double mRejectedMillis = -1;
     double mLongestGapMillis;
@@ -41,6 +42,11 @@
         return mFirstEventMillis >= 0 && mSends == 1;
     }
 
+    /** Returns whether it has arrived and was neither placed nor rejected. */
+    boolean waiting(long nowNanos) {
+        return mArrivedNanos <= nowNanos && mPlacedNanos < 0 && mRejectedMillis < 0;
+    }
+
     boolean finished() {
         return mFinished;
     }
--- a/policy/src/test/java/dev/kumquatweir/policy/placement/SchedulerReplay.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/SchedulerReplay.java
@@ -4,10 +4,7 @@
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.identity.UpstreamId;
-import dev.kumquatweir.core.routing.CallerLimits;
 import dev.kumquatweir.core.routing.EngineCost;
-import dev.kumquatweir.core.routing.RoutedService;
-import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.core.routing.UpstreamPhase;
 import dev.kumquatweir.core.routing.UpstreamStatus;
 import java.util.ArrayList;
@@ -16,10 +13,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
-import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 
 /**
  * Simulates a scheduler and its engines under load in virtual time. Engines follow their published
@@ -35,27 +30,17 @@
     private static final int MAXIMUM_SENDS = 3;
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
-    private final PlacementScheduler mScheduler =
-            new PlacementScheduler(new PlacementLimits(0.2, 100, 10_000));
-    private final PriorityQueue<ScheduledEvent> mEvents = new PriorityQueue<>();
+    private final SchedulerFeatures mFeatures;
+    private PlacementScheduler mScheduler;
+    private BiConsumer<ReplayOutcome, PlacementAction.Reject> mOnReject = (outcome, reject) -> {};
+    private final ReplayEvents mEvents = new ReplayEvents();
     private final Map<UpstreamId, Engine> mEngines = new HashMap<>();
     private final Map<PlacementKey, ReplayOutcome> mOutcomes = new HashMap<>();
     private final EngineFaults mFaults = new EngineFaults();
     private long mLastKeyNumber;
-    private long mLastOrder;
     private long mNowNanos;
     private int mQuarantined;
 
-    /** An action scheduled for a time. Actions with equal times keep their order. */
-    private record ScheduledEvent(long nanos, long order, Runnable action)
-            implements Comparable<ScheduledEvent> {
-        @Override
-        public int compareTo(ScheduledEvent other) {
-            int byTime = Long.compare(nanos, other.nanos);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
-    }
-
     /** A simulated engine, with the requests waiting for prefill and those that are decoding. */
     private final class Engine {
         private final UpstreamId mId;
@@ -183,19 +168,47 @@
 
     /** Creates a simulation whose scheduler knows all engines. */
     SchedulerReplay(int engines) {
-        mScheduler.setRouting(
-                new RoutingTable(
-                        1,
-                        List.of(),
-                        List.of(new RoutedService(SERVICE, 26, Optional.of(COST))),
-                        List.of(),
-                        new CallerLimits(1_000)),
-                Set.of());
+        this(engines, SchedulerFeatures.NONE);
+    }
+
+    /** Creates a simulation whose scheduler has the given optional parts. */
+    SchedulerReplay(int engines, SchedulerFeatures features) {
+        mFeatures = features;
+        mScheduler = ReplayEvents.newScheduler(mFeatures);
         for (int number = 0; number < engines; number++) {
             addEngine(number, 1);
         }
     }
 
+    /** Sets what follows a rejection. */
+    void onReject(BiConsumer<ReplayOutcome, PlacementAction.Reject> action) {
+        mOnReject = action;
+    }
+
+    /**
+     * Replaces the scheduler by a new one, which learns of the running requests and gets the
+     * waiting ones again.
+     */
+    void loseLeader(double atMillis) {
+        long nowNanos = (long) (atMillis * MILLI);
+        schedule(
+                nowNanos,
+                () -> {
+                    mScheduler = ReplayEvents.newScheduler(mFeatures);
+                    sendHeartbeats(nowNanos);
+                    for (Engine engine : mEngines.values()) {
+                        engine.mDecoding.forEach(placed -> register(placed, true, nowNanos));
+                        engine.mPrefillQueue.forEach(placed -> register(placed, false, nowNanos));
+                    }
+                    ReplayEvents.submitWaiting(mOutcomes.values(), mScheduler, nowNanos);
+                });
+    }
+
+    private void register(PlacedRequest placed, boolean started, long nowNanos) {
+        PlacementRequest request = Objects.requireNonNull(mOutcomes.get(placed.mKey)).mRequest;
+        mScheduler.registerRunning(request, placed.mPrimary.mId, started, nowNanos, nowNanos);
+    }
+
     /** Creates an engine whose passes take longer than the published cost by the given factor. */
     void addEngine(int number, double pace) {
         addEngine(new UpstreamId("engine-" + number), pace, 0);
@@ -351,6 +364,11 @@
                                 nowNanos + 15_000 * MILLI)
                         .generation(promptTokens, 46L * events, gapMillis)
                         .build();
+        return submit(request, nowNanos);
+    }
+
+    /** Adds a request that arrives at the given time. */
+    ReplayOutcome submit(PlacementRequest request, long nowNanos) {
         ReplayOutcome outcome = new ReplayOutcome(request, nowNanos);
         mOutcomes.put(request.key(), outcome);
         schedule(
@@ -375,9 +393,7 @@
                 schedule(nowNanos, () -> sendHeartbeats(nowNanos));
             }
         }
-        while (!mEvents.isEmpty() && mEvents.peek().nanos() <= untilNanos) {
-            mEvents.remove().action().run();
-        }
+        mEvents.runUntil(untilNanos);
         mNowNanos = untilNanos;
     }
 
@@ -394,6 +410,7 @@
                 case PlacementAction.Reject reject -> {
                     outcome.mRejectedMillis = (double) (nowNanos - outcome.mArrivedNanos) / MILLI;
                     mQuarantined += reject.reason() == PlacementRefusal.QUARANTINED ? 1 : 0;
+                    mOnReject.accept(outcome, reject);
                 }
                 case PlacementAction.Grant grant -> start(outcome, grant, nowNanos);
             }
@@ -406,6 +423,7 @@
         engines.add(engine(grant.grant().upstream()));
         grant.grant().helpers().forEach(helper -> engines.add(engine(helper.upstream())));
         outcome.mEngines = engines.size();
+        outcome.mPlacedNanos = nowNanos;
         double prefillMillis = COST.prefillMillis(request.promptTokens()) / engines.size();
         int events = (int) Math.max(1, request.outputTokens() / 46);
         PlacedRequest placed =
@@ -427,7 +445,6 @@
     }
 
     private void schedule(long nanos, Runnable action) {
-        mLastOrder++;
-        mEvents.add(new ScheduledEvent(nanos, mLastOrder, action));
+        mEvents.add(nanos, action);
     }
 }
