Count memory of cancelled requests for a moment, and learn from whole answers

Cause: an engine notices a closed connection at its next event, while the forecast gave its memory away at once; and the rest of a resumed stream was learned as if it were a whole answer, which makes the forecast too low. Change: requests that are cancelled or break off count for 250 ms longer; answers of further attempts are not learned.

--- a/policy/src/main/java/dev/kumquatweir/policy/placement/MemoryModel.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/MemoryModel.java
@@ -51,8 +51,14 @@
                 : mForecasts.helping(part.promptTokens(), part.memoryTokens());
     }
 
-    /** Learns from a complete answer. */
+    /**
+     * Learns from a complete answer. Ignores those of further attempts, which may be the rest of an
+     * answer that another upstream began.
+     */
     void answered(PlacedPart part, EngineCost cost) {
+        if (part.request().retry()) {
+            return;
+        }
         mCandidate = null;
         mOutputs.recordAnswer(
                 expectedOutput(part.request()), part.eventCount() * cost.stepsPerPass());
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
@@ -169,9 +169,27 @@
             case UNPROVEN -> faulty.health().recordLostAnswer(nowNanos);
             case CANCELLED -> {}
         }
+        if (mayStillRun(outcome)) {
+            upstreams.forEach(upstream -> closeMemory(upstream, key, nowNanos));
+        }
         upstreams.forEach(upstream -> upstream.ended(key, nowNanos));
     }
 
+    /** Returns whether an upstream may go on with a request until it notices its end. */
+    private static boolean mayStillRun(PlacementOutcome outcome) {
+        return switch (outcome) {
+            case BROKEN, SILENT, UNPROVEN, CANCELLED -> true;
+            case ANSWERED, UPSTREAM_ERROR, NOT_CONNECTED, FULL, MISDIRECTED -> false;
+        };
+    }
+
+    private static void closeMemory(PlacementUpstream upstream, PlacementKey key, long nowNanos) {
+        UpstreamMemory memory = upstream.memory();
+        if (memory != null) {
+            upstream.find(key).ifPresent(part -> memory.close(part, nowNanos));
+        }
+    }
+
     /** Returns the upstreams that have ceased to name a limit since the last call. */
     List<UpstreamId> drainLiftedLimits() {
         if (mLiftedLimits.isEmpty()) {
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/UpstreamMemory.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/UpstreamMemory.java
@@ -3,6 +3,8 @@
 import dev.kumquatweir.core.routing.EngineCost;
 import dev.kumquatweir.policy.memory.forecast.HeldRequest;
 import dev.kumquatweir.policy.memory.forecast.MemoryForecast;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -27,15 +29,24 @@
      */
     private static final double UNREPORTED_SHARE = 0.125;
 
+    /**
+     * Time for which an engine may hold the memory of a request whose connection was closed: it
+     * notices that when it sends the next event, after one or a few passes.
+     */
+    private static final long CLOSING_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
     /** Memory that is released within this time counts as free soon: a few decoding passes. */
     private static final double SOON_MILLIS = 500;
 
     private final MemoryModel mModel;
     private final MemoryForecast mForecast;
     private final Map<PlacementKey, HeldRequest> mHeld = new HashMap<>();
+    private final Deque<Closing> mClosing = new ArrayDeque<>();
     private double mShare = 1;
     private OptionalLong mTakeoverNanos = OptionalLong.empty();
 
+    private record Closing(HeldRequest held, long untilNanos) {}
+
     UpstreamMemory(MemoryModel model) {
         mModel = model;
         mForecast = model.forEngine();
@@ -68,6 +79,14 @@
         }
     }
 
+    /** Keeps the memory of a part for a while that ends without a complete answer. */
+    void close(PlacedPart part, long nowNanos) {
+        HeldRequest held = mHeld.remove(part.request().key());
+        if (held != null) {
+            mClosing.add(new Closing(held, nowNanos + CLOSING_NANOS));
+        }
+    }
+
     void answered(PlacedPart part, EngineCost cost) {
         mModel.answered(part, cost);
     }
@@ -90,6 +109,8 @@
     /** Records that the upstream has started anew and holds only what is placed from now on. */
     void restarted() {
         mTakeoverNanos = OptionalLong.empty();
+        mClosing.forEach(closing -> mForecast.remove(closing.held()));
+        mClosing.clear();
     }
 
     /** Returns the tokens that the requests of this scheduler may hold here. */
@@ -105,6 +126,9 @@
 
     /** Considers the output generated so far by a number of running answers. */
     void update(EngineCost cost, int decodingCount, long nowNanos) {
+        while (!mClosing.isEmpty() && mClosing.getFirst().untilNanos() - nowNanos <= 0) {
+            mForecast.remove(mClosing.removeFirst().held());
+        }
         double passMillis = cost.decodePassMillis(Math.max(1, decodingCount), 0);
         mForecast.update(cost.stepsPerPass() / passMillis, nowNanos);
     }
--- a/policy/src/test/java/dev/kumquatweir/policy/placement/StandaloneMemoryTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/StandaloneMemoryTest.java
@@ -80,6 +80,22 @@
         assertThat(scheduler.memoryUse().highestPercent(), lessThan(1));
     }
 
+    /** Guards against using memory again that an engine still holds for a cancelled request. */
+    @Test
+    void cancelledRequestHoldsMemoryUntilTheEngineNotices() {
+        PlacementScheduler scheduler = scheduler(mForecast, 0, 1);
+        submit(scheduler, new InstanceId("entry"), 1, 190_000);
+        assertThat(scheduler.decide(0).size(), is(1));
+        scheduler.ended(
+                new PlacementKey(new InstanceId("entry"), 1),
+                PlacementOutcome.CANCELLED,
+                "",
+                100 * MILLI);
+        submit(scheduler, new InstanceId("entry"), 2, 190_000);
+        assertThat(scheduler.decide(200 * MILLI).size(), is(0));
+        assertThat(scheduler.decide(400 * MILLI).size(), is(1));
+    }
+
     private long overfilledEngines(SchedulerFeatures features) {
         Map<UpstreamId, Long> placed = new HashMap<>();
         for (int instance = 0; instance < INSTANCES; instance++) {
