--- a/core/src/main/java/dev/kumquatweir/core/routing/RoutedService.java
+++ b/core/src/main/java/dev/kumquatweir/core/routing/RoutedService.java
@@ -9,6 +9,17 @@
  * @param name name of the service
  * @param coldRequestsPerSecond requests per second that a cold upstream can take, 0 for no limit
  * @param engineCost cost model of its engines; empty for a plain HTTP service
+ * @param domainDelays times between the failure domains of its callers and its upstreams
  */
 public record RoutedService(
-        ServiceName name, double coldRequestsPerSecond, Optional<EngineCost> engineCost) {}
+        ServiceName name,
+        double coldRequestsPerSecond,
+        Optional<EngineCost> engineCost,
+        DomainDelays domainDelays) {
+
+    /** Creates a service for which no delays between failure domains are known. */
+    public RoutedService(
+            ServiceName name, double coldRequestsPerSecond, Optional<EngineCost> engineCost) {
+        this(name, coldRequestsPerSecond, engineCost, DomainDelays.NONE);
+    }
+}
