Place by expected completion over all failure domains

Cause: generations and plain calls weigh the own domain by fixed weights. The time of a crossing does not count, so far domains get requests that then are late, and plain calls spread evenly over slow and fast upstreams.

Change, with `domain_balance` on (off: as before): the expected first event includes the way there and back (one line in EngineChooser). SchedulerReplay gets domains and several schedulers (ReplayCluster), its event queue is a class of its own (ReplayEvents).

DomainBalanceTest and PlainServiceBalanceTest fail with the switch off.

--- a/policy/src/main/java/dev/kumquatweir/policy/placement/EngineChooser.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/EngineChooser.java
@@ -255,7 +255,8 @@
             lostValue += part.lostValue();
             errorRate = Math.max(errorRate, part.upstream().health().errorRate(nowNanos));
         }
-        double firstEventMillis = readyMillis + primary.passMillis();
+        double crossingMillis = primary.upstream().crossingMillis(request);
+        double firstEventMillis = readyMillis + primary.passMillis() + crossingMillis;
         long firstEventNanos = nowNanos + (long) (firstEventMillis * NANOS_PER_MILLI);
         if (firstEventNanos - request.latestStartNanos() > 0) {
             return Optional.empty();
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
@@ -114,6 +114,7 @@
                 primaryPart.ifPresent(part -> liftLimit(primary, part));
                 primary.answered(nowNanos);
                 primary.health().answered(false, nowNanos);
+                primaryPart.ifPresent(part -> primary.recordWorkTime(part, nowNanos));
                 mCrashes.answered(contentHash);
                 mAttribution.progressed(primary, nowNanos);
                 primaryPart.ifPresent(part -> mAttribution.answered(part.request(), nowNanos));
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -69,7 +69,7 @@
     /** Sets the routing table and the failure domains whose upstreams get no new work. */
     public void setRouting(RoutingTable routing, Set<FailureDomain> domainsOut) {
         mServices.setRouting(routing);
-        mUpstreams.setDomainsOut(domainsOut);
+        mUpstreams.setDomains(domainsOut, mFeatures.domainBalance());
         mWaiting.updateCosts(mServices::engineCost);
     }
 
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
@@ -3,6 +3,8 @@
 import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.routing.UpstreamPhase;
 import dev.kumquatweir.core.routing.UpstreamStatus;
+import dev.kumquatweir.policy.locality.DomainCapacity;
+import dev.kumquatweir.policy.locality.WorkTime;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -27,7 +29,11 @@
      */
     private static final int MINIMUM_SLOTS = 2;
 
+    /** Pending prefill with which it takes no short prompt in time; a usual target is 300 ms. */
+    private static final double BLOCKED_MILLIS = 300;
+
     private final UpstreamHealth mHealth = new UpstreamHealth();
+    private final WorkTime mWorkTime = new WorkTime();
     private final StartRateLimiter mStartLimiter = new StartRateLimiter();
     private final Map<PlacementKey, PlacedPart> mParts = new LinkedHashMap<>();
     private UpstreamStatus mNotice;
@@ -37,6 +43,7 @@
     private boolean mMisdirected;
     private int mInstances = 1;
     private double mPreference;
+    private @Nullable DomainCapacity mDomainCapacity;
     private LimitShare mLimitShare = new LimitShare.Whole();
     private @Nullable NamedLimit mLimit;
     private OptionalLong mRestartedNanos = OptionalLong.empty();
@@ -149,6 +156,21 @@
         return request.domain().isPresent() && request.domain().get().equals(mNotice.domain());
     }
 
+    /** Sets the upstreams of its service and domain, which are balanced with those of others. */
+    void setDomainCapacity(DomainCapacity capacity) {
+        mDomainCapacity = capacity;
+    }
+
+    /** Returns the upstreams of its service and domain, null if domains are not balanced. */
+    @Nullable DomainCapacity domainCapacity() {
+        return mDomainCapacity;
+    }
+
+    /** Returns the time from the caller's instance and back, 0 if domains are not balanced. */
+    double crossingMillis(PlacementRequest request) {
+        return mDomainCapacity == null ? 0 : mDomainCapacity.roundTripMillis(request.domain());
+    }
+
     /** Returns the preference of this instance for the upstream in standalone mode, 0 to 1. */
     double preference() {
         return mPreference;
@@ -174,6 +196,7 @@
             List.copyOf(mParts.values()).forEach(this::remove);
             mPrefillUntilNanos = heardNanos;
             mLimit = null;
+            mWorkTime.reset();
             mRestartedNanos = OptionalLong.of(heardNanos);
         }
         if (notice.isNewerThan(mNotice)) {
@@ -200,6 +223,28 @@
         mLastHeardNanos = Math.max(mLastHeardNanos, nowNanos);
     }
 
+    /** Records the time of an answered call of a plain service, without the crossing. */
+    void recordWorkTime(PlacedPart part, long nowNanos) {
+        if (part.request().promptTokens() == 0) {
+            mWorkTime.record(elapsedMillis(part, nowNanos), nowNanos);
+        }
+    }
+
+    private double elapsedMillis(PlacedPart part, long nowNanos) {
+        double millis = (nowNanos - part.grantedNanos()) / NANOS_PER_MILLI;
+        return millis - crossingMillis(part.request());
+    }
+
+    /** Returns the time that calls of a plain service take here. */
+    WorkTime workTime() {
+        return mWorkTime;
+    }
+
+    /** Returns how long the oldest request has been running without the crossing, 0 if none. */
+    double oldestMillis(long nowNanos) {
+        return mParts.isEmpty() ? 0 : elapsedMillis(mParts.values().iterator().next(), nowNanos);
+    }
+
     boolean cold(long nowNanos) {
         return nowNanos - mColdUntilNanos < 0;
     }
@@ -223,6 +268,9 @@
         mParts.put(part.request().key(), part);
         mMemoryTokens += part.memoryTokens();
         mPrimaryCount += part.primary() ? 1 : 0;
+        if (mDomainCapacity != null && part.primary()) {
+            mDomainCapacity.started();
+        }
         if (part.started()) {
             addStartedAnswer(part);
         } else {
@@ -270,6 +318,12 @@
         return Math.max(0, (mPrefillUntilNanos - nowNanos) / NANOS_PER_MILLI);
     }
 
+    /** Returns the share of it that is in use by answers or blocked by prefill, 0 to 1. */
+    double busyShare(long nowNanos) {
+        double occupied = (double) mPrimaryCount / Math.max(1, mNotice.slots());
+        return Math.min(1, Math.max(occupied, pendingPrefillMillis(nowNanos) / BLOCKED_MILLIS));
+    }
+
     /** Returns the number of placements for which it generates the answer. */
     int primaryCount() {
         return mPrimaryCount;
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstreams.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstreams.java
@@ -5,6 +5,9 @@
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.routing.RoutedService;
 import dev.kumquatweir.core.routing.UpstreamStatus;
+import dev.kumquatweir.policy.locality.DomainCapacity;
+import dev.kumquatweir.policy.locality.ServiceDomains;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,12 +42,20 @@
 
     private final Map<UpstreamId, PlacementUpstream> mUpstreams = new LinkedHashMap<>();
     private Set<FailureDomain> mDomainsOut = Set.of();
+    private final Map<ServiceName, ServiceDomains> mDomains = new HashMap<>();
+    private boolean mBalanced;
     private int mInstances = 1;
     private boolean mStandalone;
     private int mSeed;
 
-    void setDomainsOut(Set<FailureDomain> domainsOut) {
+    /**
+     * Sets the failure domains whose upstreams get no new work.
+     *
+     * @param balanced whether placements weigh the time of crossing between domains
+     */
+    void setDomains(Set<FailureDomain> domainsOut, boolean balanced) {
         mDomainsOut = Set.copyOf(domainsOut);
+        mBalanced = balanced;
     }
 
     /**
@@ -131,9 +142,31 @@
                 available.stream()
                         .filter(upstream -> mayStart(upstream, service, nowNanos))
                         .toList();
+        if (mBalanced) {
+            updateDomains(service, eligible, nowNanos);
+        }
         return new ServiceRound(service, available, eligible, nowNanos);
     }
 
+    /** Sums up the upstreams that may get work in each domain; a slow one counts for less. */
+    private void updateDomains(
+            RoutedService service, List<PlacementUpstream> eligible, long nowNanos) {
+        ServiceDomains domains =
+                mDomains.computeIfAbsent(service.name(), key -> new ServiceDomains());
+        domains.setDelays(service.domainDelays());
+        domains.reset();
+        for (PlacementUpstream upstream : eligible) {
+            DomainCapacity capacity = upstream.domainCapacity();
+            if (capacity == null) {
+                capacity = domains.capacity(upstream.notice().domain());
+                upstream.setDomainCapacity(capacity);
+            }
+            int slots = upstream.availableSlots(upstream.notice().slots(), nowNanos);
+            capacity.add(
+                    slots / upstream.health().slowdown(nowNanos), upstream.busyShare(nowNanos));
+        }
+    }
+
     /**
      * Returns whether the limit that an upstream names, and the one on starts per second of a cold
      * one, allow another request. A standalone instance uses its share of the limit, but at least
--- a/policy/src/test/java/dev/kumquatweir/policy/placement/SchedulerReplay.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/SchedulerReplay.java
@@ -1,24 +1,16 @@
 package dev.kumquatweir.policy.placement;
 
-import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.identity.UpstreamId;
-import dev.kumquatweir.core.routing.CallerLimits;
 import dev.kumquatweir.core.routing.EngineCost;
-import dev.kumquatweir.core.routing.RoutedService;
-import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.core.routing.UpstreamPhase;
-import dev.kumquatweir.core.routing.UpstreamStatus;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
-import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -35,27 +27,14 @@
     private static final int MAXIMUM_SENDS = 3;
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
-    private final PlacementScheduler mScheduler =
-            new PlacementScheduler(new PlacementLimits(0.2, 100, 10_000));
-    private final PriorityQueue<ScheduledEvent> mEvents = new PriorityQueue<>();
+    private final ReplayCluster mCluster;
+    private final ReplayEvents mEvents = new ReplayEvents();
     private final Map<UpstreamId, Engine> mEngines = new HashMap<>();
     private final Map<PlacementKey, ReplayOutcome> mOutcomes = new HashMap<>();
     private final EngineFaults mFaults = new EngineFaults();
     private long mLastKeyNumber;
-    private long mLastOrder;
-    private long mNowNanos;
     private int mQuarantined;
 
-    /** An action scheduled for a time. Actions with equal times keep their order. */
-    private record ScheduledEvent(long nanos, long order, Runnable action)
-            implements Comparable<ScheduledEvent> {
-        @Override
-        public int compareTo(ScheduledEvent other) {
-            int byTime = Long.compare(nanos, other.nanos);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
-    }
-
     /** A simulated engine, with the requests waiting for prefill and those that are decoding. */
     private final class Engine {
         private final UpstreamId mId;
@@ -64,6 +43,7 @@
         private final List<PlacedRequest> mDecoding = new ArrayList<>();
         private boolean mBusy;
         private boolean mDown;
+        private boolean mLeaving;
 
         Engine(UpstreamId id, double slowdown) {
             mId = id;
@@ -138,7 +118,8 @@
                 request.event(nowNanos);
                 if (request.mEventsLeft == 0) {
                     mDecoding.remove(request);
-                    mScheduler.ended(request.mKey, PlacementOutcome.ANSWERED, "", nowNanos);
+                    mCluster.scheduler(request.mKey)
+                            .ended(request.mKey, PlacementOutcome.ANSWERED, "", nowNanos);
                     decide(nowNanos);
                 }
             }
@@ -153,6 +134,7 @@
         private final double mPrefillMillis;
         private int mPartsLeft;
         private int mEventsLeft;
+        private final long mCrossingNanos;
         private double mLastEventMillis = -1;
 
         PlacedRequest(
@@ -162,15 +144,19 @@
             mPrefillMillis = prefillMillis;
             mPartsLeft = parts;
             mEventsLeft = events;
+            PlacementRequest request = Objects.requireNonNull(mOutcomes.get(key)).mRequest;
+            mCrossingNanos = mCluster.crossingNanos(request, primary.mId);
         }
 
         void event(long nowNanos) {
             ReplayOutcome outcome = Objects.requireNonNull(mOutcomes.get(mKey));
-            double ageMillis = (double) (nowNanos - outcome.mArrivedNanos) / MILLI;
+            long heardNanos = nowNanos + mCrossingNanos;
+            double ageMillis = (double) (heardNanos - outcome.mArrivedNanos) / MILLI;
             mEventsLeft--;
             if (mLastEventMillis < 0) {
                 outcome.mFirstEventMillis = ageMillis;
-                mScheduler.recordFirstEvent(mKey, nowNanos);
+                PlacementScheduler scheduler = mCluster.scheduler(mKey);
+                mEvents.after(heardNanos, () -> scheduler.recordFirstEvent(mKey, heardNanos));
                 scheduleFaults(this, outcome, nowNanos);
             } else {
                 outcome.mLongestGapMillis =
@@ -183,14 +169,13 @@
 
     /** Creates a simulation whose scheduler knows all engines. */
     SchedulerReplay(int engines) {
-        mScheduler.setRouting(
-                new RoutingTable(
-                        1,
-                        List.of(),
-                        List.of(new RoutedService(SERVICE, 26, Optional.of(COST))),
-                        List.of(),
-                        new CallerLimits(1_000)),
-                Set.of());
+        this(engines, ReplayCluster.led(1, 0, SchedulerFeatures.NONE));
+    }
+
+    /** Creates a simulation whose schedulers know all engines. */
+    SchedulerReplay(int engines, ReplayCluster cluster) {
+        mCluster = cluster;
+        cluster.setRouting();
         for (int number = 0; number < engines; number++) {
             addEngine(number, 1);
         }
@@ -213,7 +198,7 @@
 
     /** Returns the time that the simulation has reached. */
     long nowNanos() {
-        return mNowNanos;
+        return mEvents.nowNanos();
     }
 
     /** Returns how many requests were rejected as quarantined. */
@@ -223,7 +208,7 @@
 
     /** Returns the scheduler. */
     PlacementScheduler scheduler() {
-        return mScheduler;
+        return mCluster.schedulers().get(0);
     }
 
     /** Lets engines crash together that have the given share of all numbers. */
@@ -271,14 +256,14 @@
     /** Ends a send without a complete answer and submits the request again. */
     private void endSend(PlacedRequest placed, PlacementOutcome result, long nowNanos) {
         ReplayOutcome outcome = Objects.requireNonNull(mOutcomes.get(placed.mKey));
-        mScheduler.ended(placed.mKey, result, "", nowNanos);
+        mCluster.scheduler(placed.mKey).ended(placed.mKey, result, "", nowNanos);
         boolean sent = result == PlacementOutcome.BROKEN;
         outcome.mTried.add(placed.mPrimary.mId);
         if (outcome.mSends < MAXIMUM_SENDS) {
             mLastKeyNumber++;
             PlacementRequest first = outcome.mRequest;
             PlacementRequest next =
-                    builder(mLastKeyNumber, first.sharedParts())
+                    builder(first.key().owner(), mLastKeyNumber, first.sharedParts())
                             .times(
                                     first.targetNanos(),
                                     nowNanos + 2_000 * MILLI,
@@ -288,38 +273,29 @@
                                     46L * Math.max(1, placed.mEventsLeft),
                                     first.targetGapMillis())
                             .previousAttempts(outcome.mTried, sent)
+                            .domain(first.domain().orElse(mCluster.domain(0)))
                             .build();
             mOutcomes.put(next.key(), outcome);
-            mScheduler.submit(next, nowNanos);
+            mCluster.scheduler(next.key()).submit(next, nowNanos);
         }
         decide(nowNanos);
     }
 
-    private static PlacementRequest.Builder builder(long number, List<String> parts) {
+    private static PlacementRequest.Builder builder(
+            InstanceId owner, long number, List<String> parts) {
         String id = "request-" + number;
-        return PlacementRequest.builder(new PlacementKey(OWNER, number), id, SERVICE)
+        return PlacementRequest.builder(new PlacementKey(owner, number), id, SERVICE)
                 .contentHash(id)
                 .sharedParts(parts);
     }
 
     private void heartbeat(UpstreamId id, long nowNanos) {
-        mScheduler.updateUpstream(
-                new UpstreamStatus(
-                        id,
-                        1,
-                        SERVICE,
-                        id.value(),
-                        new FailureDomain("a"),
-                        SLOTS,
-                        UpstreamPhase.READY,
-                        0,
-                        1 + nowNanos),
-                nowNanos);
+        mCluster.heartbeat(id, UpstreamPhase.READY, nowNanos);
     }
 
     /** Returns the number of engine comparisons that the scheduler has made. */
     long comparisonCount() {
-        return mScheduler.comparisonCount();
+        return scheduler().comparisonCount();
     }
 
     /** Returns the number of engines that are running a pass. */
@@ -341,10 +317,24 @@
             long targetMillis,
             long gapMillis,
             List<String> parts) {
+        return arrive(OWNER, 0, atMillis, promptTokens, events, targetMillis, gapMillis, parts);
+    }
+
+    /** Adds a request of an instance in the domain of the given number. */
+    ReplayOutcome arrive(
+            InstanceId owner,
+            int domain,
+            double atMillis,
+            long promptTokens,
+            int events,
+            long targetMillis,
+            long gapMillis,
+            List<String> parts) {
         long nowNanos = (long) (atMillis * MILLI);
         mLastKeyNumber++;
         PlacementRequest request =
-                builder(mLastKeyNumber, parts)
+                builder(owner, mLastKeyNumber, parts)
+                        .domain(mCluster.domain(domain))
                         .times(
                                 nowNanos + targetMillis * MILLI,
                                 nowNanos + Math.max(2_000, 4 * targetMillis) * MILLI,
@@ -356,7 +346,7 @@
         schedule(
                 nowNanos,
                 () -> {
-                    mScheduler.submit(request, nowNanos);
+                    mCluster.scheduler(request.key()).submit(request, nowNanos);
                     decide(nowNanos);
                 });
         return outcome;
@@ -375,20 +365,35 @@
                 schedule(nowNanos, () -> sendHeartbeats(nowNanos));
             }
         }
-        while (!mEvents.isEmpty() && mEvents.peek().nanos() <= untilNanos) {
-            mEvents.remove().action().run();
-        }
-        mNowNanos = untilNanos;
+        mEvents.run(untilNanos);
+    }
+
+    /** Lets an engine leave and a new one take its place after a while. */
+    void replace(int number, double atMillis, double downMillis) {
+        UpstreamId id = new UpstreamId("engine-" + number);
+        long nowNanos = (long) (atMillis * MILLI);
+        schedule(
+                nowNanos,
+                () -> {
+                    engine(id).mLeaving = true;
+                    mCluster.heartbeat(id, UpstreamPhase.DRAINING, nowNanos);
+                });
+        long backNanos = nowNanos + (long) (downMillis * MILLI);
+        schedule(backNanos, () -> addEngine(new UpstreamId("next-" + number), 1, backNanos));
     }
 
     private void sendHeartbeats(long nowNanos) {
         mEngines.values().stream()
-                .filter(engine -> !engine.mDown)
+                .filter(engine -> !engine.mDown && !engine.mLeaving)
                 .forEach(engine -> heartbeat(engine.mId, nowNanos));
     }
 
     private void decide(long nowNanos) {
-        for (PlacementAction action : mScheduler.decide(nowNanos)) {
+        mCluster.schedulers().forEach(scheduler -> decide(scheduler, nowNanos));
+    }
+
+    private void decide(PlacementScheduler scheduler, long nowNanos) {
+        for (PlacementAction action : scheduler.decide(nowNanos)) {
             ReplayOutcome outcome = Objects.requireNonNull(mOutcomes.get(action.key()));
             switch (action) {
                 case PlacementAction.Reject reject -> {
@@ -419,7 +424,18 @@
         }
         outcome.mSends++;
         mFaults.recordSend(request, (double) nowNanos / MILLI);
-        engines.forEach(engine -> engine.add(placed, nowNanos));
+        Engine primary = engines.get(0);
+        if (mCluster.refusesWhenFull()
+                && primary.mDecoding.size() + primary.mPrefillQueue.size() >= SLOTS) {
+            outcome.mSends--;
+            schedule(
+                    nowNanos + MILLI,
+                    () -> endSend(placed, PlacementOutcome.FULL, nowNanos + MILLI));
+            return;
+        }
+        long reachedNanos = nowNanos + placed.mCrossingNanos;
+        mEvents.after(
+                reachedNanos, () -> engines.forEach(engine -> engine.add(placed, reachedNanos)));
     }
 
     private Engine engine(UpstreamId id) {
@@ -427,7 +443,6 @@
     }
 
     private void schedule(long nanos, Runnable action) {
-        mLastOrder++;
-        mEvents.add(new ScheduledEvent(nanos, mLastOrder, action));
+        mEvents.schedule(nanos, action);
     }
 }
