Keep long prompts of standalone instances off each other's short ones

Cause: instances without a leader know only their own placements.

Change, with `domain_balance` on: all instances agree by the ids of the engines which of each domain take long, middle and short prompts; a kind takes part if the instance has placed such a prompt in the last five minutes, also through a leader. Short prompts take the better of two random engines of their own domain. Slots per instance, cold limits, retry budget and shares of named limits stay as they are.

--- a/policy/src/main/java/dev/kumquatweir/policy/placement/EngineChooser.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/EngineChooser.java
@@ -32,7 +32,7 @@
     /**
      * Shortest prefill that is split. Below it the calls to other engines cost more than they gain.
      */
-    private static final double MINIMUM_SPLIT_MILLIS = 60;
+    static final double MINIMUM_SPLIT_MILLIS = 60;
 
     /** Maximum number of engines per prompt, set by the protocol. */
     private static final int MAXIMUM_ENGINES = 16;
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -359,7 +359,7 @@
                 EngineChooser.choose(
                         request,
                         cost,
-                        round.eligible(request),
+                        round.candidates(request, cost),
                         round.saturation(mWaiting.size(request.service())),
                         nowNanos);
         if (option.isEmpty()) {
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstream.java
@@ -4,6 +4,7 @@
 import dev.kumquatweir.core.routing.UpstreamPhase;
 import dev.kumquatweir.core.routing.UpstreamStatus;
 import dev.kumquatweir.policy.locality.DomainCapacity;
+import dev.kumquatweir.policy.locality.PromptSizes;
 import dev.kumquatweir.policy.locality.WorkTime;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -33,6 +34,7 @@
     private static final double BLOCKED_MILLIS = 300;
 
     private final UpstreamHealth mHealth = new UpstreamHealth();
+    private final PromptSizes mPromptSizes;
     private final WorkTime mWorkTime = new WorkTime();
     private final StartRateLimiter mStartLimiter = new StartRateLimiter();
     private final Map<PlacementKey, PlacedPart> mParts = new LinkedHashMap<>();
@@ -53,7 +55,17 @@
     private long mMemoryTokens;
 
     PlacementUpstream(UpstreamStatus notice, long heardNanos) {
+        this(notice, new PromptSizes(), heardNanos);
+    }
+
+    /**
+     * Creates an upstream.
+     *
+     * @param promptSizes records the prompts that are placed on it
+     */
+    PlacementUpstream(UpstreamStatus notice, PromptSizes promptSizes, long heardNanos) {
         mNotice = notice;
+        mPromptSizes = promptSizes;
         mPrefillUntilNanos = heardNanos;
         accept(notice, heardNanos);
     }
@@ -197,6 +209,7 @@
             mPrefillUntilNanos = heardNanos;
             mLimit = null;
             mWorkTime.reset();
+            mDomainCapacity = null;
             mRestartedNanos = OptionalLong.of(heardNanos);
         }
         if (notice.isNewerThan(mNotice)) {
@@ -225,7 +238,7 @@
 
     /** Records the time of an answered call of a plain service, without the crossing. */
     void recordWorkTime(PlacedPart part, long nowNanos) {
-        if (part.request().promptTokens() == 0) {
+        if (mDomainCapacity != null && part.request().promptTokens() == 0) {
             mWorkTime.record(elapsedMillis(part, nowNanos), nowNanos);
         }
     }
@@ -268,6 +281,9 @@
         mParts.put(part.request().key(), part);
         mMemoryTokens += part.memoryTokens();
         mPrimaryCount += part.primary() ? 1 : 0;
+        if (part.primary() && part.request().promptTokens() > 0) {
+            mPromptSizes.record(part.request().promptTokens(), nowNanos);
+        }
         if (mDomainCapacity != null && part.primary()) {
             mDomainCapacity.started();
         }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstreams.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstreams.java
@@ -6,6 +6,7 @@
 import dev.kumquatweir.core.routing.RoutedService;
 import dev.kumquatweir.core.routing.UpstreamStatus;
 import dev.kumquatweir.policy.locality.DomainCapacity;
+import dev.kumquatweir.policy.locality.PromptSizes;
 import dev.kumquatweir.policy.locality.ServiceDomains;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -43,10 +44,12 @@
     private final Map<UpstreamId, PlacementUpstream> mUpstreams = new LinkedHashMap<>();
     private Set<FailureDomain> mDomainsOut = Set.of();
     private final Map<ServiceName, ServiceDomains> mDomains = new HashMap<>();
+    private final PromptSizes mPromptSizes = new PromptSizes();
     private boolean mBalanced;
     private int mInstances = 1;
     private boolean mStandalone;
     private int mSeed;
+    private @Nullable StandaloneCandidates mStandaloneCandidates;
 
     /**
      * Sets the failure domains whose upstreams get no new work.
@@ -68,6 +71,7 @@
         mStandalone = true;
         mInstances = instances;
         mSeed = seed;
+        mStandaloneCandidates = new StandaloneCandidates(mPromptSizes, seed);
         mUpstreams.values().forEach(this::assignPreference);
     }
 
@@ -79,7 +83,7 @@
     }
 
     /** Hashes a value to a number from 0 to 1; similar values give different numbers. */
-    private static double hashToUnitInterval(int value) {
+    static double hashToUnitInterval(int value) {
         int mixed = value * HASH_MULTIPLIER;
         mixed = (mixed ^ (mixed >>> 15)) * HASH_MULTIPLIER;
         return Math.floorMod(mixed ^ (mixed >>> 13), 1000) / 1000.0;
@@ -88,7 +92,7 @@
     void heard(UpstreamStatus notice, long heardNanos) {
         PlacementUpstream known = mUpstreams.get(notice.id());
         if (known == null) {
-            PlacementUpstream upstream = new PlacementUpstream(notice, heardNanos);
+            PlacementUpstream upstream = new PlacementUpstream(notice, mPromptSizes, heardNanos);
             assignPreference(upstream);
             mUpstreams.put(notice.id(), upstream);
         } else {
@@ -145,7 +149,13 @@
         if (mBalanced) {
             updateDomains(service, eligible, nowNanos);
         }
-        return new ServiceRound(service, available, eligible, nowNanos);
+        boolean uncoordinated = mBalanced && mInstances > 1;
+        return new ServiceRound(
+                service,
+                available,
+                eligible,
+                uncoordinated ? mStandaloneCandidates : null,
+                nowNanos);
     }
 
     /** Sums up the upstreams that may get work in each domain; a slow one counts for less. */
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/ServiceRound.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/ServiceRound.java
@@ -1,9 +1,11 @@
 package dev.kumquatweir.policy.placement;
 
+import dev.kumquatweir.core.routing.EngineCost;
 import dev.kumquatweir.core.routing.RoutedService;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 
 /**
  * State of one service during one scheduling round, in which the scheduler goes through all waiting
@@ -13,6 +15,8 @@
     private final RoutedService mService;
     private final List<PlacementUpstream> mAvailable;
     private final List<PlacementUpstream> mEligible;
+    private final @Nullable StandaloneCandidates mCandidates;
+    private final long mNowNanos;
     private final int mSlots;
     private final boolean mAnyLimited;
     private int mSlotsInUse;
@@ -23,13 +27,17 @@
      * @param service the service
      * @param available upstreams that accept new work
      * @param eligible those of them whose limit on starts allows a request now
+     * @param candidates selects the engines to compare for a generation; null to compare all
      * @param nowNanos present time
      */
     ServiceRound(
             RoutedService service,
             List<PlacementUpstream> available,
             List<PlacementUpstream> eligible,
+            @Nullable StandaloneCandidates candidates,
             long nowNanos) {
+        mCandidates = candidates;
+        mNowNanos = nowNanos;
         mService = service;
         mAvailable = available;
         mEligible = new ArrayList<>(eligible);
@@ -54,6 +62,14 @@
         return mAvailable.size();
     }
 
+    /** Returns the eligible engines to compare for a generation. */
+    List<PlacementUpstream> candidates(PlacementRequest request, EngineCost cost) {
+        List<PlacementUpstream> eligible = eligible(request);
+        return mCandidates == null
+                ? eligible
+                : mCandidates.select(request, cost, eligible, mNowNanos);
+    }
+
     /** Returns the eligible upstreams that this request does not exclude. */
     List<PlacementUpstream> eligible(PlacementRequest request) {
         if (request.excluded().isEmpty()) {
--- a/policy/src/test/java/dev/kumquatweir/policy/placement/ReplayCluster.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/ReplayCluster.java
@@ -105,6 +105,19 @@
         mSchedulers.forEach(scheduler -> scheduler.updateUpstream(status, nowNanos));
     }
 
+    /** Lets each scheduler know a prompt that a leader has placed earlier. */
+    void recordEarlierPrompt(long tokens) {
+        for (PlacementScheduler scheduler : mSchedulers) {
+            PlacementKey key = new PlacementKey(owner(0), -tokens);
+            PlacementRequest request =
+                    PlacementRequest.builder(key, "earlier", SchedulerReplay.SERVICE)
+                            .generation(tokens, 1, 0)
+                            .build();
+            scheduler.registerRunning(request, new UpstreamId("engine-0"), true, 0, 0);
+            scheduler.ended(key, PlacementOutcome.CANCELLED, "", 0);
+        }
+    }
+
     /** Returns the instance of a number. */
     static InstanceId owner(int number) {
         return new InstanceId("entry-" + number);
