Count placements across failure domains and describe the balance

Cause: nothing shows how many requests cross between domains, and between which.

Change: the leader counts placements and, by pair, those that cross (64 pairs, then `other`), and writes `placements_crossed` once a minute.

--- a/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -38,6 +38,7 @@
     private final SchedulerFeatures mFeatures;
     private final MetricRegistry mMetrics;
     private final Clocks mClocks;
+    private final CrossingMetrics mCrossings;
     private final Map<PlacementKey, PendingPlacement> mPendingPlacements = new HashMap<>();
     private @Nullable PlacementScheduler mScheduler;
     private @Nullable RoutingTable mRouting;
@@ -45,7 +46,7 @@
     private volatile int mWaitingCount;
     private volatile int mLimitedCount;
 
-    private record PendingPlacement(String requestId, Responder responder) {}
+    private record PendingPlacement(PlacementRequest request, Responder responder) {}
 
     LeaderScheduler(
             PlacementLimits limits,
@@ -56,6 +57,7 @@
         mFeatures = features;
         mMetrics = metrics;
         mClocks = clocks;
+        mCrossings = new CrossingMetrics(metrics, clocks.nowNanos());
         Gauge<Integer> waiting = () -> mWaitingCount;
         metrics.register("kumquatweir_scheduler_waiting", waiting);
         Gauge<Integer> limited = () -> mLimitedCount;
@@ -76,6 +78,7 @@
         PlacementScheduler scheduler = mScheduler;
         if (scheduler != null) {
             scheduler.updateUpstream(status, lastSeenNanos);
+            mCrossings.heard(status);
         }
     }
 
@@ -106,11 +109,11 @@
         upstreams
                 .changedSince(0, nowNanos)
                 .forEach(
-                        aged ->
-                                scheduler.updateUpstream(
-                                        aged.status(),
-                                        nowNanos
-                                                - TimeUnit.MILLISECONDS.toNanos(aged.ageMillis())));
+                        aged -> {
+                            long ageNanos = TimeUnit.MILLISECONDS.toNanos(aged.ageMillis());
+                            scheduler.updateUpstream(aged.status(), nowNanos - ageNanos);
+                            mCrossings.heard(aged.status());
+                        });
         scheduler.addQuarantinedParts(quarantine.quarantinedParts(nowNanos), nowNanos);
         scheduler.crashes().add(quarantine.crashes(nowNanos), nowNanos);
         mScheduler = scheduler;
@@ -164,7 +167,7 @@
             PlacementRequest request,
             Responder responder,
             long nowNanos) {
-        mPendingPlacements.put(request.key(), new PendingPlacement(request.requestId(), responder));
+        mPendingPlacements.put(request.key(), new PendingPlacement(request, responder));
         scheduler.submit(request, nowNanos);
     }
 
@@ -267,7 +270,7 @@
                 LOG.info(
                         "placement_rejected",
                         "request",
-                        pending == null ? "" : pending.requestId(),
+                        pending == null ? "" : pending.request().requestId(),
                         "owner",
                         reject.key().owner(),
                         "reason",
@@ -278,6 +281,9 @@
                         scheduler.placedCount());
                 mMetrics.counter("kumquatweir_scheduler_rejected").inc();
             }
+            if (pending != null && action instanceof PlacementAction.Grant grant) {
+                mCrossings.placed(pending.request().domain(), grant.grant().upstream(), nowNanos);
+            }
             if (pending != null) {
                 pending.responder().respond(PlacementCodec.encode(Optional.of(action)));
             }
