--- a/policy/src/main/java/dev/kumquatweir/policy/placement/EngineChooser.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/EngineChooser.java
@@ -32,7 +32,7 @@
     /**
      * Shortest prefill that is split. Below it the calls to other engines cost more than they gain.
      */
-    private static final double MINIMUM_SPLIT_MILLIS = 60;
+    static final double MINIMUM_SPLIT_MILLIS = 60;
 
     /** Maximum number of engines per prompt, set by the protocol. */
     private static final int MAXIMUM_ENGINES = 16;
@@ -260,7 +260,8 @@
             lostValue += part.lostValue();
             errorRate = Math.max(errorRate, part.upstream().health().errorRate(nowNanos));
         }
-        double firstEventMillis = readyMillis + primary.passMillis();
+        double crossingMillis = primary.upstream().crossingMillis(request);
+        double firstEventMillis = readyMillis + primary.passMillis() + crossingMillis;
         long firstEventNanos = nowNanos + (long) (firstEventMillis * NANOS_PER_MILLI);
         if (firstEventNanos - request.latestStartNanos() > 0) {
             return Optional.empty();
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
@@ -146,6 +146,7 @@
                 primaryPart.ifPresent(part -> learnLength(primary, part));
                 primary.answered(nowNanos);
                 primary.health().answered(false, nowNanos);
+                primaryPart.ifPresent(part -> primary.recordWorkTime(part, nowNanos));
                 mCrashes.answered(contentHash);
                 mAttribution.progressed(primary, nowNanos);
                 primaryPart.ifPresent(part -> mAttribution.answered(part.request(), nowNanos));
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -68,7 +68,7 @@
     /** Sets the routing table and the failure domains whose upstreams get no new work. */
     public void setRouting(RoutingTable routing, Set<FailureDomain> domainsOut) {
         mServices.setRouting(routing);
-        mUpstreams.setDomainsOut(domainsOut);
+        mUpstreams.setDomains(domainsOut, mFeatures.domainBalance());
         mWaiting.setRouting(routing, mServices::engineCost);
     }
 
@@ -362,7 +362,7 @@
                 EngineChooser.choose(
                         request,
                         cost,
-                        round.eligible(request),
+                        round.candidates(request, cost),
                         round.saturation(mWaiting.size(request.service())),
                         nowNanos);
         if (option.isEmpty()) {
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstreams.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementUpstreams.java
@@ -6,7 +6,11 @@
 import dev.kumquatweir.core.routing.EngineCost;
 import dev.kumquatweir.core.routing.RoutedService;
 import dev.kumquatweir.core.routing.UpstreamStatus;
+import dev.kumquatweir.policy.locality.DomainCapacity;
+import dev.kumquatweir.policy.locality.PromptSizes;
+import dev.kumquatweir.policy.locality.ServiceDomains;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -51,13 +55,23 @@
 
     private final Map<UpstreamId, PlacementUpstream> mUpstreams = new LinkedHashMap<>();
     private Set<FailureDomain> mDomainsOut = Set.of();
+    private final Map<ServiceName, ServiceDomains> mDomains = new HashMap<>();
+    private final PromptSizes mPromptSizes = new PromptSizes();
+    private boolean mBalanced;
     private int mInstances = 1;
     private boolean mStandalone;
     private @Nullable MemoryModel mMemory;
     private int mSeed;
+    private @Nullable StandaloneCandidates mStandaloneCandidates;
 
-    void setDomainsOut(Set<FailureDomain> domainsOut) {
+    /**
+     * Sets the failure domains whose upstreams get no new work.
+     *
+     * @param balanced whether placements weigh the time of crossing between domains
+     */
+    void setDomains(Set<FailureDomain> domainsOut, boolean balanced) {
         mDomainsOut = Set.copyOf(domainsOut);
+        mBalanced = balanced;
     }
 
     /**
@@ -108,6 +122,7 @@
         mStandalone = true;
         mInstances = instances;
         mSeed = seed;
+        mStandaloneCandidates = new StandaloneCandidates(mPromptSizes, seed);
         mUpstreams.values().forEach(this::assignPreference);
         assignMemoryShares();
     }
@@ -153,7 +168,7 @@
     }
 
     /** Hashes a value to a number from 0 to 1; similar values give different numbers. */
-    private static double hashToUnitInterval(int value) {
+    static double hashToUnitInterval(int value) {
         int mixed = value * HASH_MULTIPLIER;
         mixed = (mixed ^ (mixed >>> 15)) * HASH_MULTIPLIER;
         return Math.floorMod(mixed ^ (mixed >>> 13), 1000) / 1000.0;
@@ -162,7 +177,7 @@
     void heard(UpstreamStatus notice, long heardNanos) {
         PlacementUpstream known = mUpstreams.get(notice.id());
         if (known == null) {
-            PlacementUpstream upstream = new PlacementUpstream(notice, heardNanos);
+            PlacementUpstream upstream = new PlacementUpstream(notice, mPromptSizes, heardNanos);
             MemoryModel model = mMemory;
             if (model != null) {
                 upstream.forecastMemory(model);
@@ -221,7 +236,35 @@
                 available.stream()
                         .filter(upstream -> mayStart(upstream, service, nowNanos))
                         .toList();
-        return new ServiceRound(service, available, eligible, nowNanos);
+        if (mBalanced) {
+            updateDomains(service, eligible, nowNanos);
+        }
+        boolean uncoordinated = mBalanced && mInstances > 1;
+        return new ServiceRound(
+                service,
+                available,
+                eligible,
+                uncoordinated ? mStandaloneCandidates : null,
+                nowNanos);
+    }
+
+    /** Sums up the upstreams that may get work in each domain; a slow one counts for less. */
+    private void updateDomains(
+            RoutedService service, List<PlacementUpstream> eligible, long nowNanos) {
+        ServiceDomains domains =
+                mDomains.computeIfAbsent(service.name(), key -> new ServiceDomains());
+        domains.setDelays(service.domainDelays());
+        domains.reset();
+        for (PlacementUpstream upstream : eligible) {
+            DomainCapacity capacity = upstream.domainCapacity();
+            if (capacity == null) {
+                capacity = domains.capacity(upstream.notice().domain());
+                upstream.setDomainCapacity(capacity);
+            }
+            int slots = upstream.availableSlots(upstream.notice().slots(), nowNanos);
+            capacity.add(
+                    slots / upstream.health().slowdown(nowNanos), upstream.busyShare(nowNanos));
+        }
     }
 
     /**
--- a/policy/src/test/java/dev/kumquatweir/policy/placement/ReplayEvents.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/ReplayEvents.java
@@ -1,21 +1,14 @@
 package dev.kumquatweir.policy.placement;
 
-import dev.kumquatweir.core.routing.CallerLimits;
-import dev.kumquatweir.core.routing.RoutedService;
-import dev.kumquatweir.core.routing.RoutingTable;
-import java.util.Collection;
-import java.util.Comparator;
-import java.util.List;
-import java.util.Optional;
 import java.util.PriorityQueue;
-import java.util.Set;
 
-/** The actions of a simulation in virtual time, and the schedulers that it creates. */
+/** Events of a simulation in virtual time. Those with equal times keep their order. */
 final class ReplayEvents {
     private final PriorityQueue<ScheduledEvent> mEvents = new PriorityQueue<>();
     private long mLastOrder;
+    private long mNowNanos;
 
-    /** An action scheduled for a time. Actions with equal times keep their order. */
+    /** An action scheduled for a time. */
     private record ScheduledEvent(long nanos, long order, Runnable action)
             implements Comparable<ScheduledEvent> {
         @Override
@@ -25,42 +18,32 @@
         }
     }
 
-    void add(long nanos, Runnable action) {
+    /** Returns the time that the simulation has reached. */
+    long nowNanos() {
+        return mNowNanos;
+    }
+
+    void schedule(long nanos, Runnable action) {
         mLastOrder++;
         mEvents.add(new ScheduledEvent(nanos, mLastOrder, action));
     }
 
-    void runUntil(long untilNanos) {
-        while (!mEvents.isEmpty() && mEvents.peek().nanos() <= untilNanos) {
-            mEvents.remove().action().run();
+    /** Runs an action at a time after the present event, at once if that is now. */
+    void after(long nanos, Runnable action) {
+        if (nanos == mNowNanos) {
+            action.run();
+        } else {
+            schedule(nanos, action);
         }
     }
 
-    /** Creates a scheduler that knows the service of the simulation. */
-    static PlacementScheduler newScheduler(SchedulerFeatures features) {
-        PlacementScheduler scheduler =
-                new PlacementScheduler(new PlacementLimits(0.2, 100, 10_000), features);
-        scheduler.setRouting(
-                new RoutingTable(
-                        1,
-                        List.of(),
-                        List.of(
-                                new RoutedService(
-                                        SchedulerReplay.SERVICE,
-                                        26,
-                                        Optional.of(SchedulerReplay.COST))),
-                        List.of(),
-                        new CallerLimits(1_000)),
-                Set.of());
-        return scheduler;
-    }
-
-    /** Submits the requests that wait for a decision to another scheduler. */
-    static void submitWaiting(
-            Collection<ReplayOutcome> outcomes, PlacementScheduler scheduler, long nowNanos) {
-        outcomes.stream()
-                .filter(outcome -> outcome.waiting(nowNanos))
-                .sorted(Comparator.comparingLong(outcome -> outcome.mArrivedNanos))
-                .forEach(outcome -> scheduler.submit(outcome.mRequest, nowNanos));
+    /** Runs the events up to a time. */
+    void run(long untilNanos) {
+        while (!mEvents.isEmpty() && mEvents.peek().nanos() <= untilNanos) {
+            ScheduledEvent event = mEvents.remove();
+            mNowNanos = event.nanos();
+            event.action().run();
+        }
+        mNowNanos = untilNanos;
     }
 }
--- a/policy/src/test/java/dev/kumquatweir/policy/placement/SchedulerReplay.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/SchedulerReplay.java
@@ -1,12 +1,10 @@
 package dev.kumquatweir.policy.placement;
 
-import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.routing.EngineCost;
 import dev.kumquatweir.core.routing.UpstreamPhase;
-import dev.kumquatweir.core.routing.UpstreamStatus;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -30,15 +28,13 @@
     private static final int MAXIMUM_SENDS = 3;
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
-    private final SchedulerFeatures mFeatures;
-    private PlacementScheduler mScheduler;
+    private final ReplayCluster mCluster;
     private BiConsumer<ReplayOutcome, PlacementAction.Reject> mOnReject = (outcome, reject) -> {};
     private final ReplayEvents mEvents = new ReplayEvents();
     private final Map<UpstreamId, Engine> mEngines = new HashMap<>();
     private final Map<PlacementKey, ReplayOutcome> mOutcomes = new HashMap<>();
     private final EngineFaults mFaults = new EngineFaults();
     private long mLastKeyNumber;
-    private long mNowNanos;
     private int mQuarantined;
 
     /** A simulated engine, with the requests waiting for prefill and those that are decoding. */
@@ -49,6 +45,7 @@
         private final List<PlacedRequest> mDecoding = new ArrayList<>();
         private boolean mBusy;
         private boolean mDown;
+        private boolean mLeaving;
 
         Engine(UpstreamId id, double slowdown) {
             mId = id;
@@ -123,7 +120,8 @@
                 request.event(nowNanos);
                 if (request.mEventsLeft == 0) {
                     mDecoding.remove(request);
-                    mScheduler.ended(request.mKey, PlacementOutcome.ANSWERED, "", nowNanos);
+                    mCluster.scheduler(request.mKey)
+                            .ended(request.mKey, PlacementOutcome.ANSWERED, "", nowNanos);
                     decide(nowNanos);
                 }
             }
@@ -138,6 +136,7 @@
         private final double mPrefillMillis;
         private int mPartsLeft;
         private int mEventsLeft;
+        private final long mCrossingNanos;
         private double mLastEventMillis = -1;
 
         PlacedRequest(
@@ -147,15 +146,19 @@
             mPrefillMillis = prefillMillis;
             mPartsLeft = parts;
             mEventsLeft = events;
+            PlacementRequest request = Objects.requireNonNull(mOutcomes.get(key)).mRequest;
+            mCrossingNanos = mCluster.crossingNanos(request, primary.mId);
         }
 
         void event(long nowNanos) {
             ReplayOutcome outcome = Objects.requireNonNull(mOutcomes.get(mKey));
-            double ageMillis = (double) (nowNanos - outcome.mArrivedNanos) / MILLI;
+            long heardNanos = nowNanos + mCrossingNanos;
+            double ageMillis = (double) (heardNanos - outcome.mArrivedNanos) / MILLI;
             mEventsLeft--;
             if (mLastEventMillis < 0) {
                 outcome.mFirstEventMillis = ageMillis;
-                mScheduler.recordFirstEvent(mKey, nowNanos);
+                PlacementScheduler scheduler = mCluster.scheduler(mKey);
+                mEvents.after(heardNanos, () -> scheduler.recordFirstEvent(mKey, heardNanos));
                 scheduleFaults(this, outcome, nowNanos);
             } else {
                 outcome.mLongestGapMillis =
@@ -173,42 +176,18 @@
 
     /** Creates a simulation whose scheduler has the given optional parts. */
     SchedulerReplay(int engines, SchedulerFeatures features) {
-        mFeatures = features;
-        mScheduler = ReplayEvents.newScheduler(mFeatures);
+        this(engines, ReplayCluster.led(1, 0, features));
+    }
+
+    /** Creates a simulation whose schedulers know all engines. */
+    SchedulerReplay(int engines, ReplayCluster cluster) {
+        mCluster = cluster;
+        cluster.setRouting();
         for (int number = 0; number < engines; number++) {
             addEngine(number, 1);
         }
     }
 
-    /** Sets what follows a rejection. */
-    void onReject(BiConsumer<ReplayOutcome, PlacementAction.Reject> action) {
-        mOnReject = action;
-    }
-
-    /**
-     * Replaces the scheduler by a new one, which learns of the running requests and gets the
-     * waiting ones again.
-     */
-    void loseLeader(double atMillis) {
-        long nowNanos = (long) (atMillis * MILLI);
-        schedule(
-                nowNanos,
-                () -> {
-                    mScheduler = ReplayEvents.newScheduler(mFeatures);
-                    sendHeartbeats(nowNanos);
-                    for (Engine engine : mEngines.values()) {
-                        engine.mDecoding.forEach(placed -> register(placed, true, nowNanos));
-                        engine.mPrefillQueue.forEach(placed -> register(placed, false, nowNanos));
-                    }
-                    ReplayEvents.submitWaiting(mOutcomes.values(), mScheduler, nowNanos);
-                });
-    }
-
-    private void register(PlacedRequest placed, boolean started, long nowNanos) {
-        PlacementRequest request = Objects.requireNonNull(mOutcomes.get(placed.mKey)).mRequest;
-        mScheduler.registerRunning(request, placed.mPrimary.mId, started, nowNanos, nowNanos);
-    }
-
     /** Creates an engine whose passes take longer than the published cost by the given factor. */
     void addEngine(int number, double pace) {
         addEngine(new UpstreamId("engine-" + number), pace, 0);
@@ -226,7 +205,7 @@
 
     /** Returns the time that the simulation has reached. */
     long nowNanos() {
-        return mNowNanos;
+        return mEvents.nowNanos();
     }
 
     /** Returns how many requests were rejected as quarantined. */
@@ -236,7 +215,39 @@
 
     /** Returns the scheduler. */
     PlacementScheduler scheduler() {
-        return mScheduler;
+        return mCluster.schedulers().get(0);
+    }
+
+    /** Sets what follows a rejection. */
+    void onReject(BiConsumer<ReplayOutcome, PlacementAction.Reject> action) {
+        mOnReject = action;
+    }
+
+    /**
+     * Replaces the scheduler by a new one, which learns of the running requests and gets the
+     * waiting ones again.
+     */
+    void loseLeader(double atMillis) {
+        long nowNanos = (long) (atMillis * MILLI);
+        schedule(
+                nowNanos,
+                () -> {
+                    mCluster.replaceScheduler();
+                    sendHeartbeats(nowNanos);
+                    for (Engine engine : mEngines.values()) {
+                        engine.mDecoding.forEach(placed -> register(placed, true, nowNanos));
+                        engine.mPrefillQueue.forEach(placed -> register(placed, false, nowNanos));
+                    }
+                    mOutcomes.values().stream()
+                            .filter(outcome -> outcome.waiting(nowNanos))
+                            .sorted(Comparator.comparingLong(outcome -> outcome.mArrivedNanos))
+                            .forEach(outcome -> scheduler().submit(outcome.mRequest, nowNanos));
+                });
+    }
+
+    private void register(PlacedRequest placed, boolean started, long nowNanos) {
+        PlacementRequest request = Objects.requireNonNull(mOutcomes.get(placed.mKey)).mRequest;
+        scheduler().registerRunning(request, placed.mPrimary.mId, started, nowNanos, nowNanos);
     }
 
     /** Lets engines crash together that have the given share of all numbers. */
@@ -284,14 +295,14 @@
     /** Ends a send without a complete answer and submits the request again. */
     private void endSend(PlacedRequest placed, PlacementOutcome result, long nowNanos) {
         ReplayOutcome outcome = Objects.requireNonNull(mOutcomes.get(placed.mKey));
-        mScheduler.ended(placed.mKey, result, "", nowNanos);
+        mCluster.scheduler(placed.mKey).ended(placed.mKey, result, "", nowNanos);
         boolean sent = result == PlacementOutcome.BROKEN;
         outcome.mTried.add(placed.mPrimary.mId);
         if (outcome.mSends < MAXIMUM_SENDS) {
             mLastKeyNumber++;
             PlacementRequest first = outcome.mRequest;
             PlacementRequest next =
-                    builder(mLastKeyNumber, first.sharedParts())
+                    builder(first.key().owner(), mLastKeyNumber, first.sharedParts())
                             .times(
                                     first.targetNanos(),
                                     nowNanos + 2_000 * MILLI,
@@ -301,38 +312,29 @@
                                     46L * Math.max(1, placed.mEventsLeft),
                                     first.targetGapMillis())
                             .previousAttempts(outcome.mTried, sent)
+                            .domain(first.domain().orElse(mCluster.domain(0)))
                             .build();
             mOutcomes.put(next.key(), outcome);
-            mScheduler.submit(next, nowNanos);
+            mCluster.scheduler(next.key()).submit(next, nowNanos);
         }
         decide(nowNanos);
     }
 
-    private static PlacementRequest.Builder builder(long number, List<String> parts) {
+    private static PlacementRequest.Builder builder(
+            InstanceId owner, long number, List<String> parts) {
         String id = "request-" + number;
-        return PlacementRequest.builder(new PlacementKey(OWNER, number), id, SERVICE)
+        return PlacementRequest.builder(new PlacementKey(owner, number), id, SERVICE)
                 .contentHash(id)
                 .sharedParts(parts);
     }
 
     private void heartbeat(UpstreamId id, long nowNanos) {
-        mScheduler.updateUpstream(
-                new UpstreamStatus(
-                        id,
-                        1,
-                        SERVICE,
-                        id.value(),
-                        new FailureDomain("a"),
-                        SLOTS,
-                        UpstreamPhase.READY,
-                        0,
-                        1 + nowNanos),
-                nowNanos);
+        mCluster.heartbeat(id, UpstreamPhase.READY, nowNanos);
     }
 
     /** Returns the number of engine comparisons that the scheduler has made. */
     long comparisonCount() {
-        return mScheduler.comparisonCount();
+        return scheduler().comparisonCount();
     }
 
     /** Returns the number of engines that are running a pass. */
@@ -354,10 +356,24 @@
             long targetMillis,
             long gapMillis,
             List<String> parts) {
+        return arrive(OWNER, 0, atMillis, promptTokens, events, targetMillis, gapMillis, parts);
+    }
+
+    /** Adds a request of an instance in the domain of the given number. */
+    ReplayOutcome arrive(
+            InstanceId owner,
+            int domain,
+            double atMillis,
+            long promptTokens,
+            int events,
+            long targetMillis,
+            long gapMillis,
+            List<String> parts) {
         long nowNanos = (long) (atMillis * MILLI);
         mLastKeyNumber++;
         PlacementRequest request =
-                builder(mLastKeyNumber, parts)
+                builder(owner, mLastKeyNumber, parts)
+                        .domain(mCluster.domain(domain))
                         .times(
                                 nowNanos + targetMillis * MILLI,
                                 nowNanos + Math.max(2_000, 4 * targetMillis) * MILLI,
@@ -374,7 +390,7 @@
         schedule(
                 nowNanos,
                 () -> {
-                    mScheduler.submit(request, nowNanos);
+                    mCluster.scheduler(request.key()).submit(request, nowNanos);
                     decide(nowNanos);
                 });
         return outcome;
@@ -393,24 +409,41 @@
                 schedule(nowNanos, () -> sendHeartbeats(nowNanos));
             }
         }
-        mEvents.runUntil(untilNanos);
-        mNowNanos = untilNanos;
+        mEvents.run(untilNanos);
+    }
+
+    /** Lets an engine leave and a new one take its place after a while. */
+    void replace(int number, double atMillis, double downMillis) {
+        UpstreamId id = new UpstreamId("engine-" + number);
+        long nowNanos = (long) (atMillis * MILLI);
+        schedule(
+                nowNanos,
+                () -> {
+                    engine(id).mLeaving = true;
+                    mCluster.heartbeat(id, UpstreamPhase.DRAINING, nowNanos);
+                });
+        long backNanos = nowNanos + (long) (downMillis * MILLI);
+        schedule(backNanos, () -> addEngine(new UpstreamId("next-" + number), 1, backNanos));
     }
 
     private void sendHeartbeats(long nowNanos) {
         mEngines.values().stream()
-                .filter(engine -> !engine.mDown)
+                .filter(engine -> !engine.mDown && !engine.mLeaving)
                 .forEach(engine -> heartbeat(engine.mId, nowNanos));
     }
 
     private void decide(long nowNanos) {
-        for (PlacementAction action : mScheduler.decide(nowNanos)) {
+        mCluster.schedulers().forEach(scheduler -> decide(scheduler, nowNanos));
+    }
+
+    private void decide(PlacementScheduler scheduler, long nowNanos) {
+        for (PlacementAction action : scheduler.decide(nowNanos)) {
             ReplayOutcome outcome = Objects.requireNonNull(mOutcomes.get(action.key()));
             switch (action) {
                 case PlacementAction.Reject reject -> {
                     outcome.mRejectedMillis = (double) (nowNanos - outcome.mArrivedNanos) / MILLI;
-                    mQuarantined += reject.reason() == PlacementRefusal.QUARANTINED ? 1 : 0;
                     mOnReject.accept(outcome, reject);
+                    mQuarantined += reject.reason() == PlacementRefusal.QUARANTINED ? 1 : 0;
                 }
                 case PlacementAction.Grant grant -> start(outcome, grant, nowNanos);
             }
@@ -437,7 +470,18 @@
         }
         outcome.mSends++;
         mFaults.recordSend(request, (double) nowNanos / MILLI);
-        engines.forEach(engine -> engine.add(placed, nowNanos));
+        Engine primary = engines.get(0);
+        if (mCluster.refusesWhenFull()
+                && primary.mDecoding.size() + primary.mPrefillQueue.size() >= SLOTS) {
+            outcome.mSends--;
+            schedule(
+                    nowNanos + MILLI,
+                    () -> endSend(placed, PlacementOutcome.FULL, nowNanos + MILLI));
+            return;
+        }
+        long reachedNanos = nowNanos + placed.mCrossingNanos;
+        mEvents.after(
+                reachedNanos, () -> engines.forEach(engine -> engine.add(placed, reachedNanos)));
     }
 
     private Engine engine(UpstreamId id) {
@@ -445,6 +489,6 @@
     }
 
     private void schedule(long nanos, Runnable action) {
-        mEvents.add(nanos, action);
+        mEvents.schedule(nanos, action);
     }
 }
