Move the failures of a replay into a class of their own

Change: loss of the leader, crashes and replacements are scheduled by ReplayFailures; heartbeats go to the cluster directly. No check changes.

--- a/policy/src/test/java/dev/kumquatweir/policy/placement/SchedulerReplay.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/SchedulerReplay.java
@@ -6,7 +6,6 @@
 import dev.kumquatweir.core.routing.EngineCost;
 import dev.kumquatweir.core.routing.UpstreamPhase;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,24 +27,24 @@
     private static final int MAXIMUM_SENDS = 3;
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
-    private final ReplayCluster mCluster;
+    final ReplayCluster mCluster;
     private BiConsumer<ReplayOutcome, PlacementAction.Reject> mOnReject = (outcome, reject) -> {};
     private final ReplayEvents mEvents = new ReplayEvents();
-    private final Map<UpstreamId, Engine> mEngines = new HashMap<>();
-    private final Map<PlacementKey, ReplayOutcome> mOutcomes = new HashMap<>();
+    final Map<UpstreamId, Engine> mEngines = new HashMap<>();
+    final Map<PlacementKey, ReplayOutcome> mOutcomes = new HashMap<>();
     private final EngineFaults mFaults = new EngineFaults();
     private long mLastKeyNumber;
     private int mQuarantined;
 
     /** A simulated engine, with the requests waiting for prefill and those that are decoding. */
-    private final class Engine {
-        private final UpstreamId mId;
+    final class Engine {
+        final UpstreamId mId;
         private final double mSlowdown;
-        private final List<PlacedRequest> mPrefillQueue = new ArrayList<>();
-        private final List<PlacedRequest> mDecoding = new ArrayList<>();
-        private boolean mBusy;
-        private boolean mDown;
-        private boolean mLeaving;
+        final List<PlacedRequest> mPrefillQueue = new ArrayList<>();
+        final List<PlacedRequest> mDecoding = new ArrayList<>();
+        boolean mBusy;
+        boolean mDown;
+        boolean mLeaving;
 
         Engine(UpstreamId id, double slowdown) {
             mId = id;
@@ -94,7 +93,7 @@
             }
         }
 
-        private void crash(long nowNanos) {
+        void crash(long nowNanos) {
             mDown = true;
             List<PlacedRequest> running = new ArrayList<>(mPrefillQueue);
             running.addAll(mDecoding);
@@ -130,9 +129,9 @@
     }
 
     /** A request that the scheduler has placed, with its remaining prompt parts and events. */
-    private final class PlacedRequest {
-        private final PlacementKey mKey;
-        private final Engine mPrimary;
+    final class PlacedRequest {
+        final PlacementKey mKey;
+        final Engine mPrimary;
         private final double mPrefillMillis;
         private int mPartsLeft;
         private int mEventsLeft;
@@ -193,9 +192,9 @@
         addEngine(new UpstreamId("engine-" + number), pace, 0);
     }
 
-    private void addEngine(UpstreamId id, double pace, long nowNanos) {
+    void addEngine(UpstreamId id, double pace, long nowNanos) {
         mEngines.put(id, new Engine(id, pace));
-        heartbeat(id, nowNanos);
+        mCluster.heartbeat(id, UpstreamPhase.READY, nowNanos);
     }
 
     /** Returns the faults of the engines. */
@@ -223,47 +222,14 @@
         mOnReject = action;
     }
 
-    /**
-     * Replaces the scheduler by a new one, which learns of the running requests and gets the
-     * waiting ones again.
-     */
+    /** Loses the leader, see {@link ReplayFailures}. */
     void loseLeader(double atMillis) {
-        long nowNanos = (long) (atMillis * MILLI);
-        schedule(
-                nowNanos,
-                () -> {
-                    mCluster.replaceScheduler();
-                    sendHeartbeats(nowNanos);
-                    for (Engine engine : mEngines.values()) {
-                        engine.mDecoding.forEach(placed -> register(placed, true, nowNanos));
-                        engine.mPrefillQueue.forEach(placed -> register(placed, false, nowNanos));
-                    }
-                    mOutcomes.values().stream()
-                            .filter(outcome -> outcome.waiting(nowNanos))
-                            .sorted(Comparator.comparingLong(outcome -> outcome.mArrivedNanos))
-                            .forEach(outcome -> scheduler().submit(outcome.mRequest, nowNanos));
-                });
-    }
-
-    private void register(PlacedRequest placed, boolean started, long nowNanos) {
-        PlacementRequest request = Objects.requireNonNull(mOutcomes.get(placed.mKey)).mRequest;
-        scheduler().registerRunning(request, placed.mPrimary.mId, started, nowNanos, nowNanos);
+        new ReplayFailures(this).loseLeader(atMillis);
     }
 
     /** Lets engines crash together that have the given share of all numbers. */
     void crashTogether(double atMillis, double share) {
-        long nowNanos = (long) (atMillis * MILLI);
-        schedule(
-                nowNanos,
-                () -> {
-                    List<Engine> up =
-                            mEngines.values().stream()
-                                    .filter(engine -> !engine.mDown)
-                                    .sorted(Comparator.comparing(engine -> !engine.mBusy))
-                                    .toList();
-                    up.subList(0, (int) (share * up.size()))
-                            .forEach(engine -> engine.crash(nowNanos));
-                });
+        new ReplayFailures(this).crashTogether(atMillis, share);
     }
 
     /** Schedules the crash of the engine or the loss of the answer after its first event. */
@@ -328,10 +294,6 @@
                 .sharedParts(parts);
     }
 
-    private void heartbeat(UpstreamId id, long nowNanos) {
-        mCluster.heartbeat(id, UpstreamPhase.READY, nowNanos);
-    }
-
     /** Returns the number of engine comparisons that the scheduler has made. */
     long comparisonCount() {
         return scheduler().comparisonCount();
@@ -414,22 +376,13 @@
 
     /** Lets an engine leave and a new one take its place after a while. */
     void replace(int number, double atMillis, double downMillis) {
-        UpstreamId id = new UpstreamId("engine-" + number);
-        long nowNanos = (long) (atMillis * MILLI);
-        schedule(
-                nowNanos,
-                () -> {
-                    engine(id).mLeaving = true;
-                    mCluster.heartbeat(id, UpstreamPhase.DRAINING, nowNanos);
-                });
-        long backNanos = nowNanos + (long) (downMillis * MILLI);
-        schedule(backNanos, () -> addEngine(new UpstreamId("next-" + number), 1, backNanos));
+        new ReplayFailures(this).replace(number, atMillis, downMillis);
     }
 
-    private void sendHeartbeats(long nowNanos) {
+    void sendHeartbeats(long nowNanos) {
         mEngines.values().stream()
                 .filter(engine -> !engine.mDown && !engine.mLeaving)
-                .forEach(engine -> heartbeat(engine.mId, nowNanos));
+                .forEach(engine -> mCluster.heartbeat(engine.mId, UpstreamPhase.READY, nowNanos));
     }
 
     private void decide(long nowNanos) {
@@ -484,11 +437,11 @@
                 reachedNanos, () -> engines.forEach(engine -> engine.add(placed, reachedNanos)));
     }
 
-    private Engine engine(UpstreamId id) {
+    Engine engine(UpstreamId id) {
         return Objects.requireNonNull(mEngines.get(id));
     }
 
-    private void schedule(long nanos, Runnable action) {
+    void schedule(long nanos, Runnable action) {
         mEvents.schedule(nanos, action);
     }
 }
