Check that callers of each failure domain are rejected alike

Cause: the replays of uneven demand compared what is served on time only.

Change: DomainBalanceTest compares the rejected share of each domain with that of all requests under overload.

--- a/policy/src/test/java/dev/kumquatweir/policy/placement/DomainBalanceTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/placement/DomainBalanceTest.java
@@ -1,6 +1,7 @@
 package dev.kumquatweir.policy.placement;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.lessThan;
 
@@ -28,6 +29,7 @@
     private static final class Tally {
         private final double[] mOnTime = new double[UnevenLoad.DOMAINS];
         private final double[] mTotal = new double[UnevenLoad.DOMAINS];
+        private final double[] mRejected = new double[UnevenLoad.DOMAINS];
         private double mCrossedShare;
 
         private void add(List<List<ReplayOutcome>> outcomes) {
@@ -35,6 +37,8 @@
                 List<ReplayOutcome> own = outcomes.get(domain);
                 mOnTime[domain] += own.stream().filter(ReplayOutcome::onTime).count();
                 mTotal[domain] += own.size();
+                mRejected[domain] +=
+                        own.stream().filter(outcome -> outcome.rejectedMillis() >= 0).count();
             }
         }
 
@@ -42,6 +46,16 @@
             return Arrays.stream(mOnTime).sum() / Arrays.stream(mTotal).sum();
         }
 
+        /** Returns how much more of a domain's requests is rejected than of all. */
+        private double mostRejected() {
+            double all = Arrays.stream(mRejected).sum() / Arrays.stream(mTotal).sum();
+            double most = 0;
+            for (int domain = 0; domain < UnevenLoad.DOMAINS; domain++) {
+                most = Math.max(most, mRejected[domain] / mTotal[domain]);
+            }
+            return most - all;
+        }
+
         private double worst() {
             double worst = 1;
             for (int domain = 0; domain < UnevenLoad.DOMAINS; domain++) {
@@ -79,6 +93,15 @@
         assertThat(domains.worst(), greaterThanOrEqualTo(domains.share() - MAXIMUM_DIFFERENCE));
     }
 
+    /** Guards against rejecting callers of a domain more often, as the one with less capacity. */
+    @ParameterizedTest
+    @CsvSource({"waves, 3.2", "strong waves, 3.5", "move, 3.5", "releases, 3.2"})
+    void callersOfEachDomainAreRejectedAlike(String pattern, double load) {
+        Tally domains = replay(pattern, UnevenLoad.DOMAINS, 3.9, load, BALANCED);
+        assertThat(Arrays.stream(domains.mRejected).sum(), greaterThan(100.0));
+        assertThat(domains.mostRejected(), lessThan(MAXIMUM_DIFFERENCE));
+    }
+
     /** Guards against crossings without need: each has a cost that the scheduler does not see. */
     @Test
     void ownDomainIsPreferredAmongEquals() {
