--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -256,6 +256,11 @@
         return mAttribution.drainEvents();
     }
 
+    /** Returns the services that teams share now, as requests wait for lack of room. */
+    public Set<ServiceName> sharedServices(long nowNanos) {
+        return mWaiting.sharedServices(nowNanos);
+    }
+
     /** Returns the number of waiting requests. */
     public int waitingCount() {
         return mWaiting.size();
@@ -305,11 +310,8 @@
         if (limitWaitNanos > 0) {
             long leftNanos = request.latestStartNanos() - nowNanos;
             if (limitWaitNanos > LIMIT_WAIT_SHARE * leftNanos) {
-                rejectFor(
-                        request,
-                        PlacementRefusal.LIMITED,
-                        mUpstreams.retryAfterMillis(limitWaitNanos),
-                        nowNanos);
+                long retryMillis = mUpstreams.retryAfterMillis(limitWaitNanos);
+                rejectFor(request, PlacementRefusal.LIMITED, retryMillis, nowNanos);
             }
             return;
         }
@@ -373,9 +375,7 @@
                 && PlacementRules.isWorthPlacing(waiting, option.get())) {
             round.adjustLateCount(waiting.late() ? -1 : 0);
             place(request, option.get(), nowNanos);
-            option.get().parts().stream()
-                    .map(PartEstimate::upstream)
-                    .forEach(upstream -> recordPlacement(upstream, round, nowNanos));
+            option.get().parts().forEach(part -> recordPlacement(part.upstream(), round, nowNanos));
             round.countPlacement();
         } else {
             mComparisonBudget.recordUnsuccessful(round.upstreamCount(), nowNanos);
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/TeamOrder.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/TeamOrder.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
@@ -80,6 +81,14 @@
         return sharing != null && sharing.overloaded(nowNanos);
     }
 
+    /** Returns the services that teams share now, as requests wait for lack of room. */
+    Set<ServiceName> sharedServices(long nowNanos) {
+        return mServices.entrySet().stream()
+                .filter(entry -> entry.getValue().overloaded(nowNanos))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /** Records that a request found no room. */
     void recordShortage(ServiceName service, long nowNanos) {
         if (mEnabled) {
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/WaitingRequests.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/WaitingRequests.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
@@ -73,6 +74,11 @@
         mTeamOrder.registerRunning(new WaitingRequest(request, cost, nowNanos));
     }
 
+    /** Returns the services that teams share now, as requests wait for lack of room. */
+    Set<ServiceName> sharedServices(long nowNanos) {
+        return mTeamOrder.sharedServices(nowNanos);
+    }
+
     /** Records that a request found no room on the upstreams of its service. */
     void recordShortage(PlacementRequest request, long nowNanos) {
         mTeamOrder.recordShortage(request.service(), nowNanos);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/LeaderScheduler.java
@@ -6,6 +6,7 @@
 import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.identity.FailureDomain;
 import dev.kumquatweir.core.identity.InstanceId;
+import dev.kumquatweir.core.identity.ServiceName;
 import dev.kumquatweir.core.identity.UpstreamId;
 import dev.kumquatweir.core.routing.RoutingTable;
 import dev.kumquatweir.core.routing.UpstreamStatus;
@@ -44,6 +45,7 @@
     private Set<FailureDomain> mDomainsOut = Set.of();
     private volatile int mWaitingCount;
     private volatile int mLimitedCount;
+    private volatile Set<ServiceName> mSharedServices = Set.of();
 
     private record PendingPlacement(String requestId, Responder responder) {}
 
@@ -60,6 +62,8 @@
         metrics.register("kumquatweir_scheduler_waiting", waiting);
         Gauge<Integer> limited = () -> mLimitedCount;
         metrics.register("kumquatweir_scheduler_limited_upstreams", limited);
+        Gauge<Integer> shared = () -> mSharedServices.size();
+        metrics.register("kumquatweir_scheduler_shared_services", shared);
     }
 
     void setRouting(RoutingTable routing, Set<FailureDomain> domainsOut) {
@@ -92,6 +96,7 @@
         if (!leading) {
             mScheduler = null;
             mLimitedCount = 0;
+            mSharedServices = Set.of();
             mPendingPlacements
                     .values()
                     .forEach(pending -> pending.responder().respond(notLeading()));
@@ -285,6 +290,34 @@
         scheduler.drainCrashEvents().forEach(this::recordCrashEvent);
         scheduler.drainLiftedLimits().forEach(upstream -> recordLiftedLimit(scheduler, upstream));
         mWaitingCount = scheduler.waitingCount();
+        recordSharedServices(scheduler);
+    }
+
+    /** Logs which services teams begin or cease to share, each at most once per second. */
+    private void recordSharedServices(PlacementScheduler scheduler) {
+        Set<ServiceName> before = mSharedServices;
+        Set<ServiceName> now = scheduler.sharedServices(mClocks.nowNanos());
+        if (now.equals(before)) {
+            return;
+        }
+        mSharedServices = now;
+        now.stream()
+                .filter(service -> !before.contains(service))
+                .forEach(
+                        service -> {
+                            mMetrics.counter("kumquatweir_scheduler_sharing_began").inc();
+                            LOG.info(
+                                    "team_sharing_began",
+                                    "service",
+                                    service,
+                                    "waiting",
+                                    scheduler.waitingCount(),
+                                    "placed",
+                                    scheduler.placedCount());
+                        });
+        before.stream()
+                .filter(service -> !now.contains(service))
+                .forEach(service -> LOG.info("team_sharing_ended", "service", service));
     }
 
     private void recordCrashEvent(CrashEvent event) {
