Learn the output and work time of requests

Not built: learned error of first events and gaps, remaining work of servers, servers that report too little, log lines and metrics.

--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacedRequests.java
@@ -17,14 +17,20 @@
     private final RoutedServices mServices;
     private final CrashHistory mCrashes;
     private final CrashAttribution mAttribution;
+    private final LearnedCosts mCosts;
     private final Map<PlacementKey, List<PlacementUpstream>> mPlacements = new HashMap<>();
     private final NewOwners mNewOwners = new NewOwners();
     private final List<UpstreamId> mLiftedLimits = new ArrayList<>();
 
-    PlacedRequests(RoutedServices services, CrashHistory crashes, CrashAttribution attribution) {
+    PlacedRequests(
+            RoutedServices services,
+            CrashHistory crashes,
+            CrashAttribution attribution,
+            LearnedCosts costs) {
         mServices = services;
         mCrashes = crashes;
         mAttribution = attribution;
+        mCosts = costs;
     }
 
     /** Adds a placement; the first upstream is the one that answers. */
@@ -118,6 +124,7 @@
                 mCrashes.answered(contentHash);
                 mAttribution.progressed(primary, nowNanos);
                 primaryPart.ifPresent(part -> mAttribution.answered(part.request(), nowNanos));
+                primaryPart.ifPresent(part -> mCosts.answered(part, nowNanos));
             }
             case UPSTREAM_ERROR -> {
                 primaryPart.ifPresent(part -> liftLimit(primary, part));
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRequest.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementRequest.java
@@ -164,12 +164,40 @@
             return this;
         }
 
+        private Builder copy() {
+            Builder copy = new Builder(mKey, mRequestId, mService);
+            copy.mContentHash = mContentHash;
+            copy.mSharedParts = mSharedParts;
+            copy.mTargetNanos = mTargetNanos;
+            copy.mLatestStartNanos = mLatestStartNanos;
+            copy.mDeadlineNanos = mDeadlineNanos;
+            copy.mPromptTokens = mPromptTokens;
+            copy.mOutputTokens = mOutputTokens;
+            copy.mTargetGapMillis = mTargetGapMillis;
+            copy.mPriority = mPriority;
+            copy.mRetry = mRetry;
+            copy.mDomain = mDomain;
+            copy.mExcluded = mExcluded;
+            copy.mTeam = mTeam;
+            copy.mRoute = mRoute;
+            copy.mOutputLimitTokens = mOutputLimitTokens;
+            copy.mOutputHintTokens = mOutputHintTokens;
+            return copy;
+        }
+
         /** Returns the request. The builder must not be used afterwards. */
         public PlacementRequest build() {
             return new PlacementRequest(this);
         }
     }
 
+    /** Returns the same request with another expected output. */
+    PlacementRequest withOutputTokens(long outputTokens) {
+        Builder copy = mValues.copy();
+        copy.mOutputTokens = outputTokens;
+        return copy.build();
+    }
+
     // Public API.
 
     /** Returns the key of the placement. */
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -44,7 +44,8 @@
     private final Map<ServiceName, SlidingRetryBudget> mRetries = new HashMap<>();
     private final CrashHistory mCrashes = new CrashHistory();
     private final CrashAttribution mAttribution = new CrashAttribution();
-    private final PlacedRequests mPlaced = new PlacedRequests(mServices, mCrashes, mAttribution);
+    private final LearnedCosts mCosts;
+    private final PlacedRequests mPlaced;
     private final ComparisonBudget mComparisonBudget = new ComparisonBudget();
     private final DecisionList mDecisions = new DecisionList();
     private int mInstances = 1;
@@ -59,6 +60,8 @@
     public PlacementScheduler(PlacementLimits limits, SchedulerFeatures features) {
         mLimits = limits;
         mFeatures = features;
+        mCosts = new LearnedCosts(features, mServices);
+        mPlaced = new PlacedRequests(mServices, mCrashes, mAttribution, mCosts);
     }
 
     /** Returns the optional parts that are switched on. */
@@ -95,7 +98,8 @@
     }
 
     /** Submits a request. {@link #decide} returns the decision, in its next call or later. */
-    public void submit(PlacementRequest request, long nowNanos) {
+    public void submit(PlacementRequest submitted, long nowNanos) {
+        PlacementRequest request = mCosts.withExpectedOutput(submitted);
         SlidingRetryBudget retries =
                 mRetries.computeIfAbsent(request.service(), key -> new SlidingRetryBudget(mLimits));
         if (!request.retry()) {
@@ -114,11 +118,7 @@
                 new WaitingRequest(request, mServices.engineCost(request.service()), nowNanos));
     }
 
-    /**
-     * Registers a request that another scheduler has placed and that is running on an upstream.
-     *
-     * @param grantedNanos when it was placed
-     */
+    /** Registers a running request that another scheduler placed at {@code grantedNanos}. */
     public void registerRunning(
             PlacementRequest request,
             UpstreamId upstream,
@@ -165,11 +165,7 @@
         mPlaced.recordSilence(key, nowNanos);
     }
 
-    /**
-     * Records how many events an answer had. Precedes the end of the placement.
-     *
-     * @param events events that the upstream sent for this placement
-     */
+    /** Records how many events an upstream sent for a placement. Precedes its end. */
     public void recordEventCount(PlacementKey key, long events, long nowNanos) {
         mPlaced.recordEventCount(key, events, nowNanos);
     }
@@ -246,9 +242,7 @@
         mAttribution.removeQuarantinedParts(parts, nowNanos);
     }
 
-    /**
-     * Returns the crashes of upstreams on request contents, to share them with other schedulers.
-     */
+    /** Returns the crashes of upstreams on request contents, for other schedulers. */
     public CrashHistory crashes() {
         return mCrashes;
     }
@@ -273,6 +267,11 @@
         return mPlaced.count();
     }
 
+    /** Returns what is learned about the cost of requests. */
+    LearnedCosts learnedCosts() {
+        return mCosts;
+    }
+
     private Optional<ServiceRound> round(
             WaitingRequest waiting,
             Map<ServiceName, Optional<ServiceRound>> rounds,
