--- a/policy/src/main/java/dev/kumquatweir/policy/cost/StartError.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/cost/StartError.java
@@ -17,12 +17,26 @@
     /** Expected time up to which the error does not depend on it. */
     private static final double REFERENCE_MILLIS = 250;
 
+    private static final StartError EXACT =
+            new StartError(new double[] {-1e-9, 0}, new double[] {1, 0});
+
+    private final double[] mErrorsMillis;
+    private final double[] mProbabilities;
+
     /** Returns a distribution measured on engines of a deployment. */
     public static StartError measuredDefault() {
-        return new StartError();
+        return new StartError(DEFAULT_ERRORS_MILLIS, DEFAULT_PROBABILITIES);
     }
 
-    private StartError() {}
+    /** Returns the distribution of estimates that are always right. */
+    public static StartError exact() {
+        return EXACT;
+    }
+
+    private StartError(double[] errorsMillis, double[] probabilities) {
+        mErrorsMillis = errorsMillis;
+        mProbabilities = probabilities;
+    }
 
     /**
      * Returns the probability that a first event is late.
@@ -33,16 +47,16 @@
      */
     public double probabilityLate(double expectedMillis, double marginMillis) {
         double scaled = marginMillis / scale(expectedMillis);
-        if (scaled <= DEFAULT_ERRORS_MILLIS[0]) {
+        if (scaled <= mErrorsMillis[0]) {
             return 1;
         }
-        for (int index = 1; index < DEFAULT_ERRORS_MILLIS.length; index++) {
-            double upper = DEFAULT_ERRORS_MILLIS[index];
+        for (int index = 1; index < mErrorsMillis.length; index++) {
+            double upper = mErrorsMillis[index];
             if (scaled < upper) {
-                double lower = DEFAULT_ERRORS_MILLIS[index - 1];
+                double lower = mErrorsMillis[index - 1];
                 double position = (scaled - lower) / (upper - lower);
-                double atLower = DEFAULT_PROBABILITIES[index - 1];
-                return atLower + position * (DEFAULT_PROBABILITIES[index] - atLower);
+                double atLower = mProbabilities[index - 1];
+                return atLower + position * (mProbabilities[index] - atLower);
             }
         }
         return 0;
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/EngineChooser.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/EngineChooser.java
@@ -1,6 +1,7 @@
 package dev.kumquatweir.policy.placement;
 
 import dev.kumquatweir.core.routing.EngineCost;
+import dev.kumquatweir.policy.cost.StartError;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -68,6 +69,7 @@
      * @param cost cost model of the engines
      * @param eligible engines that may receive work
      * @param saturation share of all slots that are in use or waited for, 0 to 1
+     * @param startError error of expected times of first events
      * @param nowNanos present time
      */
     static Optional<PlacementOption> choose(
@@ -75,18 +77,19 @@
             EngineCost cost,
             List<PlacementUpstream> eligible,
             double saturation,
+            StartError startError,
             long nowNanos) {
         List<PlacementOption> options = new ArrayList<>();
         for (PlacementUpstream upstream : eligible) {
             if (hasFreeSlot(upstream, cost, nowNanos)) {
                 PartEstimate part = estimatePart(upstream, request, cost, 1, nowNanos);
-                buildOption(request, cost, List.of(part), saturation, nowNanos)
+                buildOption(request, cost, List.of(part), saturation, startError, nowNanos)
                         .ifPresent(options::add);
             }
         }
         boolean tooLarge = EngineMemory.exceedsOneEngine(request, cost);
         if (!isShort(request, cost) || tooLarge) {
-            options.addAll(splitOptions(request, cost, eligible, saturation, nowNanos));
+            options.addAll(splitOptions(request, cost, eligible, saturation, startError, nowNanos));
         }
         return options.stream().max(Comparator.comparingDouble(PlacementOption::score));
     }
@@ -123,6 +126,7 @@
             EngineCost cost,
             List<PlacementUpstream> eligible,
             double saturation,
+            StartError startError,
             long nowNanos) {
         List<PlacementUpstream> rankedEngines = rankedEngines(request, cost, eligible, nowNanos);
         double prefillMillis = cost.prefillMillis(request.promptTokens());
@@ -137,7 +141,13 @@
             for (PlacementUpstream upstream : rankedEngines.subList(0, count)) {
                 parts.add(estimatePart(upstream, request, cost, count, nowNanos));
             }
-            buildOption(request, cost, primaryFirst(parts, cost, nowNanos), saturation, nowNanos)
+            buildOption(
+                            request,
+                            cost,
+                            primaryFirst(parts, cost, nowNanos),
+                            saturation,
+                            startError,
+                            nowNanos)
                     .ifPresent(options::add);
         }
         return options;
@@ -238,6 +248,7 @@
             EngineCost cost,
             List<PartEstimate> parts,
             double saturation,
+            StartError startError,
             long nowNanos) {
         if (parts.isEmpty()) {
             return Optional.empty();
@@ -269,6 +280,7 @@
                         firstEventNanos,
                         errorRate,
                         lostValue + displacedValue,
+                        startError,
                         nowNanos);
         return Optional.of(
                 new PlacementOption(
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/LearnedCosts.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/LearnedCosts.java
@@ -3,6 +3,7 @@
 import dev.kumquatweir.core.routing.EngineCost;
 import dev.kumquatweir.policy.cost.CostModel;
 import dev.kumquatweir.policy.cost.CostOrigin;
+import dev.kumquatweir.policy.cost.StartError;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -15,13 +16,20 @@
 final class LearnedCosts {
     private final CostModel mModel = new CostModel();
     private final boolean mEnabled;
+    private final StartError mStartError;
     private final RoutedServices mServices;
 
     LearnedCosts(SchedulerFeatures features, RoutedServices services) {
         mEnabled = features.learnedCosts();
+        mStartError = mEnabled ? StartError.measuredDefault() : StartError.exact();
         mServices = services;
     }
 
+    /** Returns the error of expected times of first events; none if the costs are not learned. */
+    StartError startError() {
+        return mStartError;
+    }
+
     CostModel model() {
         return mModel;
     }
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/OptionScore.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/OptionScore.java
@@ -31,7 +31,6 @@
     private static final double PREFERENCE_WEIGHT = 0.05;
 
     private static final double ADDITIONAL_ENGINE_WEIGHT = 0.002;
-    private static final StartError START_ERROR = StartError.measuredDefault();
     private static final double NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
     private OptionScore() {}
@@ -43,6 +42,7 @@
      * @param firstEventNanos expected time of the first event
      * @param errorRate highest error rate of the engines
      * @param lostValue value that other requests lose
+     * @param startError error of the expected time
      */
     static double score(
             PlacementRequest request,
@@ -51,11 +51,12 @@
             long firstEventNanos,
             double errorRate,
             double lostValue,
+            StartError startError,
             long nowNanos) {
         double value = request.value();
         double firstEventMillis = (firstEventNanos - nowNanos) / NANOS_PER_MILLI;
         double marginMillis = (request.targetNanos() - firstEventNanos) / NANOS_PER_MILLI;
-        double lateProbability = START_ERROR.probabilityLate(firstEventMillis, marginMillis);
+        double lateProbability = startError.probabilityLate(firstEventMillis, marginMillis);
         double gain = value * (1 - EngineChooser.LATE_LOSS_SHARE * lateProbability);
         double windowMillis = Math.max(1, (request.targetNanos() - nowNanos) / NANOS_PER_MILLI);
         double slowness = SPEED_WEIGHT * Math.min(2, firstEventMillis / windowMillis);
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -360,6 +360,7 @@
                         cost,
                         round.eligible(request),
                         round.saturation(mWaiting.size(request.service())),
+                        mCosts.startError(),
                         nowNanos);
         if (option.isEmpty()) {
             mComparisonBudget.recordUnsuccessful(round.upstreamCount(), nowNanos);
