--- a/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/PlacementScheduler.java
@@ -41,7 +41,8 @@
     private final Map<ServiceName, SlidingRetryBudget> mRetries = new HashMap<>();
     private final CrashHistory mCrashes = new CrashHistory();
     private final CrashAttribution mAttribution = new CrashAttribution();
-    private final PlacedRequests mPlaced = new PlacedRequests(mServices, mCrashes, mAttribution);
+    private final LearnedCosts mCosts;
+    private final PlacedRequests mPlaced;
     private final ComparisonBudget mComparisonBudget = new ComparisonBudget();
     private final DecisionList mDecisions = new DecisionList();
     private int mInstances = 1;
@@ -58,6 +59,8 @@
         mFeatures = features;
         mUpstreams.forecastMemory(features.memoryConfidence());
         mWaiting = new WaitingRequests(features);
+        mCosts = new LearnedCosts(features, mServices);
+        mPlaced = new PlacedRequests(mServices, mCrashes, mAttribution, mCosts);
     }
 
     /** Returns the optional parts that are switched on. */
@@ -94,7 +97,8 @@
     }
 
     /** Submits a request. {@link #decide} returns the decision, in its next call or later. */
-    public void submit(PlacementRequest request, long nowNanos) {
+    public void submit(PlacementRequest submitted, long nowNanos) {
+        PlacementRequest request = mCosts.withExpectedOutput(submitted);
         SlidingRetryBudget retries =
                 mRetries.computeIfAbsent(request.service(), key -> new SlidingRetryBudget(mLimits));
         if (!request.retry()) {
@@ -112,11 +116,7 @@
         mWaiting.add(request, mServices.engineCost(request.service()), nowNanos);
     }
 
-    /**
-     * Registers a request that another scheduler has placed and that is running on an upstream.
-     *
-     * @param grantedNanos when it was placed
-     */
+    /** Registers a running request that another scheduler placed at {@code grantedNanos}. */
     public void registerRunning(
             PlacementRequest request,
             UpstreamId upstream,
@@ -176,10 +176,7 @@
     /**
      * Records the end of a placement.
      *
-     * @param key key of the placement
-     * @param outcome its result
-     * @param faultyAddress address of the upstream at fault if the primary reported another one,
-     *     else empty
+     * @param faultyAddress address of the upstream at fault if the primary names another, or empty
      */
     public void ended(
             PlacementKey key, PlacementOutcome outcome, String faultyAddress, long nowNanos) {
@@ -208,11 +205,8 @@
     }
 
     /**
-     * Applies a limit that a response names.
-     *
-     * @param perSecond requests per second that the upstream takes from all instances together
-     * @param sentNanos when the request of the response was sent
-     * @return whether the limit of the upstream has changed
+     * Applies the requests per second, for all instances together, that the response to a request
+     * sent at {@code sentNanos} names. Returns whether the limit of the upstream has changed.
      */
     public boolean recordLimit(
             UpstreamId upstream, double perSecond, long sentNanos, long nowNanos) {
@@ -275,6 +269,11 @@
         return mPlaced.count();
     }
 
+    /** Returns what is learned about the cost of requests. */
+    LearnedCosts learnedCosts() {
+        return mCosts;
+    }
+
     private Optional<ServiceRound> round(
             WaitingRequest waiting,
             Map<ServiceName, Optional<ServiceRound>> rounds,
@@ -366,6 +365,7 @@
                         cost,
                         round.candidates(request, cost),
                         round.saturation(mWaiting.size(request.service())),
+                        mCosts.startError(),
                         nowNanos);
         if (option.isEmpty()) {
             mComparisonBudget.recordUnsuccessful(round.upstreamCount(), nowNanos);
