--- a/program/src/test/java/dev/kumquatweir/program/system/LocalProcess.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LocalProcess.java
@@ -6,27 +6,39 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** One process of the program under test, with its log in a file. */
 final class LocalProcess implements AutoCloseable {
     private static final long STOP_LIMIT_SECONDS = 60;
 
     private final List<String> mCommand;
+    private final Map<String, String> mEnvironment;
     private final Path mLog;
     private Process mProcess;
 
-    private LocalProcess(List<String> command, Path log, Process process) {
+    private LocalProcess(
+            List<String> command, Map<String, String> environment, Path log, Process process) {
         mCommand = command;
+        mEnvironment = environment;
         mLog = log;
         mProcess = process;
     }
 
     static LocalProcess start(Path log, List<String> arguments) {
+        return start(log, arguments, Map.of());
+    }
+
+    /**
+     * @param environment variables that the process gets besides those of the test
+     */
+    static LocalProcess start(Path log, List<String> arguments, Map<String, String> environment) {
         List<String> command = new ArrayList<>();
         command.add(System.getProperty("kumquatweir.executable"));
         command.addAll(arguments);
-        return new LocalProcess(command, log, launch(command, log));
+        return new LocalProcess(command, environment, log, launch(command, environment, log));
     }
 
     boolean alive() {
@@ -75,7 +87,31 @@
     }
 
     void startAgain() {
-        mProcess = launch(mCommand, mLog);
+        mProcess = launch(mCommand, mEnvironment, mLog);
+    }
+
+    /** Returns the most memory that the process has used at once, in bytes. */
+    long peakMemoryBytes() {
+        try (Stream<String> lines = Files.lines(processFolder().resolve("status"))) {
+            return lines.filter(line -> line.startsWith("VmHWM:"))
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")) << 10)
+                    .findFirst()
+                    .orElseThrow();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    long openDescriptors() {
+        try (Stream<Path> descriptors = Files.list(processFolder().resolve("fd"))) {
+            return descriptors.count();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    private Path processFolder() {
+        return Path.of("/proc", Long.toString(mProcess.pid()));
     }
 
     String log() {
@@ -101,10 +137,11 @@
         }
     }
 
-    private static Process launch(List<String> command, Path log) {
+    private static Process launch(List<String> command, Map<String, String> environment, Path log) {
         try {
-            return new ProcessBuilder(command)
-                    .redirectErrorStream(true)
+            ProcessBuilder builder = new ProcessBuilder(command);
+            builder.environment().putAll(environment);
+            return builder.redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
                     .start();
         } catch (IOException exception) {
--- /dev/null
+++ b/program/src/test/java/dev/kumquatweir/program/system/OffendingPattern.java
@@ -0,0 +1,48 @@
+package dev.kumquatweir.program.system;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+
+/** What clients outside the limits send. */
+enum OffendingPattern {
+    /** Header fields without end. */
+    HEADER_FIELDS("%s", "X-Filler: " + "f".repeat(98) + "\r\n"),
+    /** One header field without end. */
+    ONE_FIELD("%sX-Filler: ", "f"),
+    /** Empty lines without end before a request. */
+    EMPTY_LINES("", "\r\n"),
+    /** Trailers without end behind a chunked body. */
+    TRAILERS(
+            "%sTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n",
+            "X-Filler: " + "f".repeat(98) + "\r\n"),
+    /** The extension of a chunk without end. */
+    CHUNK_EXTENSION("%sTransfer-Encoding: chunked\r\n\r\n1;x=", "f"),
+    /** Requests without end whose responses stay unread. */
+    PIPELINED("", "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+
+    private static final int BLOCK_BYTES = 16 << 10;
+
+    private final String mFirst;
+    private final String mRepeated;
+
+    OffendingPattern(String first, String repeated) {
+        mFirst = first;
+        mRepeated = repeated;
+    }
+
+    /**
+     * Starts clients that send this.
+     *
+     * @param head request line and header fields of a request without its end
+     */
+    OffendingClients start(InetSocketAddress address, String head) {
+        return OffendingClients.start(
+                address,
+                bytes(mFirst.formatted(head)),
+                bytes(mRepeated.repeat(BLOCK_BYTES / mRepeated.length())));
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+}
