Limit the memory, times and number of HTTP connections

Cause: the HTTP library limits each line of a head or of trailers, but not their number, and keeps all until they are complete; 6 clients end a process with a heap of 48 MB. No limit of time, pipelined requests, connections either.

Change: gateway/http owns the limits of accepted connections (ConnectionGuard, GuardedConnection), and HttpListeners opens all listeners of fleet and serve with them: bytes and lines of heads and trailers, time for a head, stalled bodies, unread responses, pipelined requests (held back undecoded, socket not read), a budget over all connections and per address, and connections per listener, where those without a request give way.

Integration tests: not run on this commit yet.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/http/ServerConnections.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/http/ServerConnections.java
@@ -52,6 +52,7 @@
     private final String mName;
     private final Clocks mClocks;
     private final IoExecutor mExecutor;
+    private final ConnectionGuard.Group mGuard;
     private final Set<Connection> mOpen = ConcurrentHashMap.newKeySet();
     private final AtomicInteger mLines = new AtomicInteger();
     private volatile boolean mStopping;
@@ -62,11 +63,14 @@
     /**
      * @param name name of the listener in the log
      * @param executor the I/O threads
+     * @param guard keeps each connection within its limits
      */
-    public ServerConnections(String name, Clocks clocks, IoExecutor executor) {
+    public ServerConnections(
+            String name, Clocks clocks, IoExecutor executor, ConnectionGuard.Group guard) {
         mName = name;
         mClocks = clocks;
         mExecutor = executor;
+        mGuard = guard;
         mLastAcceptNanos = clocks.nowNanos();
     }
 
@@ -188,7 +192,8 @@
                 mLastAcceptNanos = mClocks.nowNanos();
                 Channel channel = context.nettyChannel();
                 mListener = channel.parent();
-                Connection connection = new Connection(context, channel.eventLoop());
+                Connection connection =
+                        new Connection(context, channel.eventLoop(), mGuard.install(channel));
                 channel.attr(CONNECTION).set(connection);
                 channel.pipeline().addFirst(connection);
                 mOpen.add(connection);
@@ -216,6 +221,7 @@
     private final class Connection extends ChannelInboundHandlerAdapter {
         private final ConnectionContext mContext;
         private final EventLoop mLoop;
+        private final GuardedConnection mGuarded;
         private final QuietRounds mRounds = new QuietRounds();
         private int mRequests;
         private int mRunning;
@@ -225,9 +231,10 @@
         private long mLateNanos;
         private long mLastNanos;
 
-        Connection(ConnectionContext context, EventLoop loop) {
+        Connection(ConnectionContext context, EventLoop loop, GuardedConnection guarded) {
             mContext = context;
             mLoop = loop;
+            mGuarded = guarded;
             mLastNanos = mClocks.nowNanos();
         }
 
@@ -272,6 +279,7 @@
         private void endRequest() {
             mRunning--;
             mPartial = false;
+            mGuarded.responseEnded();
             mLastNanos = mClocks.nowNanos();
         }
 
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -15,6 +15,8 @@
 import dev.kumquatweir.core.routing.UpstreamStatus;
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.gateway.http.BodyMemory;
+import dev.kumquatweir.gateway.http.ConnectionGuard;
+import dev.kumquatweir.gateway.http.ConnectionLimits;
 import dev.kumquatweir.gateway.http.ServerConnections;
 import dev.kumquatweir.gateway.raw.RawCaller;
 import dev.kumquatweir.gateway.raw.RawUpstream;
@@ -119,7 +121,17 @@
                         Clocks.system());
         mExchanges = new ExchangeRegistry(ports, new MetricRegistry(), mExecutor);
         mExecutor.execute(mExchanges::start);
-        mConnections = new ServerConnections("callers", Clocks.system(), mExecutor);
+        mConnections =
+                new ServerConnections(
+                        "callers",
+                        Clocks.system(),
+                        mExecutor,
+                        new ConnectionGuard(
+                                        ConnectionLimits.DEFAULTS,
+                                        8 << 20,
+                                        mMetrics,
+                                        Clocks.system())
+                                .group("callers", 1_000));
         mServer =
                 HttpServers.forAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                         .ioExecutor(mExecutor)
--- a/program/src/main/java/dev/kumquatweir/program/command/WarmCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/WarmCommand.java
@@ -6,6 +6,7 @@
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.program.fleet.FleetDaemon;
+import dev.kumquatweir.settings.ConnectionSettings;
 import dev.kumquatweir.settings.FleetSettings;
 import dev.kumquatweir.settings.SchedulingSettings;
 import io.servicetalk.http.api.BlockingHttpClient;
@@ -70,6 +71,7 @@
                 0,
                 0,
                 1,
+                ConnectionSettings.DEFAULTS,
                 SchedulingSettings.NONE);
     }
 
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -11,7 +11,7 @@
 import dev.kumquatweir.gateway.forward.ForwardingServer;
 import dev.kumquatweir.gateway.forward.ReachMonitor;
 import dev.kumquatweir.gateway.http.BodyMemory;
-import dev.kumquatweir.gateway.http.ServerConnections;
+import dev.kumquatweir.gateway.http.HttpListeners.HttpListener;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.platform.ControlService;
 import dev.kumquatweir.platform.HttpDialect;
@@ -22,18 +22,14 @@
 import dev.kumquatweir.policy.placement.SchedulerFeatures;
 import dev.kumquatweir.policy.stop.PlannedStop;
 import dev.kumquatweir.program.control.GroupControl;
+import dev.kumquatweir.program.instance.ListenerFactory;
 import dev.kumquatweir.program.instance.MetricsText;
 import dev.kumquatweir.settings.FleetSettings;
 import dev.kumquatweir.settings.SchedulingSettings;
 import dev.kumquatweir.transport.ClusterKey;
 import dev.kumquatweir.transport.PeerNetwork;
-import io.servicetalk.http.api.HttpExecutionStrategies;
-import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.api.StreamingHttpService;
-import io.servicetalk.http.netty.HttpProtocolConfigs;
-import io.servicetalk.http.netty.HttpServers;
 import io.servicetalk.transport.api.IoExecutor;
-import io.servicetalk.transport.api.ServiceTalkSocketOptions;
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
@@ -62,8 +58,6 @@
     /** The heap is this many times as large as the memory for collected responses. */
     private static final int RESPONSE_MEMORY_SHARE = 8;
 
-    private static final int MAXIMUM_HEADER_BYTES = 64 * 1024;
-
     /** Part of the time for a planned stop that is reserved for ending the process. */
     private static final long EXIT_MARGIN_MILLIS = 600;
 
@@ -82,11 +76,12 @@
     private final RoutingDocuments mRoutingReader = new RoutingDocuments();
     private final PeerNetwork mNetwork;
     private final ControlInstanceDirectory mControlInstances;
+    private final ListenerFactory mListenerFactory;
     private final Supplier<LogStore> mStores;
     private final Runnable mOnFatal;
-    private final List<Listener> mListeners = new ArrayList<>();
+    private final List<HttpListener> mListeners = new ArrayList<>();
     private @Nullable GroupControl mGroup;
-    private volatile @Nullable Listener mCallerListener;
+    private volatile @Nullable HttpListener mCallerListener;
     private volatile @Nullable ExchangeRegistry mForwarding;
     private @Nullable EntryFleetView mEntry;
     private volatile boolean mDraining;
@@ -103,6 +98,13 @@
             FleetSettings settings, Clocks clocks, Supplier<LogStore> stores, Runnable onFatal) {
         mSettings = settings;
         mClocks = clocks;
+        mListenerFactory =
+                new ListenerFactory(
+                        settings.connections(),
+                        IDLE_CONNECTION_MILLIS,
+                        mMetrics,
+                        clocks,
+                        mExecutor);
         mStores = stores;
         mOnFatal = onFatal;
         InetSocketAddress address =
@@ -161,7 +163,7 @@
         mDraining = true;
         mListeners.forEach(listener -> listener.connections().beginStop());
         ExchangeRegistry forwarding = mForwarding;
-        Listener callerListener = mCallerListener;
+        HttpListener callerListener = mCallerListener;
         if (forwarding != null && callerListener != null) {
             drainRequests(forwarding, callerListener, startNanos);
         }
@@ -274,7 +276,7 @@
      * read has its complete response, or until the time of the planned stop is over.
      */
     private void drainRequests(
-            ExchangeRegistry forwarding, Listener callerListener, long startNanos) {
+            ExchangeRegistry forwarding, HttpListener callerListener, long startNanos) {
         long drainMillis = Math.max(0, mSettings.drainMillis() - EXIT_MARGIN_MILLIS);
         PlannedStop stop = new PlannedStop(startNanos, TimeUnit.MILLISECONDS.toNanos(drainMillis));
         forwarding.beginStop(stop);
@@ -315,23 +317,10 @@
         return forwarding == null ? 0 : forwarding.runningCount();
     }
 
-    private Listener listen(String name, InetSocketAddress address, StreamingHttpService service) {
-        ServerConnections connections = new ServerConnections(name, mClocks, mExecutor);
+    private HttpListener listen(
+            String name, InetSocketAddress address, StreamingHttpService service) {
         try {
-            HttpServerContext server =
-                    HttpServers.forAddress(address)
-                            .ioExecutor(mExecutor)
-                            .executionStrategy(HttpExecutionStrategies.offloadNone())
-                            .protocols(
-                                    HttpProtocolConfigs.h1()
-                                            .maxHeaderFieldLength(MAXIMUM_HEADER_BYTES)
-                                            .maxStartLineLength(MAXIMUM_HEADER_BYTES)
-                                            .build())
-                            .socketOption(
-                                    ServiceTalkSocketOptions.IDLE_TIMEOUT, IDLE_CONNECTION_MILLIS)
-                            .appendLateConnectionAcceptor(connections.acceptor())
-                            .listenStreamingAndAwait(connections.track(service));
-            Listener listener = new Listener(server, connections);
+            HttpListener listener = mListenerFactory.listen(name, address, service);
             mListeners.add(listener);
             return listener;
         } catch (Exception exception) {
@@ -344,13 +333,6 @@
         return result.getOrElseThrow(FailureException::new);
     }
 
-    /** A listening socket and its connections. */
-    private record Listener(HttpServerContext server, ServerConnections connections) {
-        Future<?> close(long latestNanos) {
-            return connections.close(server, latestNanos);
-        }
-    }
-
     /** An address can't be listened on. */
     record CannotListen(String address, String problem) implements Failure {
         @Override
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -8,7 +8,7 @@
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.gateway.caller.CallerPorts;
 import dev.kumquatweir.gateway.caller.CallerServer;
-import dev.kumquatweir.gateway.http.ServerConnections;
+import dev.kumquatweir.gateway.http.HttpListeners.HttpListener;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
 import dev.kumquatweir.program.burn.BurnAggregator;
@@ -21,12 +21,8 @@
 import dev.kumquatweir.program.spread.RegistrySynchronizer;
 import dev.kumquatweir.settings.InstanceSettings;
 import dev.kumquatweir.transport.PeerNetwork;
-import io.servicetalk.http.api.HttpExecutionStrategies;
-import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.api.StreamingHttpService;
-import io.servicetalk.http.netty.HttpServers;
 import io.servicetalk.transport.api.IoExecutor;
-import io.servicetalk.transport.api.ServiceTalkSocketOptions;
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -58,6 +54,7 @@
     private final ControlPlane mControl;
     private final Clocks mClocks;
     private final IoExecutor mIoExecutor;
+    private final ListenerFactory mListenerFactory;
     private final UpstreamClients mUpstreamClients;
     private final UpstreamSubsystem mUpstreamSubsystem;
     private final BurnRecorder mBurnRecorder;
@@ -66,7 +63,7 @@
     private final CallerServer mCallerServer;
     private final UpstreamListener mUpstreamListener;
     private final OperatorListener mOperatorListener;
-    private List<Listener> mListeners = List.of();
+    private List<HttpListener> mListeners = List.of();
 
     /**
      * Creates an instance that is not running yet.
@@ -88,6 +85,13 @@
         mClocks = clocks;
         mIoExecutor = NettyIoExecutors.createIoExecutor(IO_THREADS, "http");
         MetricRegistry metrics = new MetricRegistry();
+        mListenerFactory =
+                new ListenerFactory(
+                        settings.limits().connections(),
+                        settings.limits().idleConnectionMillis(),
+                        metrics,
+                        clocks,
+                        mIoExecutor);
         mUpstreamClients = new UpstreamClients(mIoExecutor, metrics);
         mBurnRecorder =
                 new BurnRecorder(
@@ -219,19 +223,10 @@
                 mClocks);
     }
 
-    private Listener listen(String name, InetSocketAddress address, StreamingHttpService service) {
-        ServerConnections connections = new ServerConnections(name, mClocks, mIoExecutor);
+    private HttpListener listen(
+            String name, InetSocketAddress address, StreamingHttpService service) {
         try {
-            HttpServerContext server =
-                    HttpServers.forAddress(address)
-                            .ioExecutor(mIoExecutor)
-                            .executionStrategy(HttpExecutionStrategies.offloadNone())
-                            .socketOption(
-                                    ServiceTalkSocketOptions.IDLE_TIMEOUT,
-                                    mSettings.limits().idleConnectionMillis())
-                            .appendLateConnectionAcceptor(connections.acceptor())
-                            .listenStreamingAndAwait(connections.track(service));
-            return new Listener(server, connections);
+            return mListenerFactory.listen(name, address, service);
         } catch (Exception exception) {
             Failure failure =
                     new StartFailure.CannotListen(
@@ -244,16 +239,9 @@
     private void closeListeners() {
         long untilNanos = mClocks.nowNanos() + TimeUnit.SECONDS.toNanos(CLOSE_TIMEOUT_SECONDS);
         List<Future<?>> closed =
-                mListeners.stream()
-                        .<Future<?>>map(
-                                listener ->
-                                        listener.connections().close(listener.server(), untilNanos))
-                        .toList();
+                mListeners.stream().<Future<?>>map(listener -> listener.close(untilNanos)).toList();
         while (!closed.stream().allMatch(Future::isDone) && mClocks.nowNanos() - untilNanos < 0) {
             LockSupport.parkNanos(DRAIN_POLL_INTERVAL_NANOS);
         }
     }
-
-    /** A listening socket and its connections. */
-    private record Listener(HttpServerContext server, ServerConnections connections) {}
 }
--- a/settings/src/main/java/dev/kumquatweir/settings/FleetSettings.java
+++ b/settings/src/main/java/dev/kumquatweir/settings/FleetSettings.java
@@ -29,6 +29,7 @@
  * @param repeatRatio requests that may be sent again, as a share of first sends
  * @param repeatExtra requests that may be sent again besides, within one window
  * @param repeatWindowMillis length of the window
+ * @param connections limits of HTTP connections
  * @param scheduling optional parts of the scheduler
  */
 public record FleetSettings(
@@ -50,6 +51,7 @@
         double repeatRatio,
         int repeatExtra,
         long repeatWindowMillis,
+        ConnectionSettings connections,
         SchedulingSettings scheduling) {
     /** Copies the list. */
     public FleetSettings {
--- a/settings/src/main/java/dev/kumquatweir/settings/FleetSettingsReader.java
+++ b/settings/src/main/java/dev/kumquatweir/settings/FleetSettingsReader.java
@@ -62,6 +62,7 @@
                         // Rounded down, so that the budget is never exceeded.
                         (int) limits.decimal("repeat_extra", 0, MOST_EXTRA_REPEATS, 10),
                         milliseconds(limits, "repeat_window", 0.001, LONGEST_WINDOW_SECONDS, 10),
+                        ConnectionSettings.read(limits),
                         SchedulingSettings.read(root.table("scheduling")));
         checkRole(listen, settings);
         List.of(instance, cluster, listen, limits).forEach(TomlTable::refuseUnknownKeys);
--- a/settings/src/main/java/dev/kumquatweir/settings/InstanceSettingsReader.java
+++ b/settings/src/main/java/dev/kumquatweir/settings/InstanceSettingsReader.java
@@ -82,7 +82,8 @@
                                 "body_bytes", 1_024, LARGEST_BODY_BYTES, DEFAULT_BODY_BYTES),
                         (int) table.wholeNumber("running_requests", 1, 100_000, 4_000),
                         1_000 * table.wholeNumber("idle_connection_seconds", 1, 86_400, 300),
-                        1_000 * table.wholeNumber("drain_seconds", 1, 43_200, 1_800));
+                        1_000 * table.wholeNumber("drain_seconds", 1, 43_200, 1_800),
+                        ConnectionSettings.read(table));
         table.refuseUnknownKeys();
         return limits;
     }
