--- a/program/src/test/java/dev/kumquatweir/program/system/LimitedFleet.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LimitedFleet.java
@@ -22,8 +22,12 @@
     /** Half of the default, so that few clients are enough to fill it. */
     static final String HEAP = "48m";
 
+    /** Open descriptors of a process that don't bound it in a test. */
+    private static final int MANY_DESCRIPTORS = 4_096;
+
     private static final AtomicInteger NUMBER = new AtomicInteger();
 
+    private final int mDescriptors;
     private final String mControlAddress;
     private final String mEntryAddress;
     private final LocalProcess mControl;
@@ -34,6 +38,16 @@
 
     /** Starts the processes and waits until they serve. */
     LimitedFleet(Path folder) throws IOException {
+        this(folder, MANY_DESCRIPTORS);
+    }
+
+    /**
+     * Starts the processes and waits until they serve.
+     *
+     * @param descriptors most open descriptors of each process
+     */
+    LimitedFleet(Path folder, int descriptors) throws IOException {
+        mDescriptors = descriptors;
         // Addresses of the loopback network, others for each test process.
         String network =
                 "127.%d.%d."
@@ -88,10 +102,11 @@
                 """
                         .formatted(name, address, data, mControlAddress, address, listen);
         Path settings = Files.writeString(folder.resolve(name + ".toml"), text);
-        return LocalProcess.start(
+        return LocalProcess.startWithDescriptors(
                 folder.resolve(name + ".log"),
                 List.of("fleet", settings.toString()),
-                Map.of("KUMQUATWEIR_HEAP", HEAP));
+                Map.of("KUMQUATWEIR_HEAP", HEAP),
+                mDescriptors);
     }
 
     /** Returns the process that has a listener. */
@@ -156,7 +171,8 @@
         }
     }
 
-    private boolean serves() {
+    /** Returns whether an ordinary request to each listener is answered. */
+    boolean serves() {
         FleetTraffic.Request request =
                 new FleetTraffic.Request("after", FleetTraffic.Kind.REPEATABLE_CALL, 1);
         try (KeptConnection connection = new KeptConnection(address(Port.CALLERS))) {
--- a/program/src/test/java/dev/kumquatweir/program/system/LocalProcess.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LocalProcess.java
@@ -41,6 +41,24 @@
         return new LocalProcess(command, environment, log, launch(command, environment, log));
     }
 
+    /**
+     * Starts a process that may open so many descriptors.
+     *
+     * @param environment variables that the process gets besides those of the test
+     */
+    static LocalProcess startWithDescriptors(
+            Path log, List<String> arguments, Map<String, String> environment, int descriptors) {
+        List<String> command =
+                new ArrayList<>(
+                        List.of(
+                                "/bin/sh",
+                                "-c",
+                                "ulimit -n " + descriptors + "; exec \"$0\" \"$@\""));
+        command.add(System.getProperty("kumquatweir.executable"));
+        command.addAll(arguments);
+        return new LocalProcess(command, environment, log, launch(command, environment, log));
+    }
+
     boolean alive() {
         return mProcess.isAlive();
     }
--- a/settings/src/test/java/dev/kumquatweir/settings/InstanceSettingsReaderTest.java
+++ b/settings/src/test/java/dev/kumquatweir/settings/InstanceSettingsReaderTest.java
@@ -68,6 +68,29 @@
         assertThat(message, containsString("a name must not have a slash"));
     }
 
+    /** Guards against limits that are read wrongly or that an ordinary client reaches. */
+    @Test
+    void readsLimitsOfConnections() {
+        assertThat(read(VALID).get().limits().connections(), equalTo(ConnectionSettings.DEFAULTS));
+        String limits =
+                """
+                [limits]
+                head_bytes = 16385
+                head_fields = 17
+                head_millis = 101
+                body_stall_millis = 102
+                unread_millis = 103
+                pipelined_requests = 3
+                caller_connections = 4
+                connection_memory_bytes = 5
+                """;
+        assertThat(
+                read(VALID + limits).get().limits().connections(),
+                equalTo(new ConnectionSettings(16_385, 17, 101, 102, 103, 3, 4, 5)));
+        String message = read(VALID + "[limits]\nhead_bytes = 16383\n").getLeft().message();
+        assertThat(message, containsString("limits.head_bytes"));
+    }
+
     /** Guards against a parse fault without its place. */
     @Test
     void reportsTheLineOfTextThatIsNotToml() {
