Close silent connections on the I/O thread that accepts others

Cause: when descriptors run short, evicted connections were closed by tasks queued behind the accepts that needed their descriptors. On readiness and metrics an ordinary request was answered late or not, with 512 of 512 descriptors open. Change: a connection that is not busy is closed at once if the call comes from its I/O thread.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/http/GuardedConnection.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/http/GuardedConnection.java
@@ -112,15 +112,16 @@
         return mLastNanos;
     }
 
-    /** Closes the connection unless a request has come meanwhile. Called by any thread. */
+    /**
+     * Closes the connection unless a request has come meanwhile. Called by any thread; at once on
+     * the I/O thread, so that many connections at a time don't use up the descriptors first.
+     */
     void closeIfNotBusy(LimitCause cause) {
-        mChannel.eventLoop()
-                .execute(
-                        () -> {
-                            if (!mBusy) {
-                                close(cause);
-                            }
-                        });
+        if (!mChannel.eventLoop().inEventLoop()) {
+            mChannel.eventLoop().execute(() -> closeIfNotBusy(cause));
+        } else if (!mBusy) {
+            close(cause);
+        }
     }
 
     /** Notes that the response to the oldest request has ended. */
--- a/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/forward/ForwardingHarness.java
@@ -28,7 +28,6 @@
 import dev.kumquatweir.policy.placement.PlacementOutcome;
 import dev.kumquatweir.policy.placement.PlacementRefusal;
 import dev.kumquatweir.policy.placement.PlacementRequest;
-import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.netty.HttpServers;
@@ -440,17 +439,4 @@
             return mAvoided.avoided(upstream -> 0, nowNanos);
         }
     }
-
-    /** Refuses all reservations; the requests of these tests need none. */
-    private static final class NoReservations implements ReservationPort {
-        @Override
-        public Single<Boolean> reserve(String address, String name, long tokens, long leaseMillis) {
-            return Single.succeeded(false);
-        }
-
-        @Override
-        public Single<Boolean> release(String address, String name) {
-            return Single.succeeded(false);
-        }
-    }
 }
--- a/program/src/main/java/dev/kumquatweir/program/fleet/EntryWarmUp.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/EntryWarmUp.java
@@ -9,6 +9,8 @@
 import dev.kumquatweir.gateway.forward.ForwardingServer;
 import dev.kumquatweir.gateway.forward.ReachMonitor;
 import dev.kumquatweir.gateway.http.BodyMemory;
+import dev.kumquatweir.gateway.http.ConnectionGuard;
+import dev.kumquatweir.gateway.http.ConnectionLimits;
 import dev.kumquatweir.gateway.http.ServerConnections;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.platform.HttpDialect;
@@ -50,6 +52,8 @@
  */
 final class EntryWarmUp {
     private static final EventLog LOG = EventLog.of(EntryWarmUp.class);
+    private static final String NAME = "warm-up";
+    private static final int MAXIMUM_CONNECTIONS = 64;
     static final int REQUESTS = 60;
     private static final int EVENTS = 12;
     private static final int PROMPT_TOKENS = 5_000;
@@ -94,7 +98,17 @@
             UpstreamClients clients = new UpstreamClients(mExecutor, metrics);
             ExchangeRegistry forwarding =
                     new ExchangeRegistry(ports(state, clients), metrics, mExecutor);
-            ServerConnections connections = new ServerConnections("warm-up", mClocks, mExecutor);
+            ServerConnections connections =
+                    new ServerConnections(
+                            NAME,
+                            mClocks,
+                            mExecutor,
+                            new ConnectionGuard(
+                                            ConnectionLimits.DEFAULTS,
+                                            BODY_MEMORY_BYTES,
+                                            metrics,
+                                            mClocks)
+                                    .group(NAME, MAXIMUM_CONNECTIONS));
             HttpServerContext server = listen(connections.track(new ForwardingServer(forwarding)));
             StreamingHttpClient caller = clients.newClient(address(server));
             mOpen.add(caller);
