Share upstreams among teams where the deployment names pressure

Change: without team_sharing in the settings, the platform's entry pressure switches it on, as it does the memory forecast; false in the settings keeps it off.

--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -198,7 +198,7 @@
         SchedulingSettings scheduling = mSettings.scheduling();
         RequestedFeatures requested = RequestedFeatures.decode(scheduling.requestedFeatures());
         return SchedulerFeatures.builder()
-                .teamSharing(scheduling.teamSharing())
+                .teamSharing(scheduling.teamSharing().orElse(requested.teamSharing()))
                 .learnedCosts(scheduling.learnedCosts())
                 .domainBalance(scheduling.domainBalance())
                 .memoryConfidence(
--- a/settings/src/main/java/dev/kumquatweir/settings/SchedulingSettings.java
+++ b/settings/src/main/java/dev/kumquatweir/settings/SchedulingSettings.java
@@ -1,11 +1,13 @@
 package dev.kumquatweir.settings;
 
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 /**
  * Optional parts of the scheduler, from the section {@code [scheduling]}. Immutable.
  *
- * @param teamSharing whether teams share scarce upstreams in proportion to their weights
+ * @param teamSharing whether teams share scarce upstreams in proportion to their weights; empty to
+ *     leave that to the requested features
  * @param learnedCosts whether the cost of requests is learned from their answers
  * @param domainBalance whether placements weigh the time of crossing between failure domains
  * @param memoryConfidence probability with which the requests on an engine have to fit into its
@@ -14,19 +16,21 @@
  *     lists them; empty if it asks for nothing
  */
 public record SchedulingSettings(
-        boolean teamSharing,
+        Optional<Boolean> teamSharing,
         boolean learnedCosts,
         boolean domainBalance,
         OptionalDouble memoryConfidence,
         String requestedFeatures) {
     /** All parts switched off. */
     public static final SchedulingSettings NONE =
-            new SchedulingSettings(false, false, false, OptionalDouble.empty(), "");
+            new SchedulingSettings(Optional.empty(), false, false, OptionalDouble.empty(), "");
 
     static SchedulingSettings read(TomlTable scheduling) {
         SchedulingSettings settings =
                 new SchedulingSettings(
-                        scheduling.flag("team_sharing", false),
+                        scheduling.has("team_sharing")
+                                ? Optional.of(scheduling.flag("team_sharing", false))
+                                : Optional.empty(),
                         scheduling.flag("learned_costs", false),
                         scheduling.flag("domain_balance", false),
                         memoryConfidence(scheduling),
