--- a/policy/src/main/java/dev/kumquatweir/policy/cost/StartError.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/cost/StartError.java
@@ -7,8 +7,7 @@
 public final class StartError {
     /**
      * Errors with the probability at the same index of {@link #DEFAULT_PROBABILITIES} to be
-     * exceeded. Measured on one day with 1,527 short requests whose first event was expected after
-     * about 200 ms; the ends of the range are assumed.
+     * exceeded, for first events that are expected after about 200 ms.
      */
     private static final double[] DEFAULT_ERRORS_MILLIS = {-40, 10, 62, 98, 211, 400};
 
@@ -23,8 +22,8 @@
     private final double[] mErrorsMillis;
     private final double[] mProbabilities;
 
-    /** Returns a distribution measured on engines of a deployment. */
-    public static StartError measuredDefault() {
+    /** Returns the distribution that is used while none is learned. */
+    public static StartError defaultDistribution() {
         return new StartError(DEFAULT_ERRORS_MILLIS, DEFAULT_PROBABILITIES);
     }
 
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/LearnedCosts.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/LearnedCosts.java
@@ -21,7 +21,7 @@
 
     LearnedCosts(SchedulerFeatures features, RoutedServices services) {
         mEnabled = features.learnedCosts();
-        mStartError = mEnabled ? StartError.measuredDefault() : StartError.exact();
+        mStartError = mEnabled ? StartError.defaultDistribution() : StartError.exact();
         mServices = services;
     }
 
--- a/policy/src/main/java/dev/kumquatweir/policy/placement/StandaloneCandidates.java
+++ b/policy/src/main/java/dev/kumquatweir/policy/placement/StandaloneCandidates.java
@@ -22,10 +22,7 @@
  * Not thread-safe.
  */
 final class StandaloneCandidates {
-    /**
-     * Shares of the engines that take long and middle prompts, if there are any. In a replay of 20
-     * and 60 instances, 0.27 to 0.4 for long ones differ little.
-     */
+    /** Shares of the engines that take long and middle prompts, if there are any. */
     private static final double LONG_SHARE = 0.33;
 
     private static final double MIDDLE_SHARE = 0.2;
--- a/policy/src/test/java/dev/kumquatweir/policy/cost/StartErrorTest.java
+++ b/policy/src/test/java/dev/kumquatweir/policy/cost/StartErrorTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 final class StartErrorTest {
-    private final StartError mError = StartError.measuredDefault();
+    private final StartError mError = StartError.defaultDistribution();
 
     /** Guards against a default that differs from what was measured. */
     @Test
