Follow the name of a leader that is no known voter

Callers saw a configuration that could not be read back: a control instance that was removed while it was cut off never joined again, and the next loss of two disks left two of five voters.

Cause: LeaderClient followed the name of a leader only if it was among the voters that it knew. A removed instance knows the voters of before, so that it asked them in turn for ever.

Change: the name is followed as it is. An instance outside the list that doesn't answer is followed by the voter after the one that named it, so that all voters are asked.

--- a/program/src/main/java/dev/kumquatweir/program/control/LeaderClient.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/LeaderClient.java
@@ -29,6 +29,7 @@
             CompletableFuture.delayedExecutor(RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     private volatile List<InstanceId> mVoters;
     private volatile InstanceId mLikelyLeader;
+    private volatile InstanceId mLastAskedVoter;
 
     /**
      * @param voters instances that may be the leader, at least one
@@ -43,6 +44,7 @@
         mSelf = self;
         mVoters = List.copyOf(voters);
         mLikelyLeader = voters.get(0);
+        mLastAskedVoter = voters.get(0);
         mNetwork = network;
         mReplica = replica;
         mClocks = clocks;
@@ -62,14 +64,22 @@
 
     /**
      * Handles a reply that the instance is not the leader: switches to the leader that it named,
-     * else to the next voter.
+     * else to the next voter. A named leader need not be a known voter: an instance that was
+     * removed while it was cut off doesn't know the voters of today.
      */
     void handleNotLeader(InstanceId instance, String leaderHint) {
         List<InstanceId> voters = mVoters;
-        Optional<InstanceId> hintedLeader =
-                voters.stream().filter(voter -> voter.value().equals(leaderHint)).findFirst();
-        InstanceId nextVoter = voters.get((voters.indexOf(instance) + 1) % voters.size());
-        mLikelyLeader = hintedLeader.filter(leader -> !leader.equals(instance)).orElse(nextVoter);
+        if (voters.contains(instance)) {
+            mLastAskedVoter = instance;
+        }
+        // An instance outside the list was named by the last voter, so the voter after that is
+        // next.
+        InstanceId nextVoter = voters.get((voters.indexOf(mLastAskedVoter) + 1) % voters.size());
+        mLikelyLeader =
+                Optional.of(leaderHint)
+                        .filter(hint -> !hint.isEmpty() && !hint.equals(instance.value()))
+                        .map(InstanceId::new)
+                        .orElse(nextVoter);
     }
 
     /**
