Replace a voter that stops before it ends

Callers saw a confirmed configuration that could not be read back, nor a new one confirmed: a control instance was replaced by one at another address, then two disks were lost while all processes were killed.

Cause: a voter that had left counted until it was silent for 2 s, and its successor was promoted only after it was removed. Two lost disks in that time leave two of five, or two of four, voters.

Change: a voter that stops has a learner promoted and itself removed while it still runs, with the requests that earlier builds know (DeparturePlanner). Leadership is handed to the voter heard from last, not to the first by name.

--- a/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
@@ -30,6 +30,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -46,6 +47,11 @@
     private static final long JOIN_CHECK_INTERVAL_MILLIS = 400;
     private static final long HAND_OVER_TIMEOUT_MILLIS = 1_000;
 
+    /** Time for handing this voter's place to a learner; a learner catches up in under 1 s. */
+    private static final long DEPARTURE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private static final long DEPARTURE_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
     /** The network delay between members is a few milliseconds; an election takes under 1 s. */
     private static final long HEARTBEAT_INTERVAL_MILLIS = 100;
 
@@ -55,6 +61,7 @@
     private final ReplicaEventLoop mReplica;
     private final MemberId mSelf;
     private final EventLoop mJoinLoop;
+    private final int mVoterTarget;
     private volatile Membership mMembership = Membership.EMPTY;
 
     /**
@@ -79,7 +86,7 @@
         mClocks = clocks;
         mSelf = new MemberId(settings.id().value(), opened.state().storeId());
         int durableCopies = settings.lostDisks() + 1;
-        int voters = 2 * settings.lostDisks() + 1;
+        mVoterTarget = 2 * settings.lostDisks() + 1;
         mReplica =
                 new ReplicaEventLoop(
                         RaftSettings.builder(settings.cluster())
@@ -102,7 +109,7 @@
                                 onFatal,
                                 new UpstreamObservations(clocks),
                                 listeners.onRoutingChange(),
-                                voters),
+                                mVoterTarget),
                         Optional.empty());
         mLeader = new LeaderClient(settings.id(), settings.seeds(), network, mReplica, clocks);
         mJoinLoop =
@@ -174,6 +181,56 @@
         }
     }
 
+    /**
+     * Hands this voter's place to a learner, if the group has one, so that the group doesn't count
+     * on this instance once it has stopped. Waits up to 2 s. Joining again is up to the next start.
+     */
+    public void depart() {
+        mJoinLoop.stop();
+        long untilNanos = mClocks.nowNanos() + DEPARTURE_TIMEOUT_NANOS;
+        boolean due = isRequest(DeparturePlanner.nextStep(mMembership, mSelf, mVoterTarget));
+        while (due && mClocks.nowNanos() - untilNanos < 0) {
+            DeparturePlanner.Step step =
+                    await(mLeader.submit(new ControlRequest.ReadMembers(), DEPARTURE_TIMEOUT_NANOS))
+                            .map(this::departureStep)
+                            .orElseGet(DeparturePlanner.Step.Stop::new);
+            if (!(step instanceof DeparturePlanner.Step.Request request)) {
+                return;
+            }
+            Optional<ControlReply> reply =
+                    await(
+                            mLeader.submit(
+                                    new ControlRequest.ChangeMembers(request.change()),
+                                    JOIN_AND_READ_TIMEOUT_NANOS));
+            LOG.info("departure_step", "change", request.change(), "reply", reply);
+            if (!reply.map(ControlReply.Applied.class::isInstance).orElse(false)) {
+                LockSupport.parkNanos(DEPARTURE_RETRY_NANOS);
+            }
+        }
+    }
+
+    private static boolean isRequest(DeparturePlanner.Step step) {
+        return step instanceof DeparturePlanner.Step.Request;
+    }
+
+    private DeparturePlanner.Step departureStep(ControlReply reply) {
+        return reply instanceof ControlReply.Members members
+                ? DeparturePlanner.nextStep(new Membership(members.members()), mSelf, mVoterTarget)
+                : new DeparturePlanner.Step.Stop();
+    }
+
+    private static Optional<ControlReply> await(CompletionStage<ControlReply> reply) {
+        try {
+            return Optional.of(
+                    reply.toCompletableFuture().get(DEPARTURE_TIMEOUT_NANOS, TimeUnit.NANOSECONDS));
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException exception) {
+            LOG.warn("departure_incomplete", "problem", exception.getClass().getSimpleName());
+        }
+        return Optional.empty();
+    }
+
     /** Stops the join checks and the replica. */
     public void stop() {
         mJoinLoop.stop();
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaEventLoop.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaEventLoop.java
@@ -33,6 +33,7 @@
 import dev.kumquatweir.program.permit.PermitIssuer;
 import dev.kumquatweir.storage.StorageDuty;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -222,7 +223,7 @@
         Optional<MemberId> target =
                 mNode.membership().voters().stream()
                         .filter(voter -> !voter.equals(mNode.self()))
-                        .findFirst();
+                        .min(Comparator.comparing(this::contactAgeNanos));
         if (mNode.role() != RaftRole.LEADER || target.isEmpty()) {
             reply.complete(new ControlReply.Done());
             return;
@@ -231,6 +232,10 @@
         stepNow(new RaftInput.TransferLeadership(id, target.get().name()));
     }
 
+    private long contactAgeNanos(MemberId member) {
+        return mNode.contactAgeNanos(member, mClocks.nowNanos()).orElse(0);
+    }
+
     private void execute(ControlRequest request, CompletableFuture<ControlReply> reply) {
         switch (request) {
             case ControlRequest.Propose propose -> propose(propose.command(), reply);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -178,6 +178,7 @@
         GroupControl group = mGroup;
         if (group != null) {
             group.handOver();
+            group.depart();
         }
         closeListeners(startNanos);
         if (group != null) {
