--- a/program/src/test/java/dev/kumquatweir/program/control/VirtualGroup.java
+++ b/program/src/test/java/dev/kumquatweir/program/control/VirtualGroup.java
@@ -11,9 +11,11 @@
 import dev.kumquatweir.agreement.raft.RaftSettings;
 import dev.kumquatweir.core.bytes.Bytes;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -35,6 +37,8 @@
     private long mNowNanos;
     private long mOriginNanos;
     private long mRequestId;
+    private boolean mJoinsLikeGroupControl;
+    private final Set<String> mCutOff = new HashSet<>();
 
     VirtualGroup(long seed, List<String> founders) {
         mRandom = new SplittableRandom(seed);
@@ -75,6 +79,12 @@
         replica(name).start(mNowNanos);
     }
 
+    void startIfNew(String name) {
+        if (!mReplicas.containsKey(name)) {
+            start(name);
+        }
+    }
+
     void kill(String name) {
         replica(name).kill();
     }
@@ -136,6 +146,66 @@
         return leader().flatMap(VirtualReplica::node).map(RaftNode::membership).orElseThrow();
     }
 
+    /** Cuts an instance off from all others, or connects it again. */
+    void cutOff(String name, boolean cut) {
+        if (cut) {
+            mCutOff.add(name);
+        } else {
+            mCutOff.remove(name);
+        }
+    }
+
+    /** Lets two voters read the members at the same moments and act on what they read. */
+    void departBoth(String first, String second, long millis) {
+        long untilNanos = mNowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+        Set<String> leaving = new HashSet<>(List.of(first, second));
+        while (mNowNanos < untilNanos && !leaving.isEmpty()) {
+            Map<String, DeparturePlanner.Step> steps = new TreeMap<>();
+            for (String name : leaving) {
+                steps.put(
+                        name,
+                        DeparturePlanner.nextStep(membership(), replica(name).id(), VOTER_TARGET));
+            }
+            for (Map.Entry<String, DeparturePlanner.Step> step : steps.entrySet()) {
+                if (step.getValue() instanceof DeparturePlanner.Step.Request(var change)) {
+                    change(change);
+                    run(10);
+                } else {
+                    leaving.remove(step.getKey());
+                    kill(step.getKey());
+                }
+            }
+            step();
+        }
+        leaving.forEach(this::kill);
+    }
+
+    /** Runs the steps of a departure for some time, without the end of the process. */
+    void departWithoutEnd(String name, long millis) {
+        VirtualReplica self = replica(name);
+        long untilNanos = mNowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+        boolean transferAsked = false;
+        while (mNowNanos < untilNanos) {
+            boolean leads = leader().filter(self::equals).isPresent();
+            if (leads && !transferAsked) {
+                transferAsked = true;
+                String target =
+                        membership().voters().stream()
+                                .filter(voter -> !voter.equals(self.id()))
+                                .findFirst()
+                                .orElseThrow()
+                                .name();
+                self.step(new RaftInput.TransferLeadership(++mRequestId, target), mNowNanos);
+            } else if (!leads && leader().isPresent()) {
+                if (DeparturePlanner.nextStep(membership(), self.id(), VOTER_TARGET)
+                        instanceof DeparturePlanner.Step.Request(var change)) {
+                    change(change);
+                }
+            }
+            step();
+        }
+    }
+
     /** Lets a voter hand over leadership and its place as a planned stop does, then ends it. */
     void depart(String name, long millis) {
         VirtualReplica self = replica(name);
@@ -186,6 +256,10 @@
         mNowNanos += STEP_NANOS;
         List<RaftMessage> delivered = mInFlight;
         mInFlight = new ArrayList<>();
+        delivered.removeIf(
+                message ->
+                        mCutOff.contains(message.to().name())
+                                || mCutOff.contains(message.from().name()));
         delivered.forEach(
                 message ->
                         Optional.ofNullable(mReplicas.get(message.to().name()))
@@ -202,8 +276,25 @@
         }
     }
 
+    /** Lets an instance ask to join only when GroupControl would: by its own knowledge. */
+    void joinLikeGroupControl() {
+        mJoinsLikeGroupControl = true;
+    }
+
+    private static boolean believesToBeMember(VirtualReplica replica) {
+        return replica.node()
+                .map(
+                        node ->
+                                node.membership().find(node.self()).isPresent()
+                                        && node.leader().isPresent())
+                .orElse(false);
+    }
+
     private void joinIfMissing(VirtualReplica replica) {
-        if (replica.node().isEmpty() || leader().isEmpty()) {
+        if (replica.node().isEmpty()
+                || leader().isEmpty()
+                || mCutOff.contains(replica.id().name())
+                || (mJoinsLikeGroupControl && believesToBeMember(replica))) {
             return;
         }
         Membership membership = membership();
