--- a/program/src/test/java/dev/kumquatweir/program/control/DepartureFindingsTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/control/DepartureFindingsTest.java
@@ -15,6 +15,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -253,24 +254,25 @@
     @Test
     void replacementAndLostDiskSurviveFurtherLosses() {
         List<String> failures = new ArrayList<>();
-        for (long seed = 0; seed < 4_000; seed++) {
-            failure(seed).ifPresent(failures::add);
+        for (long seed = 0; seed < 8_000; seed++) {
+            failure(seed, seed % 2 == 0).ifPresent(failures::add);
         }
         assertThat(failures.size() + " " + failures, failures, is(empty()));
     }
 
-    private static Optional<String> failure(long seed) {
+    private static Optional<String> failure(long seed, boolean planned) {
         SplittableRandom random = new SplittableRandom(seed);
         VirtualGroup group = new VirtualGroup(seed, FOUNDERS);
         String old = FOUNDERS.get(random.nextInt(5));
         List<String> others = new ArrayList<>(FOUNDERS);
         others.remove(old);
         String emptied = others.get(random.nextInt(4));
-        long lostAt = random.nextLong(0, 6_000);
+        long lostAt = random.nextLong(0, 1_500) * 4;
         long powerAt = lostAt + 1 + random.nextLong(0, 7_000);
         TreeMap<Long, Runnable> events = new TreeMap<>();
-        events.put(0L, () -> group.kill(old));
-        events.put(2_500L, () -> group.start("f"));
+        long startAt = planned ? 1_500 : 2_500;
+        long endAt = planned ? random.nextLong(0, 2_000) * 4 + 3 : 0L;
+        events.put(startAt, () -> group.start("f"));
         events.put(
                 lostAt + 1,
                 () -> {
@@ -278,15 +280,11 @@
                     group.replica(emptied).loseDisk();
                 });
         events.put(lostAt + 1_501, () -> group.start(emptied));
-        events.headMap(powerAt)
-                .forEach(
-                        (at, action) -> {
-                            group.runUntil(at);
-                            action.run();
-                        });
-        group.runUntil(powerAt);
+        events.put(endAt, () -> end(group, old, planned));
+        play(group, events, powerAt);
         int budget = 2;
-        if (powerAt < 5_000) {
+        boolean ended = endAt < powerAt;
+        if (ended && powerAt < startAt + 2_500) {
             budget--;
         }
         if (powerAt < lostAt + 4_001) {
@@ -294,6 +292,10 @@
         }
         List<String> names = new ArrayList<>(others);
         names.add("f");
+        if (!ended) {
+            names.add(old);
+            others.add(old);
+        }
         List<String> extra = new ArrayList<>();
         for (int loss = 0; loss < budget; loss++) {
             extra.add(names.remove(random.nextInt(names.size())));
@@ -303,6 +305,8 @@
                         + seed
                         + " old "
                         + old
+                        + "@"
+                        + endAt
                         + " emptied "
                         + emptied
                         + "@"
@@ -314,6 +318,30 @@
         return recoveryFailure(group, others, extra).map(problem -> text + ": " + problem);
     }
 
+    private static void play(
+            VirtualGroup group, NavigableMap<Long, Runnable> events, long powerAt) {
+        events.headMap(powerAt)
+                .forEach(
+                        (at, action) -> {
+                            group.runUntil(at);
+                            action.run();
+                        });
+        group.runUntil(powerAt);
+    }
+
+    private static void end(VirtualGroup group, String name, boolean planned) {
+        if (planned) {
+            long startMillis = group.nowMillis();
+            group.depart(name, 2_000);
+            long tookMillis = group.nowMillis() - startMillis;
+            if (tookMillis > 300) {
+                System.out.println("LONG departure " + tookMillis);
+            }
+        } else {
+            group.kill(name);
+        }
+    }
+
     private static Optional<String> recoveryFailure(
             VirtualGroup group, List<String> others, List<String> extra) {
         // A proposal of the harness is lost if its leader was killed just before.
--- a/program/src/test/java/dev/kumquatweir/program/control/VirtualGroup.java
+++ b/program/src/test/java/dev/kumquatweir/program/control/VirtualGroup.java
@@ -11,6 +11,7 @@
 import dev.kumquatweir.agreement.raft.RaftSettings;
 import dev.kumquatweir.core.bytes.Bytes;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -79,6 +80,10 @@
         replica(name).start(mNowNanos);
     }
 
+    long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(mNowNanos - mOriginNanos);
+    }
+
     void startIfNew(String name) {
         if (!mReplicas.containsKey(name)) {
             start(name);
@@ -214,7 +219,13 @@
             String target =
                     membership().voters().stream()
                             .filter(voter -> !voter.equals(self.id()))
-                            .findFirst()
+                            .min(
+                                    Comparator.comparing(
+                                            voter ->
+                                                    self.node()
+                                                            .orElseThrow()
+                                                            .contactAgeNanos(voter, mNowNanos)
+                                                            .orElse(0)))
                             .orElseThrow()
                             .name();
             self.step(new RaftInput.TransferLeadership(++mRequestId, target), mNowNanos);
