Let a learner forget a leader that it hears nothing of

A learner that was removed while it was cut off never joined again: it believed in the leader of before, and only a member without a leader asks to join. Its requests went to that leader as well.

Change: a learner without contact for three of its heartbeats and an election timeout knows no leader.

--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/Election.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/Election.java
@@ -25,6 +25,7 @@
             return;
         }
         if (!mReplica.isVoter()) {
+            mReplica.forgetLeaderWithoutContact(nowNanos);
             mReplica.resetElectionDeadline(nowNanos);
         } else if (mReplica.settings().isEnabled(RaftRule.PRE_VOTE)) {
             startPreVote(nowNanos);
--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/Replica.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/Replica.java
@@ -14,6 +14,9 @@
  * RaftNode}.
  */
 final class Replica {
+    /** Lost heartbeats of a learner after which its leader counts as gone. */
+    private static final int SILENT_LEADER_HEARTBEATS = 3;
+
     private final MemberId mSelf;
     private final RaftSettings mSettings;
     private final RandomGenerator mRandom;
@@ -131,6 +134,20 @@
         resetElectionDeadline(nowNanos);
     }
 
+    /**
+     * Forgets a leader without contact for several heartbeats of a learner. A learner that was
+     * removed while it was cut off would otherwise believe in its leader for ever and not join
+     * again.
+     */
+    void forgetLeaderWithoutContact(long nowNanos) {
+        long limitNanos =
+                SILENT_LEADER_HEARTBEATS * mSettings.learnerHeartbeatIntervalNanos()
+                        + mSettings.maxElectionTimeoutNanos();
+        if (nowNanos - mLeaderContactNanos > limitNanos) {
+            mLeaderId = null;
+        }
+    }
+
     void resetElectionDeadline(long nowNanos) {
         long spreadNanos =
                 mSettings.maxElectionTimeoutNanos() - mSettings.minElectionTimeoutNanos();
