Bound the hints that are followed one after the other

Two instances that name each other as the leader were asked in turn, and no other one (since hints are followed to instances that are no known voters).

Evidence: staleHintsDoNotHideOtherVoters failed before.

--- a/program/src/main/java/dev/kumquatweir/program/control/LeaderClient.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/LeaderClient.java
@@ -20,6 +20,7 @@
 final class LeaderClient {
     private static final long ATTEMPT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
     private static final long RETRY_DELAY_MILLIS = 40;
+    private static final int MAXIMUM_FOLLOWED_HINTS = 2;
 
     private final InstanceId mSelf;
     private final PeerNetwork mNetwork;
@@ -30,6 +31,7 @@
     private volatile List<InstanceId> mVoters;
     private volatile InstanceId mLikelyLeader;
     private volatile InstanceId mLastAskedVoter;
+    private volatile int mFollowedHints;
 
     /**
      * @param voters instances that may be the leader, at least one
@@ -75,11 +77,13 @@
         // An instance outside the list was named by the last voter, so the voter after that is
         // next.
         InstanceId nextVoter = voters.get((voters.indexOf(mLastAskedVoter) + 1) % voters.size());
-        mLikelyLeader =
-                Optional.of(leaderHint)
-                        .filter(hint -> !hint.isEmpty() && !hint.equals(instance.value()))
-                        .map(InstanceId::new)
-                        .orElse(nextVoter);
+        // Instances that lost their leader may name each other, so hints are followed a few times.
+        boolean followed =
+                !leaderHint.isEmpty()
+                        && !leaderHint.equals(instance.value())
+                        && mFollowedHints < MAXIMUM_FOLLOWED_HINTS;
+        mFollowedHints = followed ? mFollowedHints + 1 : 0;
+        mLikelyLeader = followed ? new InstanceId(leaderHint) : nextVoter;
     }
 
     /**
