Let the leader decide whether a voter that stops may be removed

Two voters that stopped at the same time removed themselves both and left four voters, so that the loss of two disks in their restart ended the group for good. A voter also handed its place to a learner that had ended, or waited for one that had ended while another lived, and a voter that led could not be removed.

Cause: the instance that stops decided on members that it had read before.

Change: the leader refuses a removal unless a voter is surplus and all other voters have synced the latest membership, and a promotion of a silent learner or of one too many. The voter that stops tries another learner after each refusal, gives up leadership again if it got it, and keeps to the time of the stop, which no longer follows the draining of requests.

--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftNode.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftNode.java
@@ -198,6 +198,14 @@
         return progress != null && progress.matchIndex() >= mReplica.commitIndex();
     }
 
+    /** Returns whether this leader knows that a member has synced the latest membership. */
+    public boolean hasLatestMembership(MemberId member) {
+        Leader leader = mReplica.leader();
+        Progress progress = leader == null ? null : leader.progress(member);
+        return member.equals(mReplica.self())
+                || (progress != null && progress.matchIndex() >= mReplica.log().membershipIndex());
+    }
+
     // Helpers
 
     Replica replica() {
--- a/program/src/main/java/dev/kumquatweir/program/control/DeparturePlanner.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/DeparturePlanner.java
@@ -4,6 +4,7 @@
 import dev.kumquatweir.agreement.port.MemberId;
 import dev.kumquatweir.agreement.port.Membership;
 import dev.kumquatweir.agreement.raft.MembershipChange;
+import java.util.List;
 
 /**
  * Decides how a voter that stops for good or for a restart hands its place to a learner. The
@@ -32,19 +33,24 @@
      * @param membership members as the leader knows them
      * @param self the member that stops
      * @param voterTarget number of voters that the group keeps
+     * @param refusals number of earlier steps that were refused; another learner is tried after
+     *     each
      */
-    static Step nextStep(Membership membership, MemberId self, int voterTarget) {
+    static Step nextStep(Membership membership, MemberId self, int voterTarget, int refusals) {
         if (!membership.isVoter(self)) {
             return new Step.Stop();
         }
         if (membership.voters().size() > voterTarget) {
             return new Step.Request(new MembershipChange.Remove(self.name()));
         }
-        return membership.members().stream()
-                .filter(member -> !member.isVoter())
-                .map(Member::id)
-                .findFirst()
-                .<Step>map(learner -> new Step.Request(new MembershipChange.Promote(learner)))
-                .orElseGet(Step.Stop::new);
+        List<MemberId> learners =
+                membership.members().stream()
+                        .filter(member -> !member.isVoter())
+                        .map(Member::id)
+                        .toList();
+        return learners.isEmpty()
+                ? new Step.Stop()
+                : new Step.Request(
+                        new MembershipChange.Promote(learners.get(refusals % learners.size())));
     }
 }
--- a/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
@@ -47,9 +47,6 @@
     private static final long JOIN_CHECK_INTERVAL_MILLIS = 400;
     private static final long HAND_OVER_TIMEOUT_MILLIS = 1_000;
 
-    /** Time for handing this voter's place to a learner; a learner catches up in under 1 s. */
-    private static final long DEPARTURE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
-
     private static final long DEPARTURE_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
     /** The network delay between members is a few milliseconds; an election takes under 1 s. */
@@ -63,6 +60,7 @@
     private final EventLoop mJoinLoop;
     private final int mVoterTarget;
     private volatile Membership mMembership = Membership.EMPTY;
+    private volatile boolean mDeparting;
 
     /**
      * Callbacks for changes. Called on the replica's event loop; must not block.
@@ -169,7 +167,7 @@
     }
 
     /** Transfers leadership if this instance is the leader. Waits up to 1 s. */
-    public void handOver() {
+    private void handOver() {
         try {
             mReplica.transferLeadership()
                     .toCompletableFuture()
@@ -183,52 +181,39 @@
 
     /**
      * Hands this voter's place to a learner, if the group has one, so that the group doesn't count
-     * on this instance once it has stopped. Waits up to 2 s. Joining again is up to the next start.
+     * on this instance once it has stopped. Waits until the given time at most. This instance joins
+     * again at its next start only.
      */
-    public void depart() {
+    public void depart(long untilNanos) {
+        mDeparting = true;
         mJoinLoop.stop();
-        long untilNanos = mClocks.nowNanos() + DEPARTURE_TIMEOUT_NANOS;
-        boolean due = isRequest(DeparturePlanner.nextStep(mMembership, mSelf, mVoterTarget));
-        while (due && mClocks.nowNanos() - untilNanos < 0) {
-            DeparturePlanner.Step step =
-                    await(mLeader.submit(new ControlRequest.ReadMembers(), DEPARTURE_TIMEOUT_NANOS))
-                            .map(this::departureStep)
-                            .orElseGet(DeparturePlanner.Step.Stop::new);
-            if (!(step instanceof DeparturePlanner.Step.Request request)) {
-                return;
-            }
-            Optional<ControlReply> reply =
-                    await(
-                            mLeader.submit(
-                                    new ControlRequest.ChangeMembers(request.change()),
-                                    JOIN_AND_READ_TIMEOUT_NANOS));
+        handOver();
+        int refusals = 0;
+        Membership membership = mMembership;
+        while (DeparturePlanner.nextStep(membership, mSelf, mVoterTarget, refusals)
+                        instanceof DeparturePlanner.Step.Request request
+                && mClocks.nowNanos() - untilNanos < 0) {
+            ControlRequest change = new ControlRequest.ChangeMembers(request.change());
+            ControlReply reply = await(change, untilNanos);
             LOG.info("departure_step", "change", request.change(), "reply", reply);
-            if (!reply.map(ControlReply.Applied.class::isInstance).orElse(false)) {
+            if (!(reply instanceof ControlReply.Applied)) {
+                refusals++;
+                // This voter may have become the leader, which can't remove itself.
+                handOver();
                 LockSupport.parkNanos(DEPARTURE_RETRY_NANOS);
             }
+            if (await(new ControlRequest.ReadMembers(), untilNanos)
+                    instanceof ControlReply.Members members) {
+                membership = new Membership(members.members());
+            }
         }
     }
 
-    private static boolean isRequest(DeparturePlanner.Step step) {
-        return step instanceof DeparturePlanner.Step.Request;
-    }
-
-    private DeparturePlanner.Step departureStep(ControlReply reply) {
-        return reply instanceof ControlReply.Members members
-                ? DeparturePlanner.nextStep(new Membership(members.members()), mSelf, mVoterTarget)
-                : new DeparturePlanner.Step.Stop();
-    }
-
-    private static Optional<ControlReply> await(CompletionStage<ControlReply> reply) {
-        try {
-            return Optional.of(
-                    reply.toCompletableFuture().get(DEPARTURE_TIMEOUT_NANOS, TimeUnit.NANOSECONDS));
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
-        } catch (ExecutionException | TimeoutException exception) {
-            LOG.warn("departure_incomplete", "problem", exception.getClass().getSimpleName());
-        }
-        return Optional.empty();
+    private ControlReply await(ControlRequest request, long untilNanos) {
+        long remainingNanos = Math.max(0, untilNanos - mClocks.nowNanos());
+        long timeoutNanos = Math.min(remainingNanos, JOIN_AND_READ_TIMEOUT_NANOS);
+        // The stage always completes, at the latest after the timeout.
+        return mLeader.submit(request, timeoutNanos).toCompletableFuture().join();
     }
 
     /** Stops the join checks and the replica. */
@@ -343,7 +328,7 @@
     }
 
     private void join(ControlReply reply) {
-        if (!(reply instanceof ControlReply.Members members)) {
+        if (mDeparting || !(reply instanceof ControlReply.Members members)) {
             return;
         }
         Membership membership = new Membership(members.members());
--- a/program/src/main/java/dev/kumquatweir/program/control/MembershipPlanner.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/MembershipPlanner.java
@@ -67,6 +67,48 @@
                 .map(member -> new MembershipChange.Remove(member.id().name()));
     }
 
+    /**
+     * Returns why a change that an instance requests must not be made, empty if it may. An instance
+     * that stops decides on members that it read earlier, so the leader checks again: two of them
+     * must not remove each other's replacement, and a learner that has ended replaces nobody. Must
+     * be called on the leader only.
+     */
+    static Optional<ControlFailure.Refused> refusal(
+            RaftNode node, MembershipChange change, int voterTarget, long nowNanos) {
+        Membership membership = node.membership();
+        int voters = membership.voters().size();
+        return switch (change) {
+            case MembershipChange.Remove remove
+                    when voters <= voterTarget && isVoter(membership, remove.name()) ->
+                    Optional.of(new ControlFailure.Refused("voter_needed", "no voter is surplus"));
+            case MembershipChange.Remove remove
+                    when isVoter(membership, remove.name())
+                            && !otherVotersKnowMembership(node, membership, remove.name()) ->
+                    Optional.of(
+                            new ControlFailure.Refused(
+                                    "voter_behind", "another voter has not taken its place yet"));
+            case MembershipChange.Promote _ when voters > voterTarget ->
+                    Optional.of(new ControlFailure.Refused("enough_voters", "a voter is surplus"));
+            case MembershipChange.Promote promote
+                    when contactAgeNanos(node, promote.member(), nowNanos)
+                            >= LEARNER_MAX_CONTACT_AGE_NANOS ->
+                    Optional.of(
+                            new ControlFailure.Refused("silent_member", "the learner is silent"));
+            default -> Optional.empty();
+        };
+    }
+
+    private static boolean otherVotersKnowMembership(
+            RaftNode node, Membership membership, String name) {
+        return membership.voters().stream()
+                .filter(voter -> !voter.name().equals(name))
+                .allMatch(node::hasLatestMembership);
+    }
+
+    private static boolean isVoter(Membership membership, String name) {
+        return membership.byName(name).filter(Member::isVoter).isPresent();
+    }
+
     private static long contactAgeNanos(RaftNode node, MemberId member, long nowNanos) {
         return node.contactAgeNanos(member, nowNanos).orElse(0);
     }
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaEventLoop.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaEventLoop.java
@@ -12,6 +12,7 @@
 import dev.kumquatweir.agreement.port.Membership;
 import dev.kumquatweir.agreement.port.StorageWrite;
 import dev.kumquatweir.agreement.port.StoredState;
+import dev.kumquatweir.agreement.raft.MembershipChange;
 import dev.kumquatweir.agreement.raft.RaftInput;
 import dev.kumquatweir.agreement.raft.RaftMessage;
 import dev.kumquatweir.agreement.raft.RaftNode;
@@ -248,10 +249,7 @@
                     reply.complete(
                             ReplicaReads.rollout(
                                     mLeases, read.version(), leaderName(), mClocks.nowNanos()));
-            case ControlRequest.ChangeMembers change -> {
-                long id = mPendingReplies.add(reply);
-                stepNow(new RaftInput.ChangeMembership(id, change.change()));
-            }
+            case ControlRequest.ChangeMembers change -> changeMembers(change.change(), reply);
             case ControlRequest.ReleaseLease release -> {
                 mLeases.release(release.instance(), release.processNonce());
                 reply.complete(new ControlReply.Done());
@@ -259,6 +257,19 @@
         }
     }
 
+    private void changeMembers(MembershipChange change, CompletableFuture<ControlReply> reply) {
+        Optional<ControlFailure.Refused> refusal =
+                mVoterTarget > 0 && mNode.isReadyLeader()
+                        ? MembershipPlanner.refusal(mNode, change, mVoterTarget, mClocks.nowNanos())
+                        : Optional.empty();
+        if (refusal.isPresent()) {
+            reply.complete(new ControlReply.Failed(refusal.get()));
+            return;
+        }
+        long id = mPendingReplies.add(reply);
+        stepNow(new RaftInput.ChangeMembership(id, change));
+    }
+
     private void propose(StateCommand command, CompletableFuture<ControlReply> reply) {
         long id = mPendingReplies.add(reply);
         StateCommand timestamped = command.withTime(mClocks.nowMillis());
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -68,6 +68,9 @@
     /** Most time for the connections that are not those of callers. */
     private static final long MAXIMUM_CLOSE_MILLIS = 1_000;
 
+    /** Most time for handing the place of a voter to a learner, which takes two commits. */
+    private static final long DEPARTURE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private static final long DRAIN_POLL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     private final FleetSettings mSettings;
@@ -170,16 +173,16 @@
         LOG.info("instance_draining", "running", runningRequests());
         mDraining = true;
         mListeners.forEach(listener -> listener.connections().beginStop());
+        // Before the requests are drained, which may take all the time of the stop.
+        GroupControl group = mGroup;
+        if (group != null) {
+            group.depart(mClocks.nowNanos() + DEPARTURE_NANOS);
+        }
         ExchangeRegistry forwarding = mForwarding;
         HttpListener callerListener = mCallerListener;
         if (forwarding != null && callerListener != null) {
             drainRequests(forwarding, callerListener, startNanos);
         }
-        GroupControl group = mGroup;
-        if (group != null) {
-            group.handOver();
-            group.depart();
-        }
         closeListeners(startNanos);
         if (group != null) {
             group.stop();
