--- a/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
@@ -30,6 +30,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -46,6 +47,8 @@
     private static final long JOIN_CHECK_INTERVAL_MILLIS = 400;
     private static final long HAND_OVER_TIMEOUT_MILLIS = 1_000;
 
+    private static final long DEPARTURE_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
     /** The network delay between members is a few milliseconds; an election takes under 1 s. */
     private static final long HEARTBEAT_INTERVAL_MILLIS = 100;
 
@@ -55,7 +58,9 @@
     private final ReplicaEventLoop mReplica;
     private final MemberId mSelf;
     private final EventLoop mJoinLoop;
+    private final int mVoterTarget;
     private volatile Membership mMembership = Membership.EMPTY;
+    private volatile boolean mDeparting;
 
     /**
      * Callbacks for changes. Called on the replica's event loop; must not block.
@@ -79,7 +84,7 @@
         mClocks = clocks;
         mSelf = new MemberId(settings.id().value(), opened.state().storeId());
         int durableCopies = settings.lostDisks() + 1;
-        int voters = 2 * settings.lostDisks() + 1;
+        mVoterTarget = 2 * settings.lostDisks() + 1;
         mReplica =
                 new ReplicaEventLoop(
                         RaftSettings.builder(settings.cluster())
@@ -102,7 +107,7 @@
                                 onFatal,
                                 new UpstreamObservations(clocks),
                                 listeners.onRoutingChange(),
-                                voters),
+                                mVoterTarget),
                         Optional.empty());
         mLeader = new LeaderClient(settings.id(), settings.seeds(), network, mReplica, clocks);
         mJoinLoop =
@@ -162,7 +167,7 @@
     }
 
     /** Transfers leadership if this instance is the leader. Waits up to 1 s. */
-    public void handOver() {
+    private void handOver() {
         try {
             mReplica.transferLeadership()
                     .toCompletableFuture()
@@ -174,6 +179,43 @@
         }
     }
 
+    /**
+     * Hands this voter's place to a learner, if the group has one, so that the group doesn't count
+     * on this instance once it has stopped. Waits until the given time at most. This instance joins
+     * again at its next start only.
+     */
+    public void depart(long untilNanos) {
+        mDeparting = true;
+        mJoinLoop.stop();
+        handOver();
+        int refusals = 0;
+        Membership membership = mMembership;
+        while (DeparturePlanner.nextStep(membership, mSelf, mVoterTarget, refusals)
+                        instanceof DeparturePlanner.Step.Request request
+                && mClocks.nowNanos() - untilNanos < 0) {
+            ControlRequest change = new ControlRequest.ChangeMembers(request.change());
+            ControlReply reply = await(change, untilNanos);
+            LOG.info("departure_step", "change", request.change(), "reply", reply);
+            if (!(reply instanceof ControlReply.Applied)) {
+                refusals++;
+                // This voter may have become the leader, which can't remove itself.
+                handOver();
+                LockSupport.parkNanos(DEPARTURE_RETRY_NANOS);
+            }
+            if (await(new ControlRequest.ReadMembers(), untilNanos)
+                    instanceof ControlReply.Members members) {
+                membership = new Membership(members.members());
+            }
+        }
+    }
+
+    private ControlReply await(ControlRequest request, long untilNanos) {
+        long remainingNanos = Math.max(0, untilNanos - mClocks.nowNanos());
+        long timeoutNanos = Math.min(remainingNanos, JOIN_AND_READ_TIMEOUT_NANOS);
+        // The stage always completes, at the latest after the timeout.
+        return mLeader.submit(request, timeoutNanos).toCompletableFuture().join();
+    }
+
     /** Stops the join checks and the replica. */
     public void stop() {
         mJoinLoop.stop();
@@ -286,7 +328,7 @@
     }
 
     private void join(ControlReply reply) {
-        if (!(reply instanceof ControlReply.Members members)) {
+        if (mDeparting || !(reply instanceof ControlReply.Members members)) {
             return;
         }
         Membership membership = new Membership(members.members());
--- a/program/src/main/java/dev/kumquatweir/program/control/LeaderClient.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/LeaderClient.java
@@ -20,6 +20,7 @@
 final class LeaderClient {
     private static final long ATTEMPT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
     private static final long RETRY_DELAY_MILLIS = 40;
+    private static final int MAXIMUM_FOLLOWED_HINTS = 2;
 
     private final InstanceId mSelf;
     private final PeerNetwork mNetwork;
@@ -29,6 +30,8 @@
             CompletableFuture.delayedExecutor(RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     private volatile List<InstanceId> mVoters;
     private volatile InstanceId mLikelyLeader;
+    private volatile InstanceId mLastAskedVoter;
+    private volatile int mFollowedHints;
 
     /**
      * @param voters instances that may be the leader, at least one
@@ -43,6 +46,7 @@
         mSelf = self;
         mVoters = List.copyOf(voters);
         mLikelyLeader = voters.get(0);
+        mLastAskedVoter = voters.get(0);
         mNetwork = network;
         mReplica = replica;
         mClocks = clocks;
@@ -62,14 +66,24 @@
 
     /**
      * Handles a reply that the instance is not the leader: switches to the leader that it named,
-     * else to the next voter.
+     * else to the next voter. A named leader need not be a known voter: an instance that was
+     * removed while it was cut off doesn't know the voters of today.
      */
     void handleNotLeader(InstanceId instance, String leaderHint) {
         List<InstanceId> voters = mVoters;
-        Optional<InstanceId> hintedLeader =
-                voters.stream().filter(voter -> voter.value().equals(leaderHint)).findFirst();
-        InstanceId nextVoter = voters.get((voters.indexOf(instance) + 1) % voters.size());
-        mLikelyLeader = hintedLeader.filter(leader -> !leader.equals(instance)).orElse(nextVoter);
+        if (voters.contains(instance)) {
+            mLastAskedVoter = instance;
+        }
+        // An instance outside the list was named by the last voter, so the voter after that is
+        // next.
+        InstanceId nextVoter = voters.get((voters.indexOf(mLastAskedVoter) + 1) % voters.size());
+        // Instances that lost their leader may name each other, so hints are followed a few times.
+        boolean followed =
+                !leaderHint.isEmpty()
+                        && !leaderHint.equals(instance.value())
+                        && mFollowedHints < MAXIMUM_FOLLOWED_HINTS;
+        mFollowedHints = followed ? mFollowedHints + 1 : 0;
+        mLikelyLeader = followed ? new InstanceId(leaderHint) : nextVoter;
     }
 
     /**
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaEventLoop.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaEventLoop.java
@@ -12,6 +12,7 @@
 import dev.kumquatweir.agreement.port.Membership;
 import dev.kumquatweir.agreement.port.StorageWrite;
 import dev.kumquatweir.agreement.port.StoredState;
+import dev.kumquatweir.agreement.raft.MembershipChange;
 import dev.kumquatweir.agreement.raft.RaftInput;
 import dev.kumquatweir.agreement.raft.RaftMessage;
 import dev.kumquatweir.agreement.raft.RaftNode;
@@ -33,6 +34,7 @@
 import dev.kumquatweir.program.permit.PermitIssuer;
 import dev.kumquatweir.storage.StorageDuty;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -222,7 +224,7 @@
         Optional<MemberId> target =
                 mNode.membership().voters().stream()
                         .filter(voter -> !voter.equals(mNode.self()))
-                        .findFirst();
+                        .min(Comparator.comparing(this::contactAgeNanos));
         if (mNode.role() != RaftRole.LEADER || target.isEmpty()) {
             reply.complete(new ControlReply.Done());
             return;
@@ -231,6 +233,10 @@
         stepNow(new RaftInput.TransferLeadership(id, target.get().name()));
     }
 
+    private long contactAgeNanos(MemberId member) {
+        return mNode.contactAgeNanos(member, mClocks.nowNanos()).orElse(0);
+    }
+
     private void execute(ControlRequest request, CompletableFuture<ControlReply> reply) {
         switch (request) {
             case ControlRequest.Propose propose -> propose(propose.command(), reply);
@@ -243,10 +249,7 @@
                     reply.complete(
                             ReplicaReads.rollout(
                                     mLeases, read.version(), leaderName(), mClocks.nowNanos()));
-            case ControlRequest.ChangeMembers change -> {
-                long id = mPendingReplies.add(reply);
-                stepNow(new RaftInput.ChangeMembership(id, change.change()));
-            }
+            case ControlRequest.ChangeMembers change -> changeMembers(change.change(), reply);
             case ControlRequest.ReleaseLease release -> {
                 mLeases.release(release.instance(), release.processNonce());
                 reply.complete(new ControlReply.Done());
@@ -254,6 +257,19 @@
         }
     }
 
+    private void changeMembers(MembershipChange change, CompletableFuture<ControlReply> reply) {
+        Optional<ControlFailure.Refused> refusal =
+                mVoterTarget > 0 && mNode.isReadyLeader()
+                        ? MembershipPlanner.refusal(mNode, change, mVoterTarget, mClocks.nowNanos())
+                        : Optional.empty();
+        if (refusal.isPresent()) {
+            reply.complete(new ControlReply.Failed(refusal.get()));
+            return;
+        }
+        long id = mPendingReplies.add(reply);
+        stepNow(new RaftInput.ChangeMembership(id, change));
+    }
+
     private void propose(StateCommand command, CompletableFuture<ControlReply> reply) {
         long id = mPendingReplies.add(reply);
         StateCommand timestamped = command.withTime(mClocks.nowMillis());
