Let no put be under way once the test's operator is paused

Cause: the operator's thread could check the pause before it was set and put a document after it.

Change: the check and the put are made under one lock.

--- a/program/src/test/java/dev/kumquatweir/program/system/LossOperator.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LossOperator.java
@@ -44,9 +44,8 @@
 
     /** Ends the puts at a steady pace; returns once none of them is under way. */
     void pause() {
-        mPaused = true;
         synchronized (mLock) {
-            mNodes = List.copyOf(mNodes);
+            mPaused = true;
         }
     }
 
@@ -116,8 +115,10 @@
 
     private void run() {
         while (!mStopped) {
-            if (!mPaused) {
-                put();
+            synchronized (mLock) {
+                if (!mPaused) {
+                    put();
+                }
             }
             Waiting.during(PACE);
         }
