Wait at a start for what passes, and end with the status of the failure

Callers saw a configuration that didn't come: control processes ended at their start again and again. A control instance whose disk was lost and that came back with a full one ended by itself with disk_full, and with exit status 0.

Cause: a start ended at the first failure of its store or of an address, and the shutdown hook, which runs at each exit, halted with success whatever the status was. Nothing told how the life before had ended.

Change: a full disk, a folder that another process holds and an address in use are waited for, with a line once a second (start_waiting). Other failures end the process with status 1 and process_ended as its last line. A planned stop leaves a marker in the data folder, so that the next start logs process_started previous=PLANNED_STOP, UNPLANNED or NO_STORE. An exception that no command expects ends the process instead of its main thread only.

--- a/agreement/src/main/java/dev/kumquatweir/agreement/port/StorageFailure.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/port/StorageFailure.java
@@ -63,8 +63,9 @@
      *
      * @param location the folder or file
      * @param problem reason, for instance that another process has locked it
+     * @param temporary whether the folder may become usable while the process waits
      */
-    record Unusable(String location, String problem) implements StorageFailure {
+    record Unusable(String location, String problem, boolean temporary) implements StorageFailure {
         @Override
         public String code() {
             return "storage_unusable";
--- a/program/src/main/java/dev/kumquatweir/program/Main.java
+++ b/program/src/main/java/dev/kumquatweir/program/Main.java
@@ -4,6 +4,7 @@
 import com.github.rvesse.airline.annotations.Group;
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
+import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.program.command.BenchCommand;
 import dev.kumquatweir.program.command.CheckCommand;
 import dev.kumquatweir.program.command.ConfigApplyCommand;
@@ -100,11 +101,19 @@
                     commands = {StandinEngineCommand.class, StandinServiceCommand.class})
         })
 public final class Main {
+    private static final EventLog LOG = EventLog.of(Main.class);
+
     private Main() {}
 
     /** Runs the command and exits with its status; see {@link ExitStatus}. */
-    public static void main(String[] arguments) throws Exception {
-        int status = run(arguments);
+    public static void main(String[] arguments) {
+        int status = ExitStatus.FAILED.code();
+        try {
+            status = run(arguments);
+        } catch (Exception | Error fault) {
+            // The process would otherwise go on without its main thread.
+            LOG.error("command_failed", fault);
+        }
         ProcessSupport.flushLog();
         System.exit(status);
     }
--- a/program/src/main/java/dev/kumquatweir/program/command/FleetCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/FleetCommand.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import org.jspecify.annotations.Nullable;
 
 /** Runs an instance that discovers its peers from seed nodes, until it receives SIGTERM. */
 @Command(name = "fleet", description = "Run an instance that discovers its peers from seed nodes")
@@ -33,6 +34,9 @@
     @Required
     private String mFile = "";
 
+    private volatile @Nullable FleetDaemon mDaemon;
+    private volatile @Nullable String mFailure;
+
     @Override
     public Integer call() {
         RingLogHandler.useStandardOutput();
@@ -44,27 +48,47 @@
             System.err.println(settings.getLeft().message());
             return ExitStatus.BAD_INPUT.code();
         }
+        settings.get()
+                .dataFolder()
+                .ifPresent(
+                        folder -> LOG.info("process_started", "previous", StopMarker.take(folder)));
+        // Registered before the start, which may wait for long, so that SIGTERM ends it as well.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(settings.get()), "shutdown"));
         try {
-            FleetDaemon daemon =
-                    new FleetDaemon(
-                            settings.get(),
-                            Clocks.system(),
-                            () ->
-                                    ProcessSupport.openStore(
-                                            settings.get().dataFolder().orElseThrow()),
-                            ProcessSupport::haltProcess);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
-            daemon.start();
-            reloadOnChange(file, settings.get(), daemon);
+            run(file, settings.get());
             return ExitStatus.SUCCESS.code();
         } catch (FailureException exception) {
             LOG.failure("instance_not_started", exception.failure());
-            return ExitStatus.FAILED.code();
+            mFailure = exception.failure().code();
+        } catch (RuntimeException fault) {
+            LOG.error("instance_not_started", fault);
+            mFailure = fault.toString();
         }
+        return ExitStatus.FAILED.code();
+    }
+
+    private void run(Path file, FleetSettings settings) {
+        FleetDaemon daemon =
+                new FleetDaemon(
+                        settings,
+                        Clocks.system(),
+                        () -> ProcessSupport.openStore(settings.dataFolder().orElseThrow()),
+                        ProcessSupport::haltProcess);
+        mDaemon = daemon;
+        daemon.start();
+        reloadOnChange(file, settings, daemon);
     }
 
-    private static void stop(FleetDaemon daemon) {
-        daemon.stop();
+    private void stop(FleetSettings settings) {
+        FleetDaemon daemon = mDaemon;
+        if (daemon != null) {
+            daemon.stop();
+        }
+        String failure = mFailure;
+        if (failure != null) {
+            ProcessSupport.end(ExitStatus.FAILED, failure);
+        }
+        settings.dataFolder().ifPresent(StopMarker::leave);
         ProcessSupport.flushLog();
         // Without halt the JVM exits with status 143 after SIGTERM.
         Runtime.getRuntime().halt(ExitStatus.SUCCESS.code());
--- a/program/src/main/java/dev/kumquatweir/program/command/ProcessSupport.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/ProcessSupport.java
@@ -1,11 +1,14 @@
 package dev.kumquatweir.program.command;
 
 import dev.kumquatweir.agreement.port.LogStore;
+import dev.kumquatweir.agreement.port.StorageFailure;
 import dev.kumquatweir.core.event.EventLog;
-import dev.kumquatweir.core.failure.FailureException;
+import dev.kumquatweir.core.failure.Failure;
 import dev.kumquatweir.program.instance.StartFailure;
 import dev.kumquatweir.storage.DiskFolder;
 import dev.kumquatweir.storage.FileLogStore;
+import dev.kumquatweir.storage.NoSpaceException;
+import io.vavr.control.Either;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.nio.file.Path;
@@ -19,14 +22,14 @@
 
     private ProcessSupport() {}
 
-    /**
-     * Opens the Raft log store in a data folder; throws {@link FailureException} on an I/O error.
-     */
-    static LogStore openStore(Path folder) {
+    /** Opens the Raft log store in a data folder. */
+    static Either<Failure, LogStore> openStore(Path folder) {
         try {
-            return new FileLogStore(DiskFolder.open(folder));
+            return Either.right(new FileLogStore(DiskFolder.open(folder)));
+        } catch (NoSpaceException full) {
+            return Either.left(new StorageFailure.DiskFull(full.location()));
         } catch (IOException exception) {
-            throw new FailureException(
+            return Either.left(
                     new StartFailure.NoDataFolder(
                             folder.toString(), String.valueOf(exception.getMessage())));
         }
@@ -37,9 +40,17 @@
      * replica could contradict votes or acknowledgements that it has already sent.
      */
     static void haltProcess() {
-        LOG.warn("process_ended", "reason", "the replica can't go on safely");
+        end(ExitStatus.FAILED, "the replica can't go on safely");
+    }
+
+    /**
+     * Ends the process without running shutdown hooks. The last line of its log tells why: a
+     * process that ends without this line was ended by a signal.
+     */
+    static void end(ExitStatus status, String cause) {
+        LOG.warn("process_ended", "status", status.code(), "cause", cause);
         flushLog();
-        Runtime.getRuntime().halt(ExitStatus.FAILED.code());
+        Runtime.getRuntime().halt(status.code());
     }
 
     /**
--- a/program/src/main/java/dev/kumquatweir/program/control/GroupBootstrapper.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/GroupBootstrapper.java
@@ -15,7 +15,9 @@
 import dev.kumquatweir.core.pack.MalformedContent;
 import dev.kumquatweir.core.pack.MessagePackReader;
 import dev.kumquatweir.core.pack.MessagePackWriter;
+import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.program.instance.FrameType;
+import dev.kumquatweir.program.instance.StartRetry;
 import dev.kumquatweir.settings.PeerSettings;
 import dev.kumquatweir.transport.PeerNetwork;
 import dev.kumquatweir.transport.TransportFailure;
@@ -43,7 +45,8 @@
     private final InstanceId mSelf;
     private final List<PeerSettings> mVoters;
     private final PeerNetwork mNetwork;
-    private final Supplier<LogStore> mStoreOpener;
+    private final Supplier<Either<Failure, LogStore>> mStoreOpener;
+    private final Clocks mClocks;
     private final boolean mMayBootstrap;
 
     /**
@@ -58,8 +61,10 @@
             InstanceId self,
             List<PeerSettings> voters,
             PeerNetwork network,
-            Supplier<LogStore> storeOpener,
+            Supplier<Either<Failure, LogStore>> storeOpener,
+            Clocks clocks,
             boolean mayBootstrap) {
+        mClocks = clocks;
         mMayBootstrap = mayBootstrap;
         mSelf = self;
         mVoters = List.copyOf(voters);
@@ -83,8 +88,9 @@
      * @throws FailureException if the store can't be used
      */
     Optional<OpenedStore> awaitGroup(BooleanSupplier stopped) {
-        LogStore store = mStoreOpener.get();
-        StoredState state = orThrow(store.load());
+        OpenedStore opened = openStore();
+        LogStore store = opened.store();
+        StoredState state = opened.state();
         MemberId member = new MemberId(mSelf.value(), state.storeId());
         GroupBootstrap.StoreReport report = GroupBootstrap.StoreReport.of(member, state);
         serveReport(report);
@@ -125,14 +131,28 @@
                         StorageWrite.NO_INDEX,
                         List.of(),
                         StorageWrite.NO_INDEX);
-        orThrow(store.write(List.of(initialWrite)));
+        StartRetry.await("found_group", mClocks, () -> store.write(List.of(initialWrite)));
         // Reopened because write sequence numbers restart at 1 each time a store is opened, and
         // the replica starts with 1.
         store.close();
-        LogStore reopened = mStoreOpener.get();
-        StoredState state = orThrow(reopened.load());
-        serveReport(GroupBootstrap.StoreReport.of(member, state));
-        return new OpenedStore(reopened, state);
+        OpenedStore reopened = openStore();
+        serveReport(GroupBootstrap.StoreReport.of(member, reopened.state()));
+        return reopened;
+    }
+
+    private OpenedStore openStore() {
+        return StartRetry.await("open_store", mClocks, this::tryOpenStore);
+    }
+
+    private Either<? extends Failure, OpenedStore> tryOpenStore() {
+        Either<? extends Failure, LogStore> opened = mStoreOpener.get();
+        if (opened.isLeft()) {
+            return Either.left(opened.getLeft());
+        }
+        LogStore store = opened.get();
+        return store.load()
+                .map(state -> new OpenedStore(store, state))
+                .peekLeft(failure -> store.close());
     }
 
     private void serveReport(GroupBootstrap.StoreReport report) {
@@ -180,8 +200,4 @@
                                 reader.readBoolean(),
                                 new Membership(reader.readList(ControlCodec::readMember))));
     }
-
-    private static <T> T orThrow(Either<? extends Failure, T> result) {
-        return result.getOrElseThrow(FailureException::new);
-    }
 }
--- a/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
@@ -130,7 +130,7 @@
             FleetSettings settings,
             PeerNetwork network,
             Clocks clocks,
-            Supplier<LogStore> stores,
+            Supplier<Either<Failure, LogStore>> stores,
             Listeners listeners,
             Runnable onFatal) {
         List<PeerSettings> initialVoters =
@@ -144,6 +144,7 @@
                                 initialVoters,
                                 network,
                                 stores,
+                                clocks,
                                 settings.firstStart())
                         .awaitGroup(() -> false)
                         .orElseThrow();
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicatedControl.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicatedControl.java
@@ -10,6 +10,7 @@
 import dev.kumquatweir.core.control.ClaimPort;
 import dev.kumquatweir.core.control.ConfigurationPort;
 import dev.kumquatweir.core.event.EventLog;
+import dev.kumquatweir.core.failure.Failure;
 import dev.kumquatweir.core.failure.FailureException;
 import dev.kumquatweir.core.identity.InstanceId;
 import dev.kumquatweir.core.time.Clocks;
@@ -20,6 +21,7 @@
 import dev.kumquatweir.settings.PeerSettings;
 import dev.kumquatweir.transport.PeerNetwork;
 import dev.kumquatweir.transport.Responder;
+import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.util.Comparator;
@@ -92,7 +94,7 @@
             InstanceSettings settings,
             PeerNetwork network,
             Clocks clocks,
-            Optional<Supplier<LogStore>> stores,
+            Optional<Supplier<Either<Failure, LogStore>>> stores,
             Optional<Bytes> firstConfiguration,
             Runnable onFatal) {
         GroupBootstrapper.OpenedStore opened =
@@ -103,6 +105,7 @@
                                                         voters(settings),
                                                         network,
                                                         opener,
+                                                        clocks,
                                                         true)
                                                 .awaitGroup(() -> false))
                         .orElse(null);
--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -4,7 +4,6 @@
 import dev.kumquatweir.agreement.port.LogStore;
 import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.failure.Failure;
-import dev.kumquatweir.core.failure.FailureException;
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.gateway.forward.ExchangeRegistry;
 import dev.kumquatweir.gateway.forward.ForwardingPorts;
@@ -25,6 +24,7 @@
 import dev.kumquatweir.program.control.GroupControl;
 import dev.kumquatweir.program.instance.ListenerFactory;
 import dev.kumquatweir.program.instance.MetricsText;
+import dev.kumquatweir.program.instance.StartRetry;
 import dev.kumquatweir.settings.FleetSettings;
 import dev.kumquatweir.settings.SchedulingSettings;
 import dev.kumquatweir.transport.ClusterKey;
@@ -35,9 +35,9 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -78,9 +78,9 @@
     private final PeerNetwork mNetwork;
     private final ControlInstanceDirectory mControlInstances;
     private final ListenerFactory mListenerFactory;
-    private final Supplier<LogStore> mStores;
+    private final Supplier<Either<Failure, LogStore>> mStores;
     private final Runnable mOnFatal;
-    private final List<HttpListener> mListeners = new ArrayList<>();
+    private final List<HttpListener> mListeners = new CopyOnWriteArrayList<>();
     private @Nullable GroupControl mGroup;
     private volatile @Nullable HttpListener mCallerListener;
     private volatile @Nullable ExchangeRegistry mForwarding;
@@ -94,10 +94,14 @@
      * @param settings validated settings
      * @param stores opens the store of the data folder
      * @param onFatal ends the process when the store or the replica can't continue safely
-     * @throws FailureException if the port between instances can't be listened on
+     * @throws dev.kumquatweir.core.failure.FailureException if the port between instances can't be
+     *     listened on, unless it is in use: then it is waited for
      */
     public FleetDaemon(
-            FleetSettings settings, Clocks clocks, Supplier<LogStore> stores, Runnable onFatal) {
+            FleetSettings settings,
+            Clocks clocks,
+            Supplier<Either<Failure, LogStore>> stores,
+            Runnable onFatal) {
         mSettings = settings;
         mClocks = clocks;
         mListenerFactory =
@@ -113,11 +117,14 @@
                 new InetSocketAddress(settings.id().value(), settings.peerPort());
         ClusterKey key = ClusterKey.of(settings.clusterKey().getBytes(StandardCharsets.UTF_8));
         mNetwork =
-                orThrow(
-                        PeerNetwork.builder(settings.id(), settings.cluster(), key, address)
-                                .clock(clocks.monotonicNanos())
-                                .acceptUnlisted(true)
-                                .open());
+                StartRetry.await(
+                        "listen_for_peers",
+                        clocks,
+                        () ->
+                                PeerNetwork.builder(settings.id(), settings.cluster(), key, address)
+                                        .clock(clocks.monotonicNanos())
+                                        .acceptUnlisted(true)
+                                        .open());
         mControlInstances =
                 new ControlInstanceDirectory(
                         mNetwork::peers, settings.peerPort(), settings.seeds());
@@ -339,20 +346,23 @@
 
     private HttpListener listen(
             String name, InetSocketAddress address, StreamingHttpService service) {
+        HttpListener listener =
+                StartRetry.await(
+                        "listen_" + name, mClocks, () -> tryListen(name, address, service));
+        mListeners.add(listener);
+        return listener;
+    }
+
+    private Either<Failure, HttpListener> tryListen(
+            String name, InetSocketAddress address, StreamingHttpService service) {
         try {
-            HttpListener listener = mListenerFactory.listen(name, address, service);
-            mListeners.add(listener);
-            return listener;
+            return Either.right(mListenerFactory.listen(name, address, service));
         } catch (Exception exception) {
-            throw new FailureException(
+            return Either.left(
                     new CannotListen(address.toString(), String.valueOf(exception.getMessage())));
         }
     }
 
-    private static <T> T orThrow(Either<? extends Failure, T> result) {
-        return result.getOrElseThrow(FailureException::new);
-    }
-
     /** An address can't be listened on. */
     record CannotListen(String address, String problem) implements Failure {
         @Override
--- a/storage/src/main/java/dev/kumquatweir/storage/DiskFolder.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/DiskFolder.java
@@ -33,10 +33,15 @@
      * Opens a folder and makes it if it is missing.
      *
      * @param folder the data folder; nothing else may be kept in it
+     * @throws NoSpaceException if the disk has no room for the folder
      */
     public static DiskFolder open(Path folder) throws IOException {
         Path absolute = folder.toAbsolutePath();
-        Files.createDirectories(absolute);
+        try {
+            Files.createDirectories(absolute);
+        } catch (IOException fault) {
+            throw classified(absolute.toString(), fault);
+        }
         Path parent = absolute.getParent();
         if (parent != null) {
             syncFolder(parent);
@@ -119,11 +124,7 @@
     }
 
     private @Nullable FileChannel lockFile() throws IOException {
-        FileChannel channel =
-                FileChannel.open(
-                        mFolder.resolve(LOCK_FILE),
-                        StandardOpenOption.CREATE,
-                        StandardOpenOption.WRITE);
+        FileChannel channel = openLockFile();
         if (channel.tryLock() != null) {
             return channel;
         }
@@ -131,6 +132,17 @@
         return null;
     }
 
+    private FileChannel openLockFile() throws IOException {
+        try {
+            return FileChannel.open(
+                    mFolder.resolve(LOCK_FILE),
+                    StandardOpenOption.CREATE,
+                    StandardOpenOption.WRITE);
+        } catch (IOException fault) {
+            throw classified(LOCK_FILE, fault);
+        }
+    }
+
     private DataFile openFile(String name, StandardOpenOption... options) throws IOException {
         try {
             return new DiskFile(name, FileChannel.open(mFolder.resolve(name), options));
--- a/storage/src/main/java/dev/kumquatweir/storage/FileLogStore.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/FileLogStore.java
@@ -64,7 +64,7 @@
             if (!mFolder.lock()) {
                 return Either.left(
                         new StorageFailure.Unusable(
-                                mFolder.location(), "another process uses the folder"));
+                                mFolder.location(), "another process uses the folder", true));
             }
             return Either.right(loadLocked());
         } catch (DamageException damage) {
@@ -74,7 +74,7 @@
         } catch (IOException fault) {
             return failLoad(
                     new StorageFailure.Unusable(
-                            mFolder.location(), String.valueOf(fault.getMessage())));
+                            mFolder.location(), String.valueOf(fault.getMessage()), false));
         }
     }
 
