Let a voter found the group after its founding write was interrupted

Cause: the store then counted as one that had taken part in a group. The voter didn't found the group again, and all others waited to be added by a group that didn't exist.

Elections of a group have higher terms, so that no other event leaves this state.

Evidence: InterruptedFoundingTest.

--- a/program/src/main/java/dev/kumquatweir/program/control/GroupBootstrap.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/GroupBootstrap.java
@@ -70,8 +70,17 @@
                             .filter(snapshot -> snapshot.index() == 1)
                             .map(SnapshotImage::membership)
                             .orElse(Membership.EMPTY);
-            boolean voted = !stored.hardState().equals(HardState.INITIAL);
-            return new StoreReport(member, empty && !voted, initialMembership);
+            return new StoreReport(
+                    member, empty && !tookPart(stored.hardState()), initialMembership);
+        }
+
+        /**
+         * Returns whether the replica took part in an election. The first election of a group has a
+         * term above that of its initial snapshot, so that term without a vote is what a write of
+         * the initial snapshot leaves that was interrupted after the hard state.
+         */
+        private static boolean tookPart(HardState state) {
+            return state.term() > SnapshotImage.FOUNDING_TERM || !state.votedFor().isEmpty();
         }
     }
 
