Unlock the data folder after each failed attempt to open the store

Cause: when a segment couldn't be closed, the folder was not closed, and when taking the lock failed with an I/O error, its channel stayed open. A start that tries again would then wait for a lock that its own process holds.

Change: the folder is closed whatever the segments do, and the channel is closed unless it is locked.

Evidence: read in the code; no test brings about these errors of the file system.

--- a/storage/src/main/java/dev/kumquatweir/storage/DiskFolder.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/DiskFolder.java
@@ -125,11 +125,15 @@
 
     private @Nullable FileChannel lockFile() throws IOException {
         FileChannel channel = openLockFile();
-        if (channel.tryLock() != null) {
-            return channel;
+        boolean locked = false;
+        try {
+            locked = channel.tryLock() != null;
+        } finally {
+            if (!locked) {
+                channel.close();
+            }
         }
-        channel.close();
-        return null;
+        return locked ? channel : null;
     }
 
     private FileChannel openLockFile() throws IOException {
--- a/storage/src/main/java/dev/kumquatweir/storage/FileLogStore.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/FileLogStore.java
@@ -80,12 +80,12 @@
 
     @Override
     public void close() {
-        try {
+        // The folder is unlocked even if a segment can't be closed: another attempt may follow.
+        try (mFolder) {
             Loaded loaded = mLoaded;
             if (loaded != null) {
                 loaded.log().close();
             }
-            mFolder.close();
         } catch (IOException fault) {
             LOG.error("storage_close_failed", fault, "folder", mFolder.location());
         }
