Read and leave the stop marker only while the folder is locked

A process that waited for the data folder removed the marker of the process that held it, or left one there when it was stopped, so that the start after a crash logged a planned stop. A stop that threw, or a start that failed with an Error, ended with the status of the signal or with 0.

Cause: the marker was read before the folder was locked and left after it was unlocked. The hook halted only after an undisturbed stop, and took only a RuntimeException for a failed start. It read the failure after the stop, so that a start that failed because of SIGTERM made it status 1.

Change: the marker is read when the store is loaded and left before it is closed.

--- a/program/src/main/java/dev/kumquatweir/program/command/FleetCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/FleetCommand.java
@@ -5,7 +5,6 @@
 import com.github.rvesse.airline.annotations.help.Examples;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import dev.kumquatweir.core.event.EventLog;
-import dev.kumquatweir.core.failure.FailureException;
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.program.fleet.FleetDaemon;
 import dev.kumquatweir.program.log.RingLogHandler;
@@ -14,10 +13,10 @@
 import dev.kumquatweir.settings.SettingsFailure;
 import io.vavr.control.Either;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
-import org.jspecify.annotations.Nullable;
 
 /** Runs an instance that discovers its peers from seed nodes, until it receives SIGTERM. */
 @Command(name = "fleet", description = "Run an instance that discovers its peers from seed nodes")
@@ -34,9 +33,6 @@
     @Required
     private String mFile = "";
 
-    private volatile @Nullable FleetDaemon mDaemon;
-    private volatile @Nullable String mFailure;
-
     @Override
     public Integer call() {
         RingLogHandler.useStandardOutput();
@@ -48,50 +44,28 @@
             System.err.println(settings.getLeft().message());
             return ExitStatus.BAD_INPUT.code();
         }
-        settings.get()
-                .dataFolder()
-                .ifPresent(
-                        folder -> LOG.info("process_started", "previous", StopMarker.take(folder)));
-        // Registered before the start, which may wait for long, so that SIGTERM ends it as well.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(settings.get()), "shutdown"));
-        try {
-            run(file, settings.get());
-            return ExitStatus.SUCCESS.code();
-        } catch (FailureException exception) {
-            LOG.failure("instance_not_started", exception.failure());
-            mFailure = exception.failure().code();
-        } catch (RuntimeException fault) {
-            LOG.error("instance_not_started", fault);
-            mFailure = fault.toString();
-        }
-        return ExitStatus.FAILED.code();
+        Optional<StopMarker> marker = settings.get().dataFolder().map(StopMarker::new);
+        ServiceProcess process = new ServiceProcess(marker);
+        return process.run(() -> run(file, settings.get(), marker, process)).code();
     }
 
-    private void run(Path file, FleetSettings settings) {
+    private static ExitStatus run(
+            Path file,
+            FleetSettings settings,
+            Optional<StopMarker> marker,
+            ServiceProcess process) {
         FleetDaemon daemon =
                 new FleetDaemon(
                         settings,
                         Clocks.system(),
-                        () -> ProcessSupport.openStore(settings.dataFolder().orElseThrow()),
+                        () ->
+                                ProcessSupport.openStore(settings.dataFolder().orElseThrow())
+                                        .map(marker.orElseThrow()::attach),
                         ProcessSupport::haltProcess);
-        mDaemon = daemon;
+        process.onStop(daemon::stop);
         daemon.start();
         reloadOnChange(file, settings, daemon);
-    }
-
-    private void stop(FleetSettings settings) {
-        FleetDaemon daemon = mDaemon;
-        if (daemon != null) {
-            daemon.stop();
-        }
-        String failure = mFailure;
-        if (failure != null) {
-            ProcessSupport.end(ExitStatus.FAILED, failure);
-        }
-        settings.dataFolder().ifPresent(StopMarker::leave);
-        ProcessSupport.flushLog();
-        // Without halt the JVM exits with status 143 after SIGTERM.
-        Runtime.getRuntime().halt(ExitStatus.SUCCESS.code());
+        return ExitStatus.SUCCESS;
     }
 
     private static void reloadOnChange(Path file, FleetSettings initial, FleetDaemon daemon) {
