Stop a fleet instance in the middle of its start

Cause: the shutdown hook runs beside the start. A listener that was added after the stop had begun took connections that the stop didn't close, and a group that didn't run yet was asked to hand over, which takes the whole time limit of 1 s.

Change: the start goes no further once the stop has begun, and the group is known to the stop once it runs.

Evidence: StartFailuresIt (terminationEndsTheWaiting); no test draws the moment between the two.

--- a/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/FleetDaemon.java
@@ -81,7 +81,8 @@
     private final Supplier<Either<Failure, LogStore>> mStores;
     private final Runnable mOnFatal;
     private final List<HttpListener> mListeners = new CopyOnWriteArrayList<>();
-    private @Nullable GroupControl mGroup;
+    private final Object mListenersLock = new Object();
+    private volatile @Nullable GroupControl mGroup;
     private volatile @Nullable HttpListener mCallerListener;
     private volatile @Nullable ExchangeRegistry mForwarding;
     private @Nullable EntryFleetView mEntry;
@@ -175,7 +176,9 @@
     public void stop() {
         long startNanos = mClocks.nowNanos();
         LOG.info("instance_draining", "running", runningRequests());
-        mDraining = true;
+        synchronized (mListenersLock) {
+            mDraining = true;
+        }
         mListeners.forEach(listener -> listener.connections().beginStop());
         ExchangeRegistry forwarding = mForwarding;
         HttpListener callerListener = mCallerListener;
@@ -233,9 +236,10 @@
                         new GroupControl.Listeners(
                                 control::routingChanged, mControlInstances::setLocalMembers),
                         mOnFatal);
-        mGroup = group;
         control.start(group);
         group.start();
+        // Set once it runs: a stop would wait in vain for the answer of a group that doesn't.
+        mGroup = group;
         listen("control", address, new ControlService(control, mRoutingReader));
     }
 
@@ -349,12 +353,28 @@
         HttpListener listener =
                 StartRetry.await(
                         "listen_" + name, mClocks, () -> tryListen(name, address, service));
-        mListeners.add(listener);
-        return listener;
+        synchronized (mListenersLock) {
+            if (!mDraining) {
+                mListeners.add(listener);
+                return listener;
+            }
+        }
+        listener.server().closeAsync().subscribe();
+        throw awaitProcessEnd();
+    }
+
+    /** Keeps a start from going on while another thread stops the instance. Never returns. */
+    private static IllegalStateException awaitProcessEnd() {
+        while (true) {
+            LockSupport.parkNanos(DRAIN_POLL_INTERVAL_NANOS);
+        }
     }
 
     private Either<Failure, HttpListener> tryListen(
             String name, InetSocketAddress address, StreamingHttpService service) {
+        if (mDraining) {
+            throw awaitProcessEnd();
+        }
         try {
             return Either.right(mListenerFactory.listen(name, address, service));
         } catch (Exception exception) {
