Take a full disk that a sync of a new file reports for a full disk

File systems that allocate late, and those with quotas or on a network, report that there is no room when a file is synced.

Cause: only writes, creations and renames were recognised. A start then ended with storage_unusable instead of waiting.

Change: the sync of a temporary file is recognised as well; the file is written anew, so that the failed sync loses nothing. A failed sync of the log ends the store as before.

--- a/storage/src/main/java/dev/kumquatweir/storage/SealedFiles.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/SealedFiles.java
@@ -51,7 +51,7 @@
         try {
             try (DataFile file = mFolder.create(temporary)) {
                 writeFully(file, content, 0);
-                file.force();
+                force(temporary, file);
             }
             mFolder.rename(temporary, name);
         } catch (NoSpaceException full) {
@@ -61,6 +61,18 @@
         mFolder.sync();
     }
 
+    /**
+     * Syncs a temporary file. File systems that allocate late report a full disk here; the file is
+     * written anew then, so that the failed sync need not end the store.
+     */
+    private static void force(String name, DataFile file) throws IOException {
+        try {
+            file.force();
+        } catch (IOException fault) {
+            throw DiskFolder.classified(name, fault);
+        }
+    }
+
     /** Reads a whole file. */
     Content read(String name) throws IOException {
         ByteBuffer content;
--- a/storage/src/test/java/dev/kumquatweir/storage/FaultyFolder.java
+++ b/storage/src/test/java/dev/kumquatweir/storage/FaultyFolder.java
@@ -22,6 +22,10 @@
         NO_SPACE,
         /** The next sync of a file or folder fails and loses what was not synced. */
         SYNC_FAILS,
+        /** Syncs of files find no space, as on file systems that allocate late. */
+        SYNC_WITHOUT_SPACE,
+        /** Files can't be closed. */
+        CLOSE_FAILS,
         /** Power is lost: this and all further operations fail. */
         CRASH
     }
@@ -45,6 +49,7 @@
     private Fault mFault = Fault.NONE;
     private int mFaultAt;
     private int mOperations;
+    private boolean mClosed;
 
     FaultyFolder(long seed) {
         mRandom = new Random(seed);
@@ -171,7 +176,13 @@
     }
 
     @Override
-    public void close() {}
+    public void close() {
+        mClosed = true;
+    }
+
+    boolean closed() {
+        return mClosed;
+    }
 
     private Node file(String name) {
         Node node = mFiles.get(name);
@@ -250,11 +261,18 @@
         @Override
         public void force() throws IOException {
             step(mName, false);
+            if (due(Fault.SYNC_WITHOUT_SPACE)) {
+                throw new IOException("No space left on device");
+            }
             failSync();
             mNode.mSynced = mNode.mContent.clone();
         }
 
         @Override
-        public void close() {}
+        public void close() throws IOException {
+            if (due(Fault.CLOSE_FAILS)) {
+                throw new IOException("injected close failure");
+            }
+        }
     }
 }
--- a/storage/src/test/java/dev/kumquatweir/storage/InjectedFaultsTest.java
+++ b/storage/src/test/java/dev/kumquatweir/storage/InjectedFaultsTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Brings about each fault at each file operation of a workload, one after the other. */
@@ -125,6 +126,43 @@
         }
     }
 
+    /** Guards against a first start that doesn't go on once there is room, wherever it ended. */
+    @ParameterizedTest
+    @EnumSource(
+            value = FaultyFolder.Fault.class,
+            names = {"NO_SPACE", "SYNC_WITHOUT_SPACE"})
+    void newFolderIsLoadedOnceThereIsRoom(FaultyFolder.Fault fault) {
+        FaultyFolder sample = new FaultyFolder(1);
+        open(sample).load().get();
+        int refused = 0;
+        for (int operation = 1; operation <= sample.operations(); operation++) {
+            FaultyFolder folder = new FaultyFolder(1).failAt(fault, operation);
+            FileLogStore store = open(folder);
+            Either<StorageFailure, StoredState> loaded = store.load();
+            if (loaded.isLeft()) {
+                refused++;
+                String where = "operation " + operation;
+                assertThat(where, loaded.getLeft(), instanceOf(StorageFailure.DiskFull.class));
+                store.close();
+                folder.repair();
+                assertThat(where, open(folder.copy()).load().isRight(), is(true));
+            }
+        }
+        assertThat(refused, greaterThan(1));
+    }
+
+    /** Guards against a folder that stays locked for the next attempt of the same process. */
+    @Test
+    void folderIsClosedThoughItsFilesCanNotBe() {
+        FaultyFolder folder = new FaultyFolder(1);
+        FileLogStore store = open(folder);
+        store.load().get();
+        store.write(Workload.groups().getFirst()).get();
+        folder.failAt(FaultyFolder.Fault.CLOSE_FAILS, 0);
+        store.close();
+        assertThat(folder.closed(), is(true));
+    }
+
     private record Run(List<StorageWrite> unfinished, boolean loadFailed) {}
 
     private static Run runUntilFailure(FileLogStore store, Workload.Model model) {
