Wait for addresses in use in serve, and end its start on SIGTERM

Cause: serve waited for its store, but ended at an address in use, and registered its shutdown hook after the start, so that SIGTERM while it waited ended it with status 143.

Change: serve has the same waits, and the same start and end as fleet (ServiceProcess). SIGTERM before the start is complete ends it at once, without a hand-over.

--- a/program/src/main/java/dev/kumquatweir/program/command/ServeCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/ServeCommand.java
@@ -12,6 +12,7 @@
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.program.control.ReplicatedControl;
 import dev.kumquatweir.program.instance.InstanceDaemon;
+import dev.kumquatweir.program.instance.StartRetry;
 import dev.kumquatweir.program.log.RingLogHandler;
 import dev.kumquatweir.settings.ConfigurationReader;
 import dev.kumquatweir.settings.ConfigurationWriter;
@@ -44,7 +45,7 @@
     private String mFile = "";
 
     @Override
-    public Integer call() throws InterruptedException {
+    public Integer call() {
         RingLogHandler.useStandardOutput();
         Either<SettingsFailure, InstanceSettings> settings =
                 InstanceSettingsReader.readFile(Path.of(mFile));
@@ -53,22 +54,19 @@
             System.err.println(settings.getLeft().message());
             return ExitStatus.BAD_INPUT.code();
         }
-        try {
-            serve(settings.get());
-            return ExitStatus.SUCCESS.code();
-        } catch (FailureException exception) {
-            LOG.failure("instance_not_started", exception.failure());
-            return ExitStatus.FAILED.code();
-        }
+        ServiceProcess process = new ServiceProcess(Optional.empty());
+        return process.run(() -> serve(settings.get(), process)).code();
     }
 
-    private static void serve(InstanceSettings settings) throws InterruptedException {
+    private static ExitStatus serve(InstanceSettings settings, ServiceProcess process)
+            throws InterruptedException {
         Clocks clocks = Clocks.system();
         Optional<Bytes> firstConfiguration =
                 settings.firstConfiguration()
                         .map(file -> orThrow(ConfigurationReader.readFile(file)))
                         .map(ConfigurationWriter::toStored);
-        PeerNetwork network = orThrow(openNetwork(settings, clocks));
+        PeerNetwork network =
+                StartRetry.await("listen_for_peers", clocks, () -> openNetwork(settings, clocks));
         ReplicatedControl control =
                 ReplicatedControl.open(
                         settings,
@@ -80,18 +78,13 @@
         InstanceDaemon daemon =
                 new InstanceDaemon(settings, control, network, clocks, clocks.nowMillis());
         daemon.start();
-        Runtime.getRuntime()
-                .addShutdownHook(
-                        new Thread(
-                                () -> {
-                                    daemon.stop();
-                                    network.close();
-                                    ProcessSupport.flushLog();
-                                    // Without halt the JVM exits with status 143 after SIGTERM.
-                                    Runtime.getRuntime().halt(ExitStatus.SUCCESS.code());
-                                },
-                                "shutdown"));
+        process.onStop(
+                () -> {
+                    daemon.stop();
+                    network.close();
+                });
         new CountDownLatch(1).await();
+        return ExitStatus.SUCCESS;
     }
 
     private static Either<? extends Failure, PeerNetwork> openNetwork(
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -24,6 +24,7 @@
 import io.servicetalk.http.api.StreamingHttpService;
 import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.Future;
@@ -140,7 +141,8 @@
     /**
      * Starts all components, then listens for connections.
      *
-     * @throws FailureException if an address cannot be listened on
+     * @throws FailureException if an address cannot be listened on, unless it is in use: then it is
+     *     waited for
      */
     public void start() {
         mBurnRecorder.start();
@@ -225,13 +227,17 @@
 
     private HttpListener listen(
             String name, InetSocketAddress address, StreamingHttpService service) {
+        return StartRetry.await("listen_" + name, mClocks, () -> tryListen(name, address, service));
+    }
+
+    private Either<Failure, HttpListener> tryListen(
+            String name, InetSocketAddress address, StreamingHttpService service) {
         try {
-            return mListenerFactory.listen(name, address, service);
+            return Either.right(mListenerFactory.listen(name, address, service));
         } catch (Exception exception) {
-            Failure failure =
+            return Either.left(
                     new StartFailure.CannotListen(
-                            address.toString(), String.valueOf(exception.getMessage()));
-            throw new FailureException(failure);
+                            address.toString(), String.valueOf(exception.getMessage())));
         }
     }
 
