--- a/program/src/main/java/dev/kumquatweir/program/command/FleetCommand.java
+++ b/program/src/main/java/dev/kumquatweir/program/command/FleetCommand.java
@@ -5,7 +5,6 @@
 import com.github.rvesse.airline.annotations.help.Examples;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import dev.kumquatweir.core.event.EventLog;
-import dev.kumquatweir.core.failure.FailureException;
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.program.fleet.FleetDaemon;
 import dev.kumquatweir.program.log.RingLogHandler;
@@ -14,6 +13,7 @@
 import dev.kumquatweir.settings.SettingsFailure;
 import io.vavr.control.Either;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -44,30 +44,28 @@
             System.err.println(settings.getLeft().message());
             return ExitStatus.BAD_INPUT.code();
         }
-        try {
-            FleetDaemon daemon =
-                    new FleetDaemon(
-                            settings.get(),
-                            Clocks.system(),
-                            () ->
-                                    ProcessSupport.openStore(
-                                            settings.get().dataFolder().orElseThrow()),
-                            ProcessSupport::haltProcess);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
-            daemon.start();
-            reloadOnChange(file, settings.get(), daemon);
-            return ExitStatus.SUCCESS.code();
-        } catch (FailureException exception) {
-            LOG.failure("instance_not_started", exception.failure());
-            return ExitStatus.FAILED.code();
-        }
+        Optional<StopMarker> marker = settings.get().dataFolder().map(StopMarker::new);
+        ServiceProcess process = new ServiceProcess(marker);
+        return process.run(() -> run(file, settings.get(), marker, process)).code();
     }
 
-    private static void stop(FleetDaemon daemon) {
-        daemon.stop();
-        ProcessSupport.flushLog();
-        // Without halt the JVM exits with status 143 after SIGTERM.
-        Runtime.getRuntime().halt(ExitStatus.SUCCESS.code());
+    private static ExitStatus run(
+            Path file,
+            FleetSettings settings,
+            Optional<StopMarker> marker,
+            ServiceProcess process) {
+        FleetDaemon daemon =
+                new FleetDaemon(
+                        settings,
+                        Clocks.system(),
+                        () ->
+                                ProcessSupport.openStore(settings.dataFolder().orElseThrow())
+                                        .map(marker.orElseThrow()::attach),
+                        ProcessSupport::haltProcess);
+        process.onStop(daemon::stop);
+        daemon.start();
+        reloadOnChange(file, settings, daemon);
+        return ExitStatus.SUCCESS;
     }
 
     private static void reloadOnChange(Path file, FleetSettings initial, FleetDaemon daemon) {
--- a/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
@@ -135,7 +135,7 @@
             FleetSettings settings,
             PeerNetwork network,
             Clocks clocks,
-            Supplier<LogStore> stores,
+            Supplier<Either<Failure, LogStore>> stores,
             Listeners listeners,
             Runnable onFatal) {
         List<PeerSettings> initialVoters =
@@ -149,6 +149,7 @@
                                 initialVoters,
                                 network,
                                 stores,
+                                clocks,
                                 settings.firstStart())
                         .awaitGroup(() -> false)
                         .orElseThrow();
--- a/storage/src/main/java/dev/kumquatweir/storage/DiskFolder.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/DiskFolder.java
@@ -33,10 +33,15 @@
      * Opens a folder and makes it if it is missing.
      *
      * @param folder the data folder; nothing else may be kept in it
+     * @throws NoSpaceException if the disk has no room for the folder
      */
     public static DiskFolder open(Path folder) throws IOException {
         Path absolute = folder.toAbsolutePath();
-        Files.createDirectories(absolute);
+        try {
+            Files.createDirectories(absolute);
+        } catch (IOException fault) {
+            throw classified(absolute.toString(), fault);
+        }
         Path parent = absolute.getParent();
         if (parent != null) {
             syncFolder(parent);
@@ -119,16 +124,27 @@
     }
 
     private @Nullable FileChannel lockFile() throws IOException {
-        FileChannel channel =
-                FileChannel.open(
-                        mFolder.resolve(LOCK_FILE),
-                        StandardOpenOption.CREATE,
-                        StandardOpenOption.WRITE);
-        if (channel.tryLock() != null) {
-            return channel;
-        }
-        channel.close();
-        return null;
+        FileChannel channel = openLockFile();
+        boolean locked = false;
+        try {
+            locked = channel.tryLock() != null;
+        } finally {
+            if (!locked) {
+                channel.close();
+            }
+        }
+        return locked ? channel : null;
+    }
+
+    private FileChannel openLockFile() throws IOException {
+        try {
+            return FileChannel.open(
+                    mFolder.resolve(LOCK_FILE),
+                    StandardOpenOption.CREATE,
+                    StandardOpenOption.WRITE);
+        } catch (IOException fault) {
+            throw classified(LOCK_FILE, fault);
+        }
     }
 
     private DataFile openFile(String name, StandardOpenOption... options) throws IOException {
--- a/storage/src/main/java/dev/kumquatweir/storage/FileLogStore.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/FileLogStore.java
@@ -64,7 +64,7 @@
             if (!mFolder.lock()) {
                 return Either.left(
                         new StorageFailure.Unusable(
-                                mFolder.location(), "another process uses the folder"));
+                                mFolder.location(), "another process uses the folder", true));
             }
             return Either.right(loadLocked());
         } catch (DamageException damage) {
@@ -74,18 +74,18 @@
         } catch (IOException fault) {
             return failLoad(
                     new StorageFailure.Unusable(
-                            mFolder.location(), String.valueOf(fault.getMessage())));
+                            mFolder.location(), String.valueOf(fault.getMessage()), false));
         }
     }
 
     @Override
     public void close() {
-        try {
+        // The folder is unlocked even if a segment can't be closed: another attempt may follow.
+        try (mFolder) {
             Loaded loaded = mLoaded;
             if (loaded != null) {
                 loaded.log().close();
             }
-            mFolder.close();
         } catch (IOException fault) {
             LOG.error("storage_close_failed", fault, "folder", mFolder.location());
         }
