Let ordinary callers in between pipelined requests of many connections

Cause: a request that is answered at once, such as one without a route, let the connection go on decoding all it had received, and each response added a task to the I/O thread that did the same. With 200 connections of 1 MiB of pipelined requests each, a live heap held 290,633 objects of one lambda of GuardedConnection, and ordinary requests to the callers' listener of fleet got no answer.

Change: a connection decodes pipelined_requests at most in a turn and has one task at a time that goes on with it.

Evidence: ClientCrowdIt, PIPELINED on CALLERS, failed before ("did not happen: an ordinary request is answered", 90 s after the load; 130 s in all).

--- a/gateway/src/main/java/dev/kumquatweir/gateway/http/GuardedConnection.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/http/GuardedConnection.java
@@ -57,6 +57,8 @@
     private boolean mReadWanted;
     private boolean mReadDeferred;
     private boolean mDelivering;
+    private boolean mResumeScheduled;
+    private int mTurnRequests;
     private boolean mClosed;
     private boolean mCheckScheduled;
     private long mHeadNanos;
@@ -146,7 +148,8 @@
         mWaitingHeadBytes -= headBytes == null ? 0 : headBytes;
         mBusy = mWaiting > 0 || mInBody;
         mLastNanos = mGroup.nowNanos();
-        if (!mHeld.isEmpty()) {
+        if (!mHeld.isEmpty() && !mResumeScheduled) {
+            mResumeScheduled = true;
             mChannel.eventLoop().execute(this::resume);
         }
     }
@@ -233,6 +236,7 @@
             }
         } finally {
             mDelivering = false;
+            mTurnRequests = 0;
         }
         if (mClosed) {
             dropHeld();
@@ -241,10 +245,10 @@
         }
     }
 
-    /** Returns whether few enough requests wait for their responses to decode another one. */
+    /** Whether few requests wait or were decoded in this turn, so that other connections go on. */
     private boolean mayDecode() {
         return mInBody
-                || (mWaiting < mGroup.limits().pipelinedRequests()
+                || (Math.max(mWaiting, mTurnRequests) < mGroup.limits().pipelinedRequests()
                         && mWaitingHeadBytes < WAITING_HEAD_BYTES);
     }
 
@@ -289,6 +293,7 @@
 
     /** Goes on with what was held back. */
     private void resume() {
+        mResumeScheduled = false;
         ChannelHandlerContext context = mContext;
         if (context == null || mClosed) {
             return;
@@ -393,8 +398,6 @@
         return true;
     }
 
-    // Closing.
-
     private void close(LimitCause cause) {
         ChannelHandlerContext context = mContext;
         if (mClosed || context == null) {
@@ -424,6 +427,7 @@
                 mWaitingHeads.add(headBytes);
                 mWaitingHeadBytes += headBytes;
                 mWaiting++;
+                mTurnRequests++;
                 mInBody = true;
                 mBusy = true;
                 mHadRequest = true;
