Bound the sum of the request bodies that serve holds

Cause: serve limited each body, not their sum, and the hash of a body copied it.

Change: bodies over 64 KiB share a quarter of the heap, or body_bytes if that is more, so that a single one always fits. A body counts until its request ends, also after its caller left. One that doesn't fit is read, dropped and refused with 503 body_memory_full and Retry-After; with an idempotency key, "ran" is unknown. fleet's refusals use the same failure internally. A cancellation no longer refers to the body, and the hash reads it in place.

The 503 of serve itself was not observed on a connection.

--- a/core/src/main/java/dev/kumquatweir/core/failure/RequestFailure.java
+++ b/core/src/main/java/dev/kumquatweir/core/failure/RequestFailure.java
@@ -188,6 +188,23 @@
         }
     }
 
+    /**
+     * The bodies of other requests use up the memory for bodies.
+     *
+     * @param retryAfterMillis time after which memory is likely to be free again
+     */
+    record BodyMemoryFull(long retryAfterMillis) implements RequestFailure {
+        @Override
+        public String code() {
+            return "body_memory_full";
+        }
+
+        @Override
+        public String message() {
+            return "no memory is free for the body; retry in " + retryAfterMillis + " ms";
+        }
+    }
+
     /**
      * The estimated time exceeds the time limit of the request even on an idle engine.
      *
--- a/gateway/src/main/java/dev/kumquatweir/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/CallerServer.java
@@ -19,6 +19,7 @@
 import dev.kumquatweir.gateway.dispatch.GenerationSummary;
 import dev.kumquatweir.gateway.dispatch.Work;
 import dev.kumquatweir.gateway.http.BodyCollector;
+import dev.kumquatweir.gateway.http.BodyMemory;
 import dev.kumquatweir.gateway.http.HttpResponses;
 import dev.kumquatweir.gateway.http.JsonBodies;
 import io.servicetalk.concurrent.api.Single;
@@ -49,6 +50,7 @@
     private final CallerHealth mHealth;
     private final Clocks mClocks;
     private final long mMaximumBodyBytes;
+    private final BodyMemory mBodyMemory;
     private final StreamKeeper mStreamKeeper;
 
     /**
@@ -71,6 +73,7 @@
         mHealth = ports.health();
         mClocks = clocks;
         mMaximumBodyBytes = maximumBodyBytes;
+        mBodyMemory = ports.bodyMemory();
         mSubmitter = new Submitter(mDispatch, ports.claims(), clocks);
         mSubmissionFactory = new SubmissionFactory(instance, incarnation);
         mStreamKeeper = new StreamKeeper(clocks);
@@ -165,25 +168,41 @@
     }
 
     private Single<StreamingHttpResponse> withBody(
-            AuthenticatedCall call, Function<Bytes, Single<StreamingHttpResponse>> next) {
+            AuthenticatedCall call, Function<HeldBody, Single<StreamingHttpResponse>> next) {
         if (mHealth.draining()) {
             return call.failure(refusedBeforeClaim(call, new RequestFailure.Draining()));
         }
         // Asked once more, since the stop may begin while the body is read.
-        return BodyCollector.collect(call.request().payloadBody(), mMaximumBodyBytes)
+        return BodyCollector.collect(call.request().payloadBody(), mMaximumBodyBytes, mBodyMemory)
+                .onErrorMap(FailureException.class, exception -> beforeClaim(call, exception))
                 .flatMap(
-                        body ->
-                                mHealth.draining()
+                        body -> {
+                            HeldBody held = new HeldBody(body, mBodyMemory);
+                            try {
+                                return mHealth.draining()
                                         ? call.failure(
                                                 refusedBeforeClaim(
                                                         call, new RequestFailure.Draining()))
-                                        : next.apply(body));
+                                        : next.apply(held);
+                            } finally {
+                                held.releaseUnlessSubmitted();
+                            }
+                        });
+    }
+
+    /** An earlier request with the key may have run when the memory for this one is missing. */
+    private static FailureException beforeClaim(
+            AuthenticatedCall call, FailureException exception) {
+        return exception.failure() instanceof RequestFailure.BodyMemoryFull full
+                ? new FailureException(refusedBeforeClaim(call, full))
+                : exception;
     }
 
     private Single<StreamingHttpResponse> handleCompletion(
-            AuthenticatedCall call, CompletionFormat format, Bytes body) {
+            AuthenticatedCall call, CompletionFormat format, HeldBody body) {
         Either<RequestFailure, CompletionRequest> request =
-                JsonBodies.parse(body).flatMap(node -> CompletionParser.parse(format, node));
+                JsonBodies.parse(body.bytes())
+                        .flatMap(node -> CompletionParser.parse(format, node));
         if (request.isLeft()) {
             return call.failure(request.getLeft());
         }
@@ -196,14 +215,19 @@
                         call.headers(),
                         completion,
                         mClocks.nowNanos())
-                .fold(call::failure, submission -> submitCompletion(call, completion, submission));
+                .fold(
+                        call::failure,
+                        submission -> submitCompletion(call, body, completion, submission));
     }
 
     private Single<StreamingHttpResponse> submitCompletion(
-            AuthenticatedCall call, CompletionRequest completion, Submission submission) {
+            AuthenticatedCall call,
+            HeldBody body,
+            CompletionRequest completion,
+            Submission submission) {
         CompletableFuture<StreamingHttpResponse> response = new CompletableFuture<>();
         long createdSeconds = TimeUnit.MILLISECONDS.toSeconds(mClocks.nowMillis());
-        Runnable onDisconnect = () -> callerDisconnected(submission);
+        Runnable onDisconnect = onDisconnect(submission);
         GenerationExchange exchange =
                 new GenerationExchange(
                         call.id(),
@@ -216,14 +240,17 @@
         mStreamKeeper.add(exchange);
         mSubmitter.submit(
                 submission,
-                exchange,
+                body.submitted(exchange),
                 (summary, text) ->
                         recordCompletion(call, completion, createdSeconds, summary, text),
-                recorded -> response.complete(replay(call, submission, recorded)));
+                recorded -> {
+                    body.release();
+                    response.complete(replay(call, submission, recorded));
+                });
         return Single.fromStage(response).whenCancel(onDisconnect);
     }
 
-    private Single<StreamingHttpResponse> handleServiceCall(AuthenticatedCall call, Bytes body) {
+    private Single<StreamingHttpResponse> handleServiceCall(AuthenticatedCall call, HeldBody body) {
         String serviceTarget = call.request().requestTarget().substring(SERVICES_PATH.length());
         int slash = serviceTarget.indexOf('/');
         String name = slash < 0 ? serviceTarget : serviceTarget.substring(0, slash);
@@ -237,7 +264,7 @@
                         call.request().method().name(),
                         path,
                         ForwardedHeaders.of(call.request().headers()),
-                        body);
+                        body.bytes());
         return mSubmissionFactory
                 .serviceCall(
                         call.id(),
@@ -247,36 +274,43 @@
                         route.get(),
                         work,
                         mClocks.nowNanos())
-                .fold(call::failure, submission -> submitServiceCall(call, submission));
+                .fold(call::failure, submission -> submitServiceCall(call, body, submission));
     }
 
     private Single<StreamingHttpResponse> submitServiceCall(
-            AuthenticatedCall call, Submission submission) {
+            AuthenticatedCall call, HeldBody body, Submission submission) {
         CompletableFuture<StreamingHttpResponse> response = new CompletableFuture<>();
         mSubmitter.submit(
                 submission,
-                new ServiceExchange(call.id(), call.responses(), response),
+                body.submitted(new ServiceExchange(call.id(), call.responses(), response)),
                 (summary, text) -> {
                     throw new IllegalStateException(
                             "unexpected generated text from a plain service");
                 },
-                recorded -> response.complete(replay(call, submission, recorded)));
-        return Single.fromStage(response).whenCancel(() -> callerDisconnected(submission));
+                recorded -> {
+                    body.release();
+                    response.complete(replay(call, submission, recorded));
+                });
+        return Single.fromStage(response).whenCancel(onDisconnect(submission));
     }
 
     /**
-     * Cancels the request if its profile says so. A claimed request continues without its caller,
-     * because its outcome has to be recorded.
+     * Returns what cancels the request if its profile says so. A claimed request continues without
+     * its caller, because its outcome has to be recorded. The library refers to the result as long
+     * as the connection is kept, so it doesn't refer to the body of the request.
      */
-    private void callerDisconnected(Submission submission) {
+    private Runnable onDisconnect(Submission submission) {
+        RequestId id = submission.request().id();
         boolean cancel =
                 switch (submission.request().profile().callerDisconnect()) {
                     case CANCEL -> submission.claim().isEmpty();
                     case FINISH -> false;
                 };
-        if (cancel) {
-            mDispatch.callerGone(submission.request().id());
-        }
+        return () -> {
+            if (cancel) {
+                mDispatch.callerGone(id);
+            }
+        };
     }
 
     private static RecordedResponse recordCompletion(
--- a/gateway/src/main/java/dev/kumquatweir/gateway/caller/SubmissionFactory.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/SubmissionFactory.java
@@ -16,6 +16,7 @@
 import dev.kumquatweir.gateway.dispatch.Work;
 import dev.kumquatweir.policy.dispatch.WorkRequest;
 import io.vavr.control.Either;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -206,12 +207,18 @@
     }
 
     private static String bodyHash(Work.ServiceCall work) {
-        return sha256(work.body().toArray());
+        return sha256(work.body().asReadOnlyBuffer());
     }
 
     private static String sha256(byte[] content) {
+        return sha256(ByteBuffer.wrap(content));
+    }
+
+    private static String sha256(ByteBuffer content) {
         try {
-            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(content));
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update(content);
+            return HexFormat.of().formatHex(digest.digest());
         } catch (NoSuchAlgorithmException exception) {
             throw new IllegalStateException("SHA-256 is not available", exception);
         }
--- a/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/forward/ForwardingServer.java
@@ -145,18 +145,18 @@
                 ? Single.succeeded(body)
                 : Single.failed(
                         new FailureException(
-                                new RequestFailure.Overloaded(NO_ROUTING_RETRY_AFTER_MILLIS)));
+                                new RequestFailure.BodyMemoryFull(NO_ROUTING_RETRY_AFTER_MILLIS)));
     }
 
     private Single<StreamingHttpResponse> refuseBody(Arrival arrival, FailureException exception) {
-        return exception.failure() instanceof RequestFailure.Overloaded overloaded
+        return exception.failure() instanceof RequestFailure.BodyMemoryFull full
                 ? refuse(
                         null,
                         arrival.head(),
                         arrival.callerResponse(),
                         UNAVAILABLE,
                         "body_memory_full",
-                        overloaded.retryAfterMillis())
+                        full.retryAfterMillis())
                 : refuseLargeBody(arrival);
     }
 
--- a/gateway/src/main/java/dev/kumquatweir/gateway/http/BodyCollector.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/http/BodyCollector.java
@@ -34,7 +34,8 @@
      *
      * @param limitBytes maximum size; a larger body fails the returned single with a {@link
      *     FailureException}
-     * @param memory fails the returned single with {@link RequestFailure.Overloaded} if it is full
+     * @param memory fails the returned single with {@link RequestFailure.BodyMemoryFull} if it is
+     *     full
      */
     public static Single<Bytes> collect(
             Publisher<Buffer> body, long limitBytes, BodyMemory memory) {
@@ -104,7 +105,8 @@
         Single<Bytes> take() {
             if (mDropping) {
                 return Single.failed(
-                        new FailureException(new RequestFailure.Overloaded(MEMORY_RETRY_MILLIS)));
+                        new FailureException(
+                                new RequestFailure.BodyMemoryFull(MEMORY_RETRY_MILLIS)));
             }
             Bytes body = Bytes.concat(mParts);
             mTaken = true;
--- a/gateway/src/main/java/dev/kumquatweir/gateway/http/ErrorResponse.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/http/ErrorResponse.java
@@ -30,6 +30,7 @@
             case RequestFailure.CallerDisconnected _ -> 499;
             case RequestFailure.UpstreamFailed _ -> 502;
             case RequestFailure.InstanceStopped _ -> 502;
+            case RequestFailure.BodyMemoryFull _ -> 503;
             case RequestFailure.NoUpstream _ -> 503;
             case RequestFailure.NoConfigurationLease _ -> 503;
             case RequestFailure.NoQuorum _ -> 503;
@@ -48,6 +49,7 @@
         return switch (failure) {
             case RequestFailure.Overloaded overloaded ->
                     OptionalLong.of(overloaded.retryAfterMillis());
+            case RequestFailure.BodyMemoryFull full -> OptionalLong.of(full.retryAfterMillis());
             case RequestFailure.NoUpstream noUpstream ->
                     OptionalLong.of(noUpstream.retryAfterMillis());
             case RequestFailure.RefusedBeforeClaim refused -> retryAfterMillis(refused.cause());
--- a/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
+++ b/program/src/main/java/dev/kumquatweir/program/instance/InstanceDaemon.java
@@ -8,6 +8,7 @@
 import dev.kumquatweir.core.time.Clocks;
 import dev.kumquatweir.gateway.caller.CallerPorts;
 import dev.kumquatweir.gateway.caller.CallerServer;
+import dev.kumquatweir.gateway.http.BodyMemory;
 import dev.kumquatweir.gateway.http.HttpListeners.HttpListener;
 import dev.kumquatweir.gateway.upstream.UpstreamClients;
 import dev.kumquatweir.gateway.upstream.UpstreamListener;
@@ -37,6 +38,10 @@
 public final class InstanceDaemon {
     private static final EventLog LOG = EventLog.of(InstanceDaemon.class);
     private static final int IO_THREADS = 2;
+
+    /** The heap is this many times as large as the memory for bodies of requests. */
+    private static final int BODY_MEMORY_SHARE = 4;
+
     private static final long DRAIN_POLL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     private static final long CLOSE_TIMEOUT_SECONDS = 5;
@@ -118,7 +123,8 @@
                                 control.configuration(),
                                 control.claims(),
                                 mUpstreamSubsystem.dispatch(),
-                                mHealth),
+                                mHealth,
+                                bodyMemory(settings.limits().bodyBytes())),
                         clocks,
                         settings.limits().bodyBytes());
         RegistrySynchronizer registrySynchronizer =
@@ -199,6 +205,12 @@
         return mUpstreamSubsystem.hasUnfinishedWork() || mCallerServer.pendingRecords() > 0;
     }
 
+    /** Returns memory that a single body within its limit always fits into. */
+    private static BodyMemory bodyMemory(long maximumBodyBytes) {
+        long share = Runtime.getRuntime().maxMemory() / BODY_MEMORY_SHARE;
+        return new BodyMemory(Math.max(share, maximumBodyBytes));
+    }
+
     private void registerMetrics(MetricRegistry metrics) {
         Gauge<Long> version = () -> mControl.configuration().current().version();
         Gauge<Integer> lease =
