Let the next seed create the group in place of one that was started again

It came back as an instance that joins, and no group was ever created. The end of one process had become the end of the system.

Cause: only the first seed by name creates the group, and a seed that is started again may not, as it can't tell a first start from a lost disk. The others waited for it.

Change: an instance that joins says so in its report; the first seed by name that doesn't join creates the group, with the joining one as a voter. It is said in a way that earlier builds read as no members. The reason of the end with 134 stays open.

--- a/program/src/main/java/dev/kumquatweir/program/control/GroupBootstrap.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/GroupBootstrap.java
@@ -12,15 +12,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decides whether an instance with an empty store bootstraps the Raft group, joins an existing one
  * or waits. The initial voters have random store ids, so they must exchange them before the group
  * can start. Performs no I/O.
  *
- * <p>Only the first voter by name creates the group, and only after every other configured voter
- * has reported an empty store. A voter that lost its disk therefore can't create a second group
- * while its peers still belong to the first one.
+ * <p>Only the first voter by name that doesn't merely join creates the group, and only after every
+ * other configured voter has reported an empty store. A voter that ended in its first start comes
+ * back as one that joins, so that the next one by name takes its turn. A voter that lost its disk
+ * therefore can't create a second group while its peers still belong to the first one.
  */
 final class GroupBootstrap {
     private final MemberId mSelf;
@@ -59,19 +61,22 @@
      *
      * @param member identity of its replica
      * @param empty whether the store has never held a vote, a log entry or a snapshot
+     * @param joining whether the instance only joins: it doesn't create a group, since it was
+     *     started again before there was one, or its disk was lost
      * @param initialMembership initial members of the group, empty unless the store's snapshot is
      *     still the initial one
      */
-    record StoreReport(MemberId member, boolean empty, Membership initialMembership) {
-        static StoreReport of(MemberId member, StoredState stored) {
+    record StoreReport(
+            MemberId member, boolean empty, boolean joining, Membership initialMembership) {
+        static StoreReport of(MemberId member, StoredState stored, boolean mayBootstrap) {
             boolean empty = stored.snapshot().isEmpty() && stored.entries().isEmpty();
             Membership initialMembership =
                     stored.snapshot()
                             .filter(snapshot -> snapshot.index() == 1)
                             .map(SnapshotImage::membership)
                             .orElse(Membership.EMPTY);
-            return new StoreReport(
-                    member, empty && !tookPart(stored.hardState()), initialMembership);
+            boolean unused = empty && !tookPart(stored.hardState());
+            return new StoreReport(member, unused, unused && !mayBootstrap, initialMembership);
         }
 
         /**
@@ -101,7 +106,13 @@
         if (reports.values().stream().anyMatch(report -> !report.empty())) {
             return new Decision.Join();
         }
-        boolean bootstrapsGroup = mVoters.get(0).id().value().equals(mSelf.name());
+        boolean bootstrapsGroup =
+                mVoters.stream()
+                        .map(PeerSettings::id)
+                        .filter(id -> !isJoining(reports.get(id)))
+                        .findFirst()
+                        .filter(id -> id.value().equals(mSelf.name()))
+                        .isPresent();
         boolean allReported =
                 mVoters.stream()
                         .map(PeerSettings::id)
@@ -112,6 +123,10 @@
                 : new Decision.Wait();
     }
 
+    private static boolean isJoining(@Nullable StoreReport report) {
+        return report != null && report.joining();
+    }
+
     private Membership initialMembership(Map<InstanceId, StoreReport> reports) {
         return new Membership(
                 mVoters.stream()
--- a/program/src/main/java/dev/kumquatweir/program/control/GroupBootstrapper.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/GroupBootstrapper.java
@@ -2,7 +2,9 @@
 
 import dev.kumquatweir.agreement.port.HardState;
 import dev.kumquatweir.agreement.port.LogStore;
+import dev.kumquatweir.agreement.port.Member;
 import dev.kumquatweir.agreement.port.MemberId;
+import dev.kumquatweir.agreement.port.MemberRole;
 import dev.kumquatweir.agreement.port.Membership;
 import dev.kumquatweir.agreement.port.SnapshotImage;
 import dev.kumquatweir.agreement.port.StorageWrite;
@@ -92,7 +94,8 @@
         LogStore store = opened.store();
         StoredState state = opened.state();
         MemberId member = new MemberId(mSelf.value(), state.storeId());
-        GroupBootstrap.StoreReport report = GroupBootstrap.StoreReport.of(member, state);
+        GroupBootstrap.StoreReport report =
+                GroupBootstrap.StoreReport.of(member, state, mMayBootstrap);
         serveReport(report);
         if (!report.empty()) {
             return Optional.of(new OpenedStore(store, state));
@@ -136,7 +139,7 @@
         // the replica starts with 1.
         store.close();
         OpenedStore reopened = openStore();
-        serveReport(GroupBootstrap.StoreReport.of(member, reopened.state()));
+        serveReport(GroupBootstrap.StoreReport.of(member, reopened.state(), mMayBootstrap));
         return reopened;
     }
 
@@ -183,21 +186,33 @@
                                 .peek(report -> reports.put(voter, report)));
     }
 
-    private static Bytes encode(GroupBootstrap.StoreReport report) {
+    /**
+     * An instance that joins names itself as a learner where others name the initial members, which
+     * earlier builds read as no members.
+     */
+    static Bytes encode(GroupBootstrap.StoreReport report) {
+        List<Member> members =
+                report.joining()
+                        ? List.of(new Member(report.member(), MemberRole.LEARNER, ""))
+                        : report.initialMembership().members();
         MessagePackWriter writer = new MessagePackWriter();
         ControlCodec.writeMemberId(writer, report.member());
         return writer.writeBoolean(report.empty())
-                .writeList(report.initialMembership().members(), ControlCodec::writeMember)
+                .writeList(members, ControlCodec::writeMember)
                 .toBytes();
     }
 
     static Either<MalformedContent, GroupBootstrap.StoreReport> decode(Bytes content) {
         return MessagePackReader.decode(
                 content,
-                reader ->
-                        new GroupBootstrap.StoreReport(
-                                ControlCodec.readMemberId(reader),
-                                reader.readBoolean(),
-                                new Membership(reader.readList(ControlCodec::readMember))));
+                reader -> {
+                    MemberId member = ControlCodec.readMemberId(reader);
+                    boolean empty = reader.readBoolean();
+                    Membership members = new Membership(reader.readList(ControlCodec::readMember));
+                    boolean joining =
+                            members.find(member).filter(found -> !found.isVoter()).isPresent();
+                    return new GroupBootstrap.StoreReport(
+                            member, empty, joining, joining ? Membership.EMPTY : members);
+                });
     }
 }
--- a/program/src/test/java/dev/kumquatweir/program/control/InterruptedFoundingTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/control/InterruptedFoundingTest.java
@@ -62,6 +62,6 @@
         FileLogStore next = new FileLogStore(DiskFolder.open(mFolder));
         StoredState stored = next.load().get();
         next.close();
-        return GroupBootstrap.StoreReport.of(new MemberId("self", stored.storeId()), stored);
+        return GroupBootstrap.StoreReport.of(new MemberId("self", stored.storeId()), stored, true);
     }
 }
--- a/program/src/test/java/dev/kumquatweir/program/system/FleetIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/FleetIt.java
@@ -75,6 +75,21 @@
         assertThat(read(1), containsString("\"version\":9"));
     }
 
+    /**
+     * Guards against a system that never starts since the first seed ended in its first start: it
+     * is started again as one that joins a group, which nobody has created.
+     */
+    @Test
+    void groupIsCreatedThoughTheFirstSeedWasStartedAgain() throws IOException {
+        for (int number = 0; number < INSTANCES; number++) {
+            writeSettings(number, number > 0);
+            mProcesses.add(launch(number));
+        }
+        put(7, 1);
+        awaitVoters();
+        assertThat(read(0), containsString("\"version\":7"));
+    }
+
     /**
      * Guards against versions of the past that are in use again while restarted control instances
      * apply their logs: such a version may hold a key or a route that was withdrawn.
--- a/program/src/test/java/dev/kumquatweir/program/system/LocalProcess.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LocalProcess.java
@@ -143,7 +143,8 @@
     @Override
     public void close() {
         if (mProcess.isAlive()) {
-            mProcess.destroyForcibly();
+            // Waits for the end, since the next process may listen on the same addresses.
+            kill();
         }
     }
 
