Sync what a start reads before it counts as durable

What callers saw is not recorded: this fault was found by reading while a start that ends at a damaged record was traced.

Cause: a process that is killed between a write and its sync leaves entries, or a renamed hard state, in the cache of the operating system only. The next start read them, and the replica counted all entries of its log as durable and its vote as cast. A loss of power after that took both back: an acknowledged entry has one copy less, and the instance may vote twice in one term. Members killed together and a loss of power after it are enough.

Change: a start syncs the folder before it reads and the newest segment after it; older segments are synced before the next one is made. Two syncs a start.

Evidence: the new case of InjectedFaultsTest kills the workload at each file operation, starts again, takes the power away and compares.

--- a/agreement/src/main/java/dev/kumquatweir/agreement/port/LogStore.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/port/LogStore.java
@@ -14,7 +14,8 @@
 public interface LogStore extends AutoCloseable {
     /**
      * Reads the whole stored state. Called once, before the first write. Truncates an incompletely
-     * written tail of the log; any other corruption is a failure.
+     * written tail of the log; any other corruption is a failure. What is returned is durable, also
+     * if the process before was killed between a write and its sync.
      */
     Either<StorageFailure, StoredState> load();
 
--- a/storage/src/main/java/dev/kumquatweir/storage/FileLogStore.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/FileLogStore.java
@@ -129,6 +129,8 @@
 
     private StoredState loadLocked() throws IOException {
         mState.deleteTemporary();
+        // A process that was killed may have renamed a file without a sync of the folder.
+        mFolder.sync();
         StoreId storeId = mState.loadOrMakeStoreId();
         mHardState = mState.readHardState(storeId);
         Optional<SnapshotImage> snapshot = mState.readSnapshot(storeId);
--- a/storage/src/main/java/dev/kumquatweir/storage/SegmentedLog.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/SegmentedLog.java
@@ -38,13 +38,17 @@
         mSegmentBytes = segmentBytes;
     }
 
-    /** Opens all segments, removes a torn tail and returns the entries. */
+    /** Opens all segments, removes a torn tail and returns the entries, durable on return. */
     List<LogEntry> load() throws IOException {
         List<String> names = mFolder.list().stream().filter(Segment::isName).sorted().toList();
         List<LogEntry> entries = new ArrayList<>();
         for (int number = 0; number < names.size(); number++) {
             loadSegment(names.get(number), number == names.size() - 1, entries);
         }
+        if (!mSegments.isEmpty()) {
+            // A process that was killed may have written entries without a sync.
+            mSegments.getLast().file().force();
+        }
         return entries;
     }
 
--- a/storage/src/test/java/dev/kumquatweir/storage/InjectedFaultsTest.java
+++ b/storage/src/test/java/dev/kumquatweir/storage/InjectedFaultsTest.java
@@ -66,6 +66,26 @@
         }
     }
 
+    /**
+     * Guards against a start that returns what only the cache of the operating system holds: a
+     * process is killed at each operation, starts again, and then power is lost.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void lossOfPowerKeepsWhatEachStartReturned(long seed) {
+        int operations = operationsOfWorkload(seed);
+        for (int operation = 1; operation <= operations; operation++) {
+            String where = "seed " + seed + " operation " + operation;
+            FaultyFolder folder =
+                    new FaultyFolder(seed).failAt(FaultyFolder.Fault.CRASH, operation);
+            runUntilFailure(open(folder), new Workload.Model());
+            folder.repair();
+            StoredState returned = open(folder).load().get();
+            FaultyFolder left = folder.afterCrash(seed * 1_000 + operation);
+            assertThat(where, open(left).load().get(), is(returned));
+        }
+    }
+
     /** Guards against a full disk that damages the log, ends service or loses what was stored. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
