Start with any remains of the writes after the last sync

Cause: a start took a record for damaged unless the end of the file cut it or the file ended in zeros. This holds if bytes become durable in the order in which they are written. They don't: after a loss of power each write since the last sync is present, missing or torn by itself. A group whose first write is missing and whose last one is there, or one write without its middle, ends a start for good, though nothing of it was acknowledged. Machines that lose power while they store the same entries fail at the same record.

Change: a recovery point beside the log says how far the newest segment was synced. Behind it a start removes the first record that isn't whole and all after it, and logs this; before it, also a cut file is refused, which was taken for a torn tail until now. A whole record of an unknown kind has a message of its own. The point is overwritten without a sync of its own, so a commit stays one sync. Earlier builds read the same segments and delete the file.

Evidence: FaultyFolder keeps each write since the last sync on its own and loses folder changes independently.

Tests changed: the last record of a store counts as torn only where nothing says that it was synced; its loss is refused otherwise (new case). Random damage may now hit the last record as well. The recovery point itself may be torn or missing, so it is left out of the files that have to be whole.

--- a/storage/src/main/java/dev/kumquatweir/storage/FileLogStore.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/FileLogStore.java
@@ -18,9 +18,9 @@
 /**
  * A {@link LogStore} on files of one {@link DataFolder}. Used by one thread, the storage duty.
  *
- * <p>Files: {@code lock}, {@code store-id}, {@code hard-state}, {@code snapshot-INDEX-TERM.image}
- * and {@code segment-INDEX.log}. All batches of one {@link #write} share one sync of the log; hard
- * state and snapshots, which are rare, are synced on their own.
+ * <p>Files: {@code lock}, {@code store-id}, {@code hard-state}, {@code snapshot-INDEX-TERM.image},
+ * {@code segment-INDEX.log} and {@code recovery-point.tmp}. All batches of one {@link #write} share
+ * one sync of the log; hard state and snapshots, which are rare, are synced on their own.
  */
 public final class FileLogStore implements LogStore {
     /** Size after which a new segment begins; bounds what compaction leaves to read at start. */
@@ -108,7 +108,7 @@
             WriteGroup group = WriteGroup.of(writes, log.lastIndex(), mSnapshotIndex);
             log.beginGroup();
             apply(loaded, group);
-            log.sync();
+            log.completeGroup();
             mLastSequence = writes.getLast().sequence();
             compact(log, group);
             return Either.right(
--- a/storage/src/main/java/dev/kumquatweir/storage/LogRecord.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/LogRecord.java
@@ -4,7 +4,6 @@
 import dev.kumquatweir.agreement.port.LogEntry;
 import dev.kumquatweir.core.bytes.Bytes;
 import java.nio.ByteBuffer;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Layout of one log entry in a segment. Thread-safe: holds no state.
@@ -21,6 +20,27 @@
     private static final int CHECKED_BYTES = 28;
     private static final int END_MARK = 0x4B575245;
 
+    /** What begins at an offset of a segment. */
+    sealed interface Found {
+        /**
+         * A record with right checksums.
+         *
+         * @param entry its content
+         * @param endOffset where the next record begins
+         */
+        record Whole(LogEntry entry, int endOffset) implements Found {}
+
+        /**
+         * A record with right checksums that a later build wrote.
+         *
+         * @param code number of its kind
+         */
+        record UnknownKind(int code) implements Found {}
+
+        /** A record of which a part is missing or wrong. */
+        record Incomplete() implements Found {}
+    }
+
     private LogRecord() {}
 
     static int sizeBytes(LogEntry entry) {
@@ -38,7 +58,7 @@
     }
 
     /** Returns whether a whole header with a right checksum begins here. */
-    static boolean headerValid(ByteBuffer content, int offset) {
+    private static boolean headerValid(ByteBuffer content, int offset) {
         return content.limit() - offset >= HEADER_BYTES
                 && content.getInt(offset) >= 0
                 && content.getInt(offset + CHECKED_BYTES)
@@ -46,30 +66,36 @@
     }
 
     /** Returns the offset after a record with a valid header, which may be beyond the file. */
-    static long end(ByteBuffer content, int offset) {
+    private static long end(ByteBuffer content, int offset) {
         return (long) offset + HEADER_BYTES + content.getInt(offset) + END_BYTES;
     }
 
-    /** Reads a whole record; null if any part of it is missing or wrong. */
-    static @Nullable LogEntry read(ByteBuffer content, int offset) {
+    /** Reads what begins at an offset. */
+    static Found read(ByteBuffer content, int offset) {
         if (!headerValid(content, offset) || end(content, offset) > content.limit()) {
-            return null;
+            return new Found.Incomplete();
         }
         int size = content.getInt(offset);
         int payloadStart = offset + HEADER_BYTES;
-        EntryKind kind = EntryKind.ofCode(content.getInt(offset + 20));
         boolean whole =
                 content.getInt(offset + 24) == Checksum.of(content, payloadStart, size)
                         && content.getInt(payloadStart + size) == END_MARK;
-        if (!whole || kind == null) {
-            return null;
+        if (!whole) {
+            return new Found.Incomplete();
+        }
+        int code = content.getInt(offset + 20);
+        EntryKind kind = EntryKind.ofCode(code);
+        if (kind == null) {
+            return new Found.UnknownKind(code);
         }
         byte[] payload = new byte[size];
         content.get(payloadStart, payload);
-        return new LogEntry(
-                content.getLong(offset + 4),
-                content.getLong(offset + 12),
-                Bytes.copyOf(payload),
-                kind);
+        LogEntry entry =
+                new LogEntry(
+                        content.getLong(offset + 4),
+                        content.getLong(offset + 12),
+                        Bytes.copyOf(payload),
+                        kind);
+        return new Found.Whole(entry, payloadStart + size + END_BYTES);
     }
 }
--- a/storage/src/main/java/dev/kumquatweir/storage/SealedFiles.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/SealedFiles.java
@@ -40,13 +40,18 @@
         return HEADER_BYTES + bodyBytes + CHECKSUM_BYTES;
     }
 
-    /** Writes a file, durable on return. */
-    void write(String name, StoreId storeId, byte[] body) throws IOException {
+    /** Returns header, body and checksum, ready to be written. */
+    static ByteBuffer sealed(StoreId storeId, byte[] body) {
         ByteBuffer content = ByteBuffer.allocate(sizeBytes(body.length));
         content.putLong(MAGIC).putInt(VERSION).putInt(body.length);
         storeId.write(content);
         content.put(body);
-        content.putInt(Checksum.of(content, 0, content.position())).flip();
+        return content.putInt(Checksum.of(content, 0, content.position())).flip();
+    }
+
+    /** Writes a file, durable on return. */
+    void write(String name, StoreId storeId, byte[] body) throws IOException {
+        ByteBuffer content = sealed(storeId, body);
         String temporary = name + TEMPORARY;
         try {
             try (DataFile file = mFolder.create(temporary)) {
@@ -62,10 +67,10 @@
     }
 
     /**
-     * Syncs a temporary file. File systems that allocate late report a full disk here; the file is
-     * written anew then, so that the failed sync need not end the store.
+     * Syncs a file that is written anew after a failure. File systems that allocate late report a
+     * full disk here, which need not end the store then.
      */
-    private static void force(String name, DataFile file) throws IOException {
+    static void force(String name, DataFile file) throws IOException {
         try {
             file.force();
         } catch (IOException fault) {
--- a/storage/src/main/java/dev/kumquatweir/storage/SegmentReader.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/SegmentReader.java
@@ -21,16 +21,19 @@
     private final String mName;
     private final ByteBuffer mBytes;
     private final boolean mLast;
+    private final RecoveryPoint.Position mSynced;
 
     /**
      * Makes a reader.
      *
      * @param last whether it is the newest segment, the only one that may have a torn tail
+     * @param synced how far the log is known to be synced
      */
-    SegmentReader(String name, ByteBuffer bytes, boolean last) {
+    SegmentReader(String name, ByteBuffer bytes, boolean last, RecoveryPoint.Position synced) {
         mName = name;
         mBytes = bytes;
         mLast = last;
+        mSynced = synced;
     }
 
     /** Reads all records; throws {@link DamageException} for anything but a torn tail. */
@@ -43,51 +46,45 @@
         int offset = Segment.HEADER_BYTES;
         List<LogEntry> entries = new ArrayList<>();
         List<Long> offsets = new ArrayList<>();
-        while (offset < mBytes.limit()) {
-            LogEntry entry = LogRecord.read(mBytes, offset);
-            if (entry == null) {
-                requireTornTail(offset);
-                break;
-            }
-            if (entry.index() != firstIndex + entries.size()) {
-                throw new DamageException(
-                        mName,
-                        offset,
-                        "index "
-                                + entry.index()
-                                + " where "
-                                + (firstIndex + entries.size())
-                                + " was expected");
-            }
-            entries.add(entry);
+        while (offset < mBytes.limit()
+                && LogRecord.read(mBytes, offset) instanceof LogRecord.Found.Whole whole) {
+            requireIndex(whole.entry(), firstIndex + entries.size(), offset);
+            entries.add(whole.entry());
             offsets.add((long) offset);
-            offset = (int) LogRecord.end(mBytes, offset);
+            offset = whole.endOffset();
         }
+        requireTornTail(offset, mSynced.syncedBytes(firstIndex));
         return new Content(firstIndex, entries, offsets, offset);
     }
 
+    private void requireIndex(LogEntry entry, long expected, int offset) throws DamageException {
+        if (entry.index() != expected) {
+            throw new DamageException(
+                    mName,
+                    offset,
+                    "index " + entry.index() + " where " + expected + " was expected");
+        }
+    }
+
     /**
-     * Accepts what an interrupted append leaves: a record that the end of the file cuts, or a file
-     * that ends in zeros because its size became durable before its content. A whole record with a
-     * wrong checksum was complete once and may have been acknowledged, so it is damage.
+     * Accepts what interrupted writes leave after the last sync. They may become durable in any
+     * order and in part, so whole records may follow one that is missing.
      */
-    private void requireTornTail(int offset) throws IOException {
+    private void requireTornTail(int offset, long syncedBytes) throws DamageException {
+        if (offset < syncedBytes) {
+            String problem = offset < mBytes.limit() ? "damaged record" : "the file ends";
+            throw new DamageException(
+                    mName, offset, problem + ", but the segment was synced to byte " + syncedBytes);
+        }
+        if (offset == mBytes.limit()) {
+            return;
+        }
         if (!mLast) {
             throw new DamageException(mName, offset, "damaged record in an older segment");
         }
-        boolean headerCut = mBytes.limit() - offset < LogRecord.HEADER_BYTES;
-        boolean recordCut =
-                LogRecord.headerValid(mBytes, offset)
-                        && LogRecord.end(mBytes, offset) > mBytes.limit();
-        boolean endsInZeros = mBytes.get(mBytes.limit() - 1) == 0;
-        if (!headerCut && !recordCut && !endsInZeros) {
-            throw new DamageException(mName, offset, "damaged record");
-        }
-        for (int next = offset + 1; next <= mBytes.limit() - LogRecord.HEADER_BYTES; next++) {
-            if (LogRecord.read(mBytes, next) != null) {
-                throw new DamageException(
-                        mName, offset, "damaged record before a valid one at byte " + next);
-            }
+        if (LogRecord.read(mBytes, offset) instanceof LogRecord.Found.UnknownKind unknown) {
+            throw new DamageException(
+                    mName, offset, "whole record of unknown kind " + unknown.code());
         }
     }
 }
--- a/storage/src/main/java/dev/kumquatweir/storage/SegmentedLog.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/SegmentedLog.java
@@ -1,6 +1,7 @@
 package dev.kumquatweir.storage;
 
 import dev.kumquatweir.agreement.port.LogEntry;
+import dev.kumquatweir.core.event.EventLog;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -14,11 +15,13 @@
  * after each, so that a crash never leaves a gap. Used by one thread.
  */
 final class SegmentedLog {
+    private static final EventLog LOG = EventLog.of(SegmentedLog.class);
     private static final int FIRST_BUFFER_BYTES = 64 * 1024;
     private static final int FLUSH_BYTES = 1024 * 1024;
 
     private final DataFolder mFolder;
     private final SealedFiles mSealed;
+    private final RecoveryPoint mRecoveryPoint;
     private final StoreId mStoreId;
     private final long mSegmentBytes;
     private final Deque<Segment> mSegments = new ArrayDeque<>();
@@ -34,6 +37,7 @@
     SegmentedLog(DataFolder folder, StoreId storeId, long segmentBytes) {
         mFolder = folder;
         mSealed = new SealedFiles(folder);
+        mRecoveryPoint = new RecoveryPoint(folder, storeId);
         mStoreId = storeId;
         mSegmentBytes = segmentBytes;
     }
@@ -41,14 +45,16 @@
     /** Opens all segments, removes a torn tail and returns the entries, durable on return. */
     List<LogEntry> load() throws IOException {
         List<String> names = mFolder.list().stream().filter(Segment::isName).sorted().toList();
+        RecoveryPoint.Position synced = mRecoveryPoint.read();
         List<LogEntry> entries = new ArrayList<>();
         for (int number = 0; number < names.size(); number++) {
-            loadSegment(names.get(number), number == names.size() - 1, entries);
+            loadSegment(names.get(number), number == names.size() - 1, synced, entries);
         }
         if (!mSegments.isEmpty()) {
             // A process that was killed may have written entries without a sync.
             mSegments.getLast().file().force();
         }
+        mRecoveryPoint.start(end());
         return entries;
     }
 
@@ -66,7 +72,9 @@
         mKeptThrough = lastIndex();
     }
 
-    /** Appends an entry; durable after {@link #sync}. The index must follow the last one. */
+    /**
+     * Appends an entry; durable after {@link #completeGroup}. The index must follow the last one.
+     */
     void append(LogEntry entry) throws IOException {
         if (!mSegments.isEmpty() && entry.index() != lastIndex() + 1) {
             throw new IllegalArgumentException(
@@ -85,13 +93,10 @@
         }
     }
 
-    /** Makes all entries durable. */
-    void sync() throws IOException {
-        flush();
-        if (mDirty) {
-            mSegments.getLast().file().force();
-            mDirty = false;
-        }
+    /** Makes all entries durable and notes that they are. */
+    void completeGroup() throws IOException {
+        sync();
+        mRecoveryPoint.advance(end());
     }
 
     /** Removes the entries from an index on, durable on return. */
@@ -99,6 +104,8 @@
         // A segment that a crash left without entries is removed, too.
         if (!mSegments.isEmpty() && index <= lastIndex() + 1) {
             flush();
+            // Other records may come to where the synced ones were.
+            mRecoveryPoint.reset();
             removeFrom(index);
             mKeptThrough = Math.min(mKeptThrough, index - 1);
         }
@@ -123,14 +130,32 @@
             segment.file().close();
         }
         mSegments.clear();
+        mRecoveryPoint.close();
+    }
+
+    private void sync() throws IOException {
+        flush();
+        if (mDirty) {
+            mSegments.getLast().file().force();
+            mDirty = false;
+        }
+    }
+
+    private RecoveryPoint.Position end() {
+        return mSegments.isEmpty()
+                ? RecoveryPoint.Position.NONE
+                : new RecoveryPoint.Position(
+                        mSegments.getLast().firstIndex(), mSegments.getLast().endBytes());
     }
 
-    private void loadSegment(String name, boolean last, List<LogEntry> entries) throws IOException {
+    private void loadSegment(
+            String name, boolean last, RecoveryPoint.Position synced, List<LogEntry> entries)
+            throws IOException {
         DataFile file = mFolder.open(name);
         SegmentReader.Content content;
         try {
             ByteBuffer bytes = SealedFiles.readFully(file);
-            content = new SegmentReader(name, bytes, last).read(mStoreId);
+            content = new SegmentReader(name, bytes, last, synced).read(mStoreId);
             if (!name.equals(Segment.name(content.firstIndex()))) {
                 throw new DamageException(name, 0, "begins at index " + content.firstIndex());
             }
@@ -138,6 +163,17 @@
                 throw new DamageException(name, 0, "does not follow index " + lastIndex());
             }
             if (content.endBytes() < file.size()) {
+                long removed = file.size() - content.endBytes();
+                LOG.warn(
+                        "log_tail_removed",
+                        "segment",
+                        name,
+                        "byte",
+                        content.endBytes(),
+                        "removed_bytes",
+                        removed,
+                        "synced_bytes",
+                        synced.syncedBytes(content.firstIndex()));
                 file.truncate(content.endBytes());
                 file.force();
             }
--- a/storage/src/main/java/dev/kumquatweir/storage/StateFiles.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/StateFiles.java
@@ -31,7 +31,7 @@
     /** Deletes what an interrupted write left. */
     void deleteTemporary() throws IOException {
         for (String name : mFolder.list()) {
-            if (name.endsWith(SealedFiles.TEMPORARY)) {
+            if (name.endsWith(SealedFiles.TEMPORARY) && !name.equals(RecoveryPoint.NAME)) {
                 mFolder.delete(name);
             }
         }
--- a/storage/src/test/java/dev/kumquatweir/storage/DamagedFilesTest.java
+++ b/storage/src/test/java/dev/kumquatweir/storage/DamagedFilesTest.java
@@ -46,6 +46,11 @@
         return folder.list().stream().filter(Segment::isName).toList();
     }
 
+    /** Returns the files that hold content; the recovery point may be torn without a fault. */
+    private static List<String> storeFiles(FaultyFolder folder) {
+        return folder.list().stream().filter(name -> !name.equals(RecoveryPoint.NAME)).toList();
+    }
+
     private static int lastRecordStart(byte[] segment) {
         int size = LogRecord.sizeBytes(Workload.entry(LAST, 1));
         return segment.length - size;
@@ -53,8 +58,10 @@
 
     /** Guards against a torn last record that is loaded, or that keeps the store from starting. */
     @Test
-    void lastRecordCutAtAnyByteIsRemovedAndTheRestIsLoaded() {
+    void lastRecordCutAtAnyByteIsRemovedAndTheRestIsLoaded() throws Exception {
         FaultyFolder whole = stored();
+        // Nothing says that the last record was synced.
+        whole.delete(RecoveryPoint.NAME);
         String name = segments(whole).getLast();
         byte[] content = whole.content(name);
         int start = lastRecordStart(content);
@@ -71,11 +78,92 @@
         assertThat(load(whole).get().entries(), is(Workload.entries(1, LAST, 1)));
     }
 
+    /**
+     * Guards against a synced record that is lost and taken for one whose write was interrupted.
+     */
+    @Test
+    void syncedRecordCutAtAnyByteIsRefused() {
+        FaultyFolder whole = stored();
+        String name = segments(whole).getLast();
+        byte[] content = whole.content(name);
+        for (int size = Segment.HEADER_BYTES; size < content.length; size++) {
+            FaultyFolder cut = whole.copy();
+            cut.replace(name, Arrays.copyOf(content, size));
+            assertCorrupted(load(cut), name);
+            FaultyFolder zeros = whole.copy();
+            zeros.replace(name, Arrays.copyOf(Arrays.copyOf(content, size), content.length));
+            assertCorrupted(load(zeros), name);
+        }
+    }
+
+    /**
+     * Guards against a start that ends since bytes of an unsynced group are missing in its middle.
+     */
+    @Test
+    void unsyncedBytesMissingAnywhereAreRemovedAndTheRestIsLoaded() throws Exception {
+        FaultyFolder whole = stored();
+        whole.delete(RecoveryPoint.NAME);
+        String name = segments(whole).getLast();
+        byte[] content = whole.content(name);
+        for (int from = Segment.HEADER_BYTES; from < content.length; from++) {
+            for (int to = from + 1; to <= content.length; to++) {
+                byte[] missing = content.clone();
+                Arrays.fill(missing, from, to, (byte) 0);
+                FaultyFolder torn = whole.copy();
+                torn.replace(name, missing);
+                List<LogEntry> loaded = load(torn).get().entries();
+                assertThat(loaded, is(Workload.entries(1, loaded.size(), 1)));
+                // Each record that ends before the missing bytes is still there.
+                LogEntry next = Workload.entry(loaded.size() + 1, 1);
+                int end = torn.content(name).length + LogRecord.sizeBytes(next);
+                boolean nextWhole = loaded.size() < LAST && end <= from;
+                assertThat(name + " " + from + " to " + to, nextWhole, is(false));
+            }
+        }
+    }
+
+    /** Guards against a record of a later build that is removed as the remains of a write. */
+    @Test
+    void wholeRecordOfUnknownKindIsRefused() throws Exception {
+        FaultyFolder folder = stored();
+        folder.delete(RecoveryPoint.NAME);
+        String name = segments(folder).getLast();
+        byte[] content = folder.content(name);
+        int start = lastRecordStart(content);
+        ByteBuffer changed = ByteBuffer.wrap(content).putInt(start + 20, 77);
+        changed.putInt(start + 28, Checksum.of(changed, start, 28));
+        folder.replace(name, content);
+        assertCorrupted(load(folder), "unknown kind 77");
+    }
+
+    /**
+     * Guards against a torn or missing recovery point that costs content or keeps a store closed.
+     */
+    @Test
+    void recoveryPointMayBeTornOrMissing() throws Exception {
+        FaultyFolder whole = stored();
+        byte[] content = whole.content(RecoveryPoint.NAME);
+        for (int size = 0; size < content.length; size++) {
+            FaultyFolder cut = whole.copy();
+            cut.replace(RecoveryPoint.NAME, Arrays.copyOf(content, size));
+            assertThat(load(cut).get().entries(), is(Workload.entries(1, LAST, 1)));
+        }
+        for (int bit = 0; bit < 8 * content.length; bit++) {
+            byte[] changed = content.clone();
+            changed[bit / 8] ^= (byte) (1 << bit % 8);
+            FaultyFolder torn = whole.copy();
+            torn.replace(RecoveryPoint.NAME, changed);
+            assertThat(load(torn).get().entries(), is(Workload.entries(1, LAST, 1)));
+        }
+        whole.delete(RecoveryPoint.NAME);
+        assertThat(load(whole).get().entries(), is(Workload.entries(1, LAST, 1)));
+    }
+
     /** Guards against any changed bit that goes unnoticed or drops acknowledged content. */
     @Test
     void anyFlippedBitIsRefused() {
         FaultyFolder whole = stored();
-        for (String name : whole.list()) {
+        for (String name : storeFiles(whole)) {
             byte[] content = whole.content(name);
             for (int bit = 0; bit < 8 * content.length; bit++) {
                 byte[] changed = content.clone();
@@ -93,7 +181,7 @@
     /** Guards against acknowledged entries that damage of several bytes drops without a failure. */
     @ParameterizedTest
     @ValueSource(longs = {101, 102, 103, 104})
-    void randomDamageBeforeTheLastRecordIsNeverLoadedAsOtherContent(long seed) {
+    void randomDamageIsNeverLoadedAsOtherContent(long seed) {
         Random random = new Random(seed);
         FaultyFolder whole = stored();
         List<LogEntry> entries = Workload.entries(1, LAST, 1);
@@ -101,12 +189,10 @@
             FaultyFolder damaged = whole.copy();
             String name = segments(whole).get(random.nextInt(segments(whole).size()));
             byte[] content = whole.content(name);
-            boolean last = name.equals(segments(whole).getLast());
-            int limit = last ? lastRecordStart(content) : content.length;
             byte[] noise = new byte[1 + random.nextInt(40)];
             random.nextBytes(noise);
-            int position = random.nextInt(limit);
-            int count = Math.min(noise.length, limit - position);
+            int position = random.nextInt(content.length);
+            int count = Math.min(noise.length, content.length - position);
             System.arraycopy(noise, 0, content, position, count);
             damaged.replace(name, content);
             Either<StorageFailure, StoredState> loaded = load(damaged);
@@ -139,7 +225,7 @@
     void cutOfAnyOtherFileIsRefused() {
         FaultyFolder whole = stored();
         String last = segments(whole).getLast();
-        for (String name : whole.list().stream().filter(file -> !file.equals(last)).toList()) {
+        for (String name : storeFiles(whole).stream().filter(file -> !file.equals(last)).toList()) {
             byte[] content = whole.content(name);
             // A segment that ends between two records is refused by the index of the next one.
             for (int size = 0; size < content.length; size++) {
@@ -155,7 +241,7 @@
     void missingFilesAreRefused() throws Exception {
         FaultyFolder whole = stored();
         List<String> required =
-                whole.list().stream()
+                storeFiles(whole).stream()
                         .filter(name -> !name.equals(segments(whole).getLast()))
                         .filter(name -> !name.startsWith("snapshot"))
                         .toList();
--- a/storage/src/test/java/dev/kumquatweir/storage/FaultyFolder.java
+++ b/storage/src/test/java/dev/kumquatweir/storage/FaultyFolder.java
@@ -1,5 +1,6 @@
 package dev.kumquatweir.storage;
 
+import dev.kumquatweir.core.bytes.Bytes;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -30,7 +31,15 @@
         CRASH
     }
 
+    /** A change of a file that is not durable yet. */
+    private sealed interface Change {
+        record Write(int position, Bytes content) implements Change {}
+
+        record Truncation(int size) implements Change {}
+    }
+
     private static final class Node {
+        private final List<Change> mUnsynced = new ArrayList<>();
         private byte[] mContent = new byte[0];
         private byte[] mSynced = new byte[0];
 
@@ -87,39 +96,69 @@
     }
 
     /**
-     * Returns what is left after a loss of power: of the changes to the folder that were not synced
-     * the first few, of bytes that were not synced any number.
+     * Returns what is left after a loss of power. Of the changes to the folder that were not synced
+     * any may be lost, and so may be each write of a file since its last sync, whole or in part.
      */
     FaultyFolder afterCrash(long seed) {
         Random random = new Random(seed);
-        int changes = random.nextInt(mUnsyncedChanges.size() + 1);
-        mUnsyncedChanges.subList(0, changes).forEach(change -> change.accept(mDurableFiles));
+        mUnsyncedChanges.stream()
+                .filter(change -> random.nextBoolean())
+                .forEach(change -> change.accept(mDurableFiles));
         FaultyFolder left = new FaultyFolder(seed);
         mDurableFiles.forEach((name, node) -> left.replace(name, survivor(node, random)));
         return left;
     }
 
     private static byte[] survivor(Node node, Random random) {
-        int common = Math.min(node.mContent.length, node.mSynced.length);
-        boolean appended =
-                node.mContent.length >= node.mSynced.length
-                        && Arrays.equals(node.mContent, 0, common, node.mSynced, 0, common);
-        if (appended) {
-            int kept = common + random.nextInt(node.mContent.length - common + 1);
-            byte[] survivor = Arrays.copyOf(node.mContent, kept);
-            if (kept > common && random.nextInt(3) == 0) {
-                // The size was durable before the content.
-                Arrays.fill(survivor, common + random.nextInt(kept - common), kept, (byte) 0);
-            }
+        byte[] survivor = node.mSynced;
+        if (random.nextInt(4) == 0) {
             return survivor;
         }
-        if (random.nextBoolean()) {
-            return node.mContent;
+        for (Change change : node.mUnsynced) {
+            survivor =
+                    switch (change) {
+                        case Change.Write write -> afterWrite(survivor, write, random);
+                        case Change.Truncation cut ->
+                                random.nextBoolean()
+                                        ? Arrays.copyOf(survivor, cut.size())
+                                        : survivor;
+                    };
+        }
+        return survivor;
+    }
+
+    private static byte[] afterWrite(byte[] content, Change.Write write, Random random) {
+        byte[] bytes = write.content().toArray();
+        int first = random.nextInt(bytes.length + 1);
+        int second = first + random.nextInt(bytes.length - first + 1);
+        return switch (random.nextInt(6)) {
+            case 0 -> content;
+            case 1 -> overwritten(content, write.position(), bytes, 0, bytes.length);
+            case 2 -> overwritten(content, write.position(), bytes, 0, first);
+            case 3 -> overwritten(content, write.position(), bytes, first, second);
+            case 4 -> {
+                byte[] begun = overwritten(content, write.position(), bytes, 0, first);
+                yield overwritten(begun, write.position(), bytes, second, bytes.length);
+            }
+            default -> {
+                // The size became durable before the content.
+                byte[] begun = overwritten(content, write.position(), bytes, 0, first);
+                yield Arrays.copyOf(begun, Math.max(begun.length, write.position() + bytes.length));
+            }
+        };
+    }
+
+    /**
+     * Returns a content after a part of a write; what lies between its end and the part is zero.
+     */
+    private static byte[] overwritten(
+            byte[] content, int position, byte[] bytes, int from, int to) {
+        if (from == to) {
+            return content;
         }
-        // Bytes that took the place of others are durable in part, the former size still holds.
-        byte[] mixture = node.mSynced.clone();
-        System.arraycopy(node.mContent, 0, mixture, 0, random.nextInt(common + 1));
-        return mixture;
+        byte[] result = Arrays.copyOf(content, Math.max(content.length, position + to));
+        System.arraycopy(bytes, from, result, position + from, to - from);
+        return result;
     }
 
     @Override
@@ -248,6 +287,7 @@
             int size = Math.max(mNode.mContent.length, end);
             mNode.mContent = Arrays.copyOf(mNode.mContent, size);
             System.arraycopy(bytes, 0, mNode.mContent, (int) position, count);
+            mNode.mUnsynced.add(new Change.Write((int) position, Bytes.copyOf(bytes)));
             step(mName, true);
             return count;
         }
@@ -256,6 +296,7 @@
         public void truncate(long size) throws IOException {
             step(mName, false);
             mNode.mContent = Arrays.copyOf(mNode.mContent, (int) size);
+            mNode.mUnsynced.add(new Change.Truncation((int) size));
         }
 
         @Override
@@ -266,6 +307,7 @@
             }
             failSync();
             mNode.mSynced = mNode.mContent.clone();
+            mNode.mUnsynced.clear();
         }
 
         @Override
