Try torn logs on real control instances

The tests of the store show this in memory; this one shows it on the program: FleetIt kills the group, leaves the remains of a write whose first part is missing behind three logs, and waits for what was confirmed and for one more configuration. LostDisksIt tears logs of the members whose disks it keeps, so that lost disks meet a loss of power of the others; its seeds keep their replacements and losses.

--- a/program/src/test/java/dev/kumquatweir/program/system/FleetIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/FleetIt.java
@@ -75,6 +75,33 @@
         assertThat(read(1), containsString("\"version\":9"));
     }
 
+    /**
+     * Guards against starts that end for good at what a loss of power left of an unsynced write,
+     * and a group that has no quorum as it happened to most of its members.
+     */
+    @Test
+    void confirmedConfigurationIsReadBackThoughUnsyncedWritesAreTorn() throws IOException {
+        for (int number = 0; number < INSTANCES; number++) {
+            writeSettings(number, true);
+            mProcesses.add(launch(number));
+        }
+        put(7, 0);
+        awaitVoters();
+        put(9, 1);
+        mProcesses.forEach(LocalProcess::kill);
+        for (int number : List.of(0, 1, 3)) {
+            TornTail.append(folder(number), new Random(number));
+        }
+        for (int number = 0; number < INSTANCES; number++) {
+            writeSettings(number, false);
+            mProcesses.get(number).startAgain();
+        }
+        Waiting.until("version 9 is read back", () -> read(4).contains("\"version\":9"));
+        put(11, 0);
+        assertThat(mProcesses.stream().allMatch(LocalProcess::alive), is(true));
+        assertThat(mProcesses.getFirst().log(), containsString("event=log_tail_removed"));
+    }
+
     /**
      * Guards against a system that never starts since the first seed ended in its first start: it
      * is started again as one that joins a group, which nobody has created.
--- a/program/src/test/java/dev/kumquatweir/program/system/LossGroup.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LossGroup.java
@@ -12,8 +12,8 @@
 import java.util.stream.IntStream;
 
 /**
- * Five control instances that may lose two disks at once, and an operator that puts documents. What
- * happens to them follows from the seed.
+ * Five control instances that may lose two disks at once, beside a loss of power of the others, and
+ * an operator that puts documents. What happens to them follows from the seed.
  */
 final class LossGroup implements AutoCloseable {
     private static final int INSTANCES = 5;
@@ -41,6 +41,8 @@
     private final Path mFolder;
     private final long mSeed;
     private final Random mRandom;
+    // Apart from the other draws, so that a seed keeps its replacements and losses.
+    private final Random mTorn;
     private final String mNetwork;
     private final List<LossNode> mNodes = new ArrayList<>();
     private final LossOperator mOperator = new LossOperator();
@@ -52,6 +54,7 @@
         mSeed = seed;
         // Random draws much the same first numbers for seeds that lie close together.
         mRandom = new Random(seed * SEED_FACTOR);
+        mTorn = new Random(~seed * SEED_FACTOR);
         // Addresses of the loopback network, others for each test process.
         mNetwork = "127.79." + (1 + ProcessHandle.current().pid() % 200) + ".";
         List<String> seeds =
@@ -150,13 +153,17 @@
         mOperator.use(mNodes);
     }
 
-    /** Kills all processes, empties two disks and starts all again. */
+    /** Kills all processes, empties two disks, tears the logs of others and starts all again. */
     private List<LossNode> loseDisks() {
         mNodes.parallelStream().forEach(node -> node.process().kill());
         List<LossNode> drawn = new ArrayList<>(mNodes);
         Collections.shuffle(drawn, mRandom);
         List<LossNode> victims = drawn.subList(0, LOST_DISKS);
         victims.forEach(LossNode::emptyDisk);
+        drawn.stream()
+                .skip(LOST_DISKS)
+                .filter(node -> mTorn.nextBoolean())
+                .forEach(node -> node.tearTail(mTorn));
         Waiting.during(RESTART);
         mNodes.forEach(node -> node.startAgain(addresses()));
         return victims;
--- a/program/src/test/java/dev/kumquatweir/program/system/LossNode.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LossNode.java
@@ -10,6 +10,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.stream.Stream;
 
 /** A control instance with a data folder that can be emptied, a process of the real binary. */
@@ -63,6 +64,11 @@
         }
     }
 
+    /** Leaves what a loss of power may leave of an unsynced write, after the process has ended. */
+    void tearTail(Random random) {
+        TornTail.append(data(), random);
+    }
+
     /**
      * Returns whether this process knows, since it started, that these instances are the voters.
      */
