Read what has arrived before a peer connection counts as silent

Instances closed healthy connections to each other on busy machines; their requests failed, and a control group may lose its leader over it.

Cause: the check for silence runs on the thread that reads. When a handler, a large frame or the scheduler holds this thread up for longer than the limit, the check compares the present time with the last read, while the pings of the peer wait in the socket.

Change: before a connection is closed as silent, what has arrived is read and the check repeated. A path without any bytes is closed as before.

Evidence: connectionStaysOpenWhileItsThreadIsHeldUp holds the thread of the accepting side up for 3 s, with a limit of 2 s.

--- a/transport/src/main/java/dev/kumquatweir/transport/Connection.java
+++ b/transport/src/main/java/dev/kumquatweir/transport/Connection.java
@@ -214,7 +214,13 @@
         for (PendingRequest request : mPending.takeExpired(nowNanos)) {
             end(request, Either.left(new TransportFailure.TimedOut(mRemote, request.sent())));
         }
-        switch (liveness.check(nowNanos)) {
+        Liveness.Action action = liveness.check(nowNanos);
+        if (action == Liveness.Action.CLOSE) {
+            // Bytes may have arrived while a handler or the scheduler held up this thread.
+            read();
+            action = mClosed ? Liveness.Action.NONE : liveness.check(nowNanos);
+        }
+        switch (action) {
             case NONE -> {}
             case PING -> sendControl(FrameKind.PING, mCorrelations.incrementAndGet());
             case CLOSE -> {
--- a/transport/src/test/java/dev/kumquatweir/transport/PeerFaultsTest.java
+++ b/transport/src/test/java/dev/kumquatweir/transport/PeerFaultsTest.java
@@ -25,6 +25,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -108,6 +109,32 @@
         }
     }
 
+    /**
+     * Guards against closing a healthy connection as silent because the own I/O thread was held up
+     * for longer than the silence limit, while the peer's pings wait unread.
+     */
+    @Test
+    void connectionStaysOpenWhileItsThreadIsHeldUp() {
+        PeerLimits patient = LIMITS.withTimes(millis(100), LONG_NANOS, millis(3_000));
+        try (PeerNetwork beta = TestSupport.beta();
+                PeerNetwork alpha = TestSupport.alphaDialling(beta.localAddress(), patient)) {
+            beta.handle(
+                    2,
+                    (peer, payload, responder) -> {
+                        LockSupport.parkNanos(LIMITS.silenceNanos() + LIMITS.silenceNanos() / 2);
+                        responder.respond(payload);
+                    });
+            TestSupport.awaitConnected(alpha, BETA);
+            assertThat(
+                    TestSupport.join(alpha.request(BETA, 2, HELLO, LONG_NANOS)),
+                    is(Either.right(HELLO)));
+            assertThat(
+                    TestSupport.join(alpha.request(BETA, ECHO, HELLO, LONG_NANOS)),
+                    is(Either.right(HELLO)));
+            assertThat(alpha.lastFailure(BETA), is(Option.none()));
+        }
+    }
+
     /** Guards against closing a healthy connection only because it carries no requests. */
     @Test
     void idleConnectionStaysOpen() throws InterruptedException {
