Tear logs in the soak of interrupted starts

The soak that ends control instances in the middle of their starts left each disk as a kill does. Three of ten kills now leave the remains of an unsynced write behind the log, as a loss of power does, so that torn logs meet starts that are interrupted, planned stops and lost disks. Draws for it are apart, so that a seed keeps its ends and losses.

--- a/program/src/test/java/dev/kumquatweir/program/system/StartInstance.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/StartInstance.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Random;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
@@ -123,6 +124,11 @@
                 });
     }
 
+    /** Leaves what a loss of power may leave of an unsynced write, after the process has ended. */
+    void tearTail(Random random) {
+        TornTail.append(mData, random);
+    }
+
     /** Removes the data folder, as the loss of the disk does. */
     void emptyFolder() {
         if (!Files.exists(mData)) {
--- a/program/src/test/java/dev/kumquatweir/program/system/StartSeries.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/StartSeries.java
@@ -8,7 +8,8 @@
 
 /**
  * Ends one instance again and again, at drawn moments of its start and later, and starts it again.
- * Driven by one thread, which passes the present time.
+ * Some of its ends leave the disk as a loss of power does. Driven by one thread, which passes the
+ * present time.
  */
 final class StartSeries {
     private static final long START_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
@@ -19,6 +20,7 @@
     private static final double PLANNED_SHARE = 0.25;
     private static final double CALM_SHARE = 0.45;
     private static final double EMPTY_SHARE = 0.15;
+    private static final double TORN_SHARE = 0.3;
 
     /** What the series does next. */
     private enum State {
@@ -29,6 +31,8 @@
 
     private final StartInstance mInstance;
     private final Random mRandom;
+    // Apart from the other draws, so that a seed keeps its ends and losses.
+    private final Random mTorn;
     private final LostDisks mDisks;
     private final Consumer<StartInstance> mOnEmptied;
     private final List<String> mFindings = new ArrayList<>();
@@ -50,6 +54,7 @@
             long nowNanos) {
         mInstance = instance;
         mRandom = new Random(seed);
+        mTorn = new Random(~seed);
         mDisks = disks;
         mOnEmptied = onEmptied;
         drawEnd(nowNanos);
@@ -107,6 +112,9 @@
             mNextNanos = nowNanos + STOP_LIMIT_NANOS;
         } else {
             mInstance.process().kill();
+            if (mInstance.control() && mTorn.nextDouble() < TORN_SHARE) {
+                mInstance.tearTail(mTorn);
+            }
             ended(nowNanos);
         }
     }
