State how long a departure may take

The doc comment of GroupControl.depart gave the time limit as its longest duration. A transfer of leadership that has begun before the limit may take 1 s longer; with the 2 s that FleetDaemon gives, a departure ends after 3 s at the latest. Only the comment is changed, nothing was run for it.

--- a/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/GroupControl.java
@@ -182,8 +182,9 @@
 
     /**
      * Hands this voter's place to a learner, if the group has one, so that the group doesn't count
-     * on this instance once it has stopped. Waits until the given time at most. This instance joins
-     * again at its next start only.
+     * on this instance once it has stopped. Begins no step after the given time; a transfer of
+     * leadership that has begun may take 1 s longer. This instance joins again at its next start
+     * only.
      */
     public void depart(long untilNanos) {
         mDeparting = true;
