Confirm unknown keys and names by a configuration lease

Callers saw 401 not_authenticated with "ran": "no" for a known team from an instance that had just started, also for an idempotency key whose action had already been executed.

Cause: the caller listener opens before the first configuration lease is granted, and keys and names were looked up in the newest document without asking for its lease. Until the first lease that document is empty, and after a lease has expired it may be outdated.

EarlyRefusal now decides each refusal before the claim. Without a valid lease a missing key or name is refused with 503 no_configuration_lease. With an idempotency key the refusal no longer says that nothing ran, because an earlier configuration may have allowed the request.

--- a/gateway/src/main/java/dev/kumquatweir/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/dev/kumquatweir/gateway/caller/CallerServer.java
@@ -7,6 +7,7 @@
 import dev.kumquatweir.core.configuration.ServiceRoute;
 import dev.kumquatweir.core.configuration.Team;
 import dev.kumquatweir.core.control.ConfigurationPort;
+import dev.kumquatweir.core.control.LeasedConfiguration;
 import dev.kumquatweir.core.control.RecordedResponse;
 import dev.kumquatweir.core.failure.FailureException;
 import dev.kumquatweir.core.failure.RequestFailure;
@@ -142,14 +143,23 @@
             StreamingHttpRequest request,
             CallerHeaders headers,
             HttpResponses responses) {
-        ConfigurationDocument document = mConfiguration.current().document();
-        return document.teamOfKey(headers.apiKey())
+        LeasedConfiguration configuration = mConfiguration.current();
+        return configuration
+                .document()
+                .teamOfKey(headers.apiKey())
                 .<Either<RequestFailure, AuthenticatedCall>>map(
                         team ->
                                 Either.right(
                                         new AuthenticatedCall(
-                                                id, request, headers, team, document, responses)))
-                .orElseGet(() -> Either.left(new RequestFailure.NotAuthenticated()));
+                                                id, request, headers, team, responses)))
+                .orElseGet(
+                        () ->
+                                Either.left(
+                                        EarlyRefusal.decide(
+                                                new RequestFailure.NotAuthenticated(),
+                                                headers.idempotencyKey(),
+                                                configuration,
+                                                mClocks.nowNanos())));
     }
 
     private Single<StreamingHttpResponse> route(AuthenticatedCall call) {
@@ -158,7 +168,8 @@
             return withBody(call, body -> handleServiceCall(call, body));
         }
         return switch (path) {
-            case "/v1/models" -> call.responses().json(200, models(call.document()));
+            case "/v1/models" ->
+                    call.responses().json(200, models(mConfiguration.current().document()));
             case "/v1/chat/completions" ->
                     withBody(call, body -> handleCompletion(call, CompletionFormat.CHAT, body));
             case "/v1/completions" ->
@@ -170,7 +181,7 @@
     private Single<StreamingHttpResponse> withBody(
             AuthenticatedCall call, Function<HeldBody, Single<StreamingHttpResponse>> next) {
         if (mHealth.draining()) {
-            return call.failure(refusedBeforeClaim(call, new RequestFailure.Draining()));
+            return refuse(call, new RequestFailure.Draining());
         }
         // Asked once more, since the stop may begin while the body is read.
         return BodyCollector.collect(call.request().payloadBody(), mMaximumBodyBytes, mBodyMemory)
@@ -180,9 +191,7 @@
                             HeldBody held = new HeldBody(body, mBodyMemory);
                             try {
                                 return mHealth.draining()
-                                        ? call.failure(
-                                                refusedBeforeClaim(
-                                                        call, new RequestFailure.Draining()))
+                                        ? refuse(call, new RequestFailure.Draining())
                                         : next.apply(held);
                             } finally {
                                 held.releaseUnlessSubmitted();
@@ -190,33 +199,42 @@
                         });
     }
 
-    /** An earlier request with the key may have run when the memory for this one is missing. */
-    private static FailureException beforeClaim(
-            AuthenticatedCall call, FailureException exception) {
-        return exception.failure() instanceof RequestFailure.BodyMemoryFull full
-                ? new FailureException(refusedBeforeClaim(call, full))
+    private FailureException beforeClaim(AuthenticatedCall call, FailureException exception) {
+        return exception.failure() instanceof RequestFailure failure
+                ? new FailureException(refusal(call, failure, mConfiguration.current()))
                 : exception;
     }
 
+    private Single<StreamingHttpResponse> refuse(AuthenticatedCall call, RequestFailure reason) {
+        return call.failure(refusal(call, reason, mConfiguration.current()));
+    }
+
+    private RequestFailure refusal(
+            AuthenticatedCall call, RequestFailure reason, LeasedConfiguration configuration) {
+        return EarlyRefusal.decide(
+                reason, call.headers().idempotencyKey(), configuration, mClocks.nowNanos());
+    }
+
     private Single<StreamingHttpResponse> handleCompletion(
             AuthenticatedCall call, CompletionFormat format, HeldBody body) {
         Either<RequestFailure, CompletionRequest> request =
                 JsonBodies.parse(body.bytes())
                         .flatMap(node -> CompletionParser.parse(format, node));
         if (request.isLeft()) {
-            return call.failure(request.getLeft());
+            return refuse(call, request.getLeft());
         }
         CompletionRequest completion = request.get();
+        LeasedConfiguration configuration = mConfiguration.current();
         return mSubmissionFactory
                 .completion(
                         call.id(),
-                        call.document(),
+                        configuration.document(),
                         call.team(),
                         call.headers(),
                         completion,
                         mClocks.nowNanos())
                 .fold(
-                        call::failure,
+                        reason -> call.failure(refusal(call, reason, configuration)),
                         submission -> submitCompletion(call, body, completion, submission));
     }
 
@@ -255,9 +273,11 @@
         int slash = serviceTarget.indexOf('/');
         String name = slash < 0 ? serviceTarget : serviceTarget.substring(0, slash);
         String path = slash < 0 ? "/" : serviceTarget.substring(slash);
-        Optional<ServiceRoute> route = findService(call.document(), name);
+        LeasedConfiguration configuration = mConfiguration.current();
+        Optional<ServiceRoute> route = findService(configuration.document(), name);
         if (route.isEmpty()) {
-            return call.failure(new RequestFailure.UnknownName("service", name));
+            RequestFailure unknown = new RequestFailure.UnknownName("service", name);
+            return call.failure(refusal(call, unknown, configuration));
         }
         Work.ServiceCall work =
                 new Work.ServiceCall(
@@ -268,13 +288,15 @@
         return mSubmissionFactory
                 .serviceCall(
                         call.id(),
-                        call.document(),
+                        configuration.document(),
                         call.team(),
                         call.headers(),
                         route.get(),
                         work,
                         mClocks.nowNanos())
-                .fold(call::failure, submission -> submitServiceCall(call, body, submission));
+                .fold(
+                        reason -> call.failure(refusal(call, reason, configuration)),
+                        submission -> submitServiceCall(call, body, submission));
     }
 
     private Single<StreamingHttpResponse> submitServiceCall(
@@ -341,13 +363,6 @@
         return call.responses().recorded(recorded).setHeader("idempotent-replayed", "true");
     }
 
-    private static RequestFailure refusedBeforeClaim(
-            AuthenticatedCall call, RequestFailure failure) {
-        return call.headers().idempotencyKey().isPresent()
-                ? new RequestFailure.RefusedBeforeClaim(failure)
-                : failure;
-    }
-
     private static Optional<ServiceRoute> findService(ConfigurationDocument document, String name) {
         try {
             return Optional.ofNullable(document.services().get(new ServiceName(name)));
@@ -379,7 +394,6 @@
             StreamingHttpRequest request,
             CallerHeaders headers,
             Team team,
-            ConfigurationDocument document,
             HttpResponses responses) {
         Single<StreamingHttpResponse> failure(RequestFailure failure) {
             return responses.error(failure, id.value());
--- a/program/src/test/java/dev/kumquatweir/program/system/ServeStartIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/ServeStartIt.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -49,6 +50,30 @@
         }
     }
 
+    /**
+     * Guards against a known team that is refused for good, and told that its action did not run,
+     * by an instance that has not received the configuration since its start.
+     */
+    @Test
+    void teamsAreNotRejectedBeforeTheConfigurationIsReceived() {
+        try (LocalCluster cluster = LocalCluster.start(mFolder)) {
+            IntStream.range(0, LocalCluster.INSTANCES)
+                    .forEach(number -> cluster.instance(number).kill());
+            cluster.instance(0).startAgain();
+            Waiting.until(
+                    "the instance listens",
+                    () -> Caller.status(cluster.url(0) + "/health/live") == 200);
+            Caller.Answer question = Caller.complete(cluster.url(0), "quick", "ready?", 1);
+            assertThat(question.toString(), question.status(), is(503));
+            assertThat(question.type(), is("no_configuration_lease"));
+            assertThat(question.ran(), is("no"));
+            Caller.Answer action = Caller.post(cluster.holdUrl(0), "key-1", "{}");
+            assertThat(action.toString(), action.status(), is(503));
+            assertThat(action.type(), is("no_configuration_lease"));
+            assertThat(action.ran(), is("unknown"));
+        }
+    }
+
     private static void awaitLog(LocalProcess process, String part) {
         Waiting.until(
                 part,
