Tell an early from a late execution of a frozen claimant

PartitionIt#instanceFrozenBetweenClaimAndSendNeverSendsLate failed three times under load with a 200, and nothing told whether the action ran before the freeze or after it.

The test now checks before the thaw that nothing was executed, and prints the claimant's log when it fails. SIGSTOP returns before threads that run in the kernel have stopped, so freeze() waits until all threads are stopped; otherwise a test may heal its cuts while the process is still running.

The failure itself isn't traced.

--- a/program/src/test/java/dev/kumquatweir/program/system/LocalProcess.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/LocalProcess.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -91,8 +92,32 @@
         }
     }
 
+    /** Stops all threads of the process. */
     void freeze() {
         signal("STOP");
+        // The signal returns before a thread that runs in the kernel has stopped.
+        Waiting.until("all threads are stopped", this::frozen);
+    }
+
+    private boolean frozen() {
+        try (Stream<Path> threads = Files.list(processFolder().resolve("task"))) {
+            return threads.allMatch(thread -> state(thread) == 'T');
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    /** Returns the state of a thread; its name, in brackets before it, may hold any character. */
+    private static char state(Path thread) {
+        try {
+            String status = Files.readString(thread.resolve("stat"));
+            return status.charAt(status.lastIndexOf(')') + 2);
+        } catch (NoSuchFileException exception) {
+            // The thread has ended since the threads were listed.
+            return 'X';
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
     }
 
     void thaw() {
--- a/program/src/test/java/dev/kumquatweir/program/system/PartitionIt.java
+++ b/program/src/test/java/dev/kumquatweir/program/system/PartitionIt.java
@@ -139,11 +139,14 @@
         try {
             sCuts.heal();
             Waiting.during(Duration.ofSeconds(11));
+            // Tells an execution before the freeze from a late one.
+            String log = sCluster.instance(entry).log();
+            assertThat(log, sCluster.executions("bookings-1").path(key).asInt(), is(0));
         } finally {
             sCluster.instance(entry).thaw();
         }
         Caller.Answer late = claimant.join();
-        assertThat(late.toString(), late.status(), not(200));
+        assertThat(late + "\n" + sCluster.instance(entry).log(), late.status(), not(200));
         assertThat(sCluster.executions("bookings-1").path(key).asInt(), is(0));
         Caller.Answer repeat = Caller.post(sCluster.holdUrl(leader), key, BODY);
         int executions = sCluster.executions("bookings-1").path(key).asInt();
