Report what the replicated log takes in memory

Their logs don't tell a log that is never cut from frames that wait for peers, a history of documents or watchers that fall behind.

--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftLog.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftLog.java
@@ -20,11 +20,15 @@
     /** Term returned for an index outside the log. */
     static final long UNKNOWN_TERM = -1;
 
+    /** Objects that hold an entry: the record, its bytes, an array header and a list element. */
+    private static final int ENTRY_OVERHEAD_BYTES = 96;
+
     private final List<LogEntry> mEntries = new ArrayList<>();
     private final TreeMap<Long, Membership> mMemberships = new TreeMap<>();
     private final boolean mStoredEntriesDiscarded;
     private long mBaseIndex;
     private long mBaseTerm;
+    private long mBytes;
     private @Nullable SnapshotImage mSnapshot;
 
     RaftLog(StoredState state) {
@@ -70,6 +74,15 @@
         return mBaseIndex;
     }
 
+    LogSize size() {
+        return new LogSize(mEntries.size(), mBytes);
+    }
+
+    /** Returns what an entry takes in memory. */
+    static long bytes(LogEntry entry) {
+        return (long) entry.payload().size() + ENTRY_OVERHEAD_BYTES;
+    }
+
     long lastIndex() {
         return mBaseIndex + mEntries.size();
     }
@@ -122,6 +135,7 @@
                     "entry " + entry.index() + " does not follow " + lastIndex());
         }
         mEntries.add(entry);
+        mBytes += bytes(entry);
         if (entry.kind() == EntryKind.MEMBERSHIP) {
             Membership membership =
                     MembershipCodec.decode(entry.payload())
@@ -131,7 +145,7 @@
     }
 
     void truncateFrom(long index) {
-        mEntries.subList((int) (index - mBaseIndex - 1), mEntries.size()).clear();
+        remove((int) (index - mBaseIndex - 1), mEntries.size());
         mMemberships.tailMap(index, true).clear();
     }
 
@@ -164,7 +178,7 @@
         mSnapshot = snapshot;
         if (compactThrough > mBaseIndex) {
             long term = term(compactThrough);
-            mEntries.subList(0, (int) (compactThrough - mBaseIndex)).clear();
+            remove(0, (int) (compactThrough - mBaseIndex));
             mBaseIndex = compactThrough;
             mBaseTerm = term;
         }
@@ -174,10 +188,16 @@
     /** Replaces the whole log with a snapshot received from the leader. */
     void restore(SnapshotImage snapshot) {
         mSnapshot = snapshot;
-        mEntries.clear();
+        remove(0, mEntries.size());
         mBaseIndex = snapshot.index();
         mBaseTerm = snapshot.term();
         mMemberships.clear();
         mMemberships.put(snapshot.index(), snapshot.membership());
     }
+
+    private void remove(int from, int to) {
+        List<LogEntry> removed = mEntries.subList(from, to);
+        mBytes -= removed.stream().mapToLong(RaftLog::bytes).sum();
+        removed.clear();
+    }
 }
--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftNode.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftNode.java
@@ -138,6 +138,11 @@
         return mReplica.log().lastIndex();
     }
 
+    /** Returns what the log takes in memory. */
+    public LogSize logSize() {
+        return mReplica.log().size();
+    }
+
     /** Returns the latest membership in the log, committed or not. */
     public Membership membership() {
         return mReplica.log().membership();
--- a/program/src/main/java/dev/kumquatweir/program/control/ReplicaEventLoop.java
+++ b/program/src/main/java/dev/kumquatweir/program/control/ReplicaEventLoop.java
@@ -1,7 +1,6 @@
 package dev.kumquatweir.program.control;
 
 import dev.kumquatweir.agreement.codec.CommandCodec;
-import dev.kumquatweir.agreement.codec.StateCodec;
 import dev.kumquatweir.agreement.lease.ConfigurationLeaseTable;
 import dev.kumquatweir.agreement.lease.LeaseGrant;
 import dev.kumquatweir.agreement.lease.LeaseRequest;
@@ -10,6 +9,7 @@
 import dev.kumquatweir.agreement.port.LogStore;
 import dev.kumquatweir.agreement.port.MemberId;
 import dev.kumquatweir.agreement.port.Membership;
+import dev.kumquatweir.agreement.port.SnapshotImage;
 import dev.kumquatweir.agreement.port.StorageWrite;
 import dev.kumquatweir.agreement.port.StoredState;
 import dev.kumquatweir.agreement.raft.MembershipChange;
@@ -20,7 +20,6 @@
 import dev.kumquatweir.agreement.raft.RaftRole;
 import dev.kumquatweir.agreement.raft.RaftSettings;
 import dev.kumquatweir.agreement.state.StateCommand;
-import dev.kumquatweir.agreement.state.StateImage;
 import dev.kumquatweir.agreement.state.StateLimits;
 import dev.kumquatweir.agreement.state.StateMachine;
 import dev.kumquatweir.agreement.state.StateResult;
@@ -58,7 +57,6 @@
     private static final int STORAGE_QUEUE_CAPACITY = 1_024;
     private static final int MAXIMUM_LEASES = 1_024;
     private static final long TICK_INTERVAL_MILLIS = 20;
-    private static final long IDLE_TICK_INTERVAL_MILLIS = 1_000;
     private static final long CLAIM_EXPIRY_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
 
     private final Clocks mClocks;
@@ -70,7 +68,7 @@
     private final StorageSignals mSignals;
     private final StorageDuty mStorage;
     private final EventLoop mEventLoop;
-    private final EventLoop mSnapshotLoop;
+    private final SnapshotEncoder mSnapshots;
     private final ConfigurationLeaseTable mLeases =
             new ConfigurationLeaseTable(LeaseTimes.STANDARD, MAXIMUM_LEASES);
     private final PermitIssuer mPermits;
@@ -120,13 +118,7 @@
                         completion -> step(new RaftInput.StorageSynced(completion)),
                         ports.onFatal());
         mStorage = new StorageDuty(store, STORAGE_QUEUE_CAPACITY, mSignals);
-        mSnapshotLoop =
-                new EventLoop(
-                        "snapshot",
-                        1,
-                        IDLE_TICK_INTERVAL_MILLIS,
-                        () -> {},
-                        (thread, fault) -> LOG.error("snapshot_fault", fault));
+        mSnapshots = new SnapshotEncoder(taken -> offer(() -> snapshotTaken(taken)));
         mEventLoop =
                 new EventLoop(
                         "control",
@@ -141,14 +133,14 @@
 
     void start() {
         mStorage.start();
-        mSnapshotLoop.start();
+        mSnapshots.start();
         mEventLoop.start();
         offer(() -> executeOutputs(mNode.start()));
     }
 
     void stop() {
         mEventLoop.stop();
-        mSnapshotLoop.stop();
+        mSnapshots.stop();
         mStorage.close();
     }
 
@@ -297,7 +289,10 @@
         }
         mStatus =
                 new ReplicaStatus(
-                        mNode.role() == RaftRole.LEADER, mNode.term(), mNode.commitIndex());
+                        mNode.role() == RaftRole.LEADER,
+                        mNode.term(),
+                        mNode.commitIndex(),
+                        mNode.logSize());
     }
 
     private void updateStorageFull() {
@@ -356,8 +351,9 @@
                 case RaftOutput.Send send -> mSender.accept(send.message());
                 case RaftOutput.Write write -> mUnsubmittedWrites.add(write.write());
                 case RaftOutput.Apply apply -> apply(apply.entry(), apply.requestId());
-                case RaftOutput.Restore restore -> restore(restore.snapshot().data());
-                case RaftOutput.TakeSnapshot take -> takeSnapshot(take.index());
+                case RaftOutput.Restore restore -> restore(restore.snapshot());
+                case RaftOutput.TakeSnapshot take ->
+                        mSnapshots.encode(take.index(), mState.image());
                 case RaftOutput.RequestFailed failed ->
                         mPendingReplies.completeFailed(
                                 failed.requestId(),
@@ -377,23 +373,31 @@
         mPendingReplies.completeApplied(requestId, result);
     }
 
-    /**
-     * Encodes a snapshot on a separate thread, since encoding a large state takes longer than a
-     * heartbeat may be delayed.
-     */
-    private void takeSnapshot(long index) {
-        StateImage image = mState.image();
-        boolean accepted =
-                mSnapshotLoop.offer(
-                        () -> step(new RaftInput.SnapshotTaken(index, StateCodec.encode(image))));
-        if (!accepted) {
-            LOG.warn("snapshot_skipped", "index", index);
-        }
+    private void snapshotTaken(RaftInput.SnapshotTaken taken) {
+        stepNow(taken);
+        LOG.info(
+                "snapshot_taken",
+                "index",
+                taken.index(),
+                "bytes",
+                taken.data().size(),
+                "log_entries",
+                mNode.logSize().entries(),
+                "log_bytes",
+                mNode.logSize().bytes());
     }
 
-    private void restore(Bytes data) {
+    private void restore(SnapshotImage snapshot) {
+        LOG.info(
+                "snapshot_restored",
+                "index",
+                snapshot.index(),
+                "bytes",
+                snapshot.data().size(),
+                "log_bytes",
+                mNode.logSize().bytes());
         mState =
-                StateMachine.restore(data)
+                StateMachine.restore(snapshot.data())
                         .getOrElseThrow(
                                 fault ->
                                         new IllegalStateException(
--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import dev.kumquatweir.agreement.raft.LogSize;
 import dev.kumquatweir.agreement.state.RoutingImage;
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.duty.EventLoop;
@@ -118,6 +119,15 @@
         metrics.register("kumquatweir_fleet_upstreams", upstreams);
         Gauge<Integer> quarantinedParts = mQuarantine::quarantinedCount;
         metrics.register("kumquatweir_fleet_quarantined_parts", quarantinedParts);
+        Gauge<Long> logEntries = () -> logSize().entries();
+        metrics.register("kumquatweir_log_entries", logEntries);
+        Gauge<Long> logBytes = () -> logSize().bytes();
+        metrics.register("kumquatweir_log_bytes", logBytes);
+    }
+
+    private LogSize logSize() {
+        GroupControl group = mGroup;
+        return group == null ? LogSize.NONE : group.status().logSize();
     }
 
     // Lifecycle.
