Bound the bytes in flight to a member

Up to 16 batches were in flight to each member. A batch holds at least one entry of any size, and each is encoded for each member, so large configurations took up to 16 times their size for every slow member.

A leader now sends no further batch while 2 MiB are unacknowledged. One entry is always sent, so a large one can't block the member.

bytesInFlightToOneMemberAreBounded fails on the commit before (six entries of 880 kB in flight, less than 3 MiB asked) and passes now.

--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/Leader.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/Leader.java
@@ -303,7 +303,7 @@
             sendAppend(peer, progress, List.of(), nowNanos);
         }
         long lastIndex = lastSendableIndex(peer);
-        while (progress.canSendBatch(mSettings.maxInflightBatches())
+        while (progress.canSendBatch(mSettings.maxInflightBatches(), mSettings.maxInflightBytes())
                 && progress.nextIndex() <= lastIndex) {
             long maxEntries =
                     Math.min(mSettings.maxBatchEntries(), lastIndex - progress.nextIndex() + 1);
--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/Progress.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/Progress.java
@@ -15,10 +15,11 @@
     /** Age reported for a member that has never acknowledged a message. */
     static final long NEVER_ACKNOWLEDGED_AGE_NANOS = Long.MAX_VALUE / 4;
 
-    private final Deque<Long> mInflightLastIndexes = new ArrayDeque<>();
+    private final Deque<InflightBatch> mInflight = new ArrayDeque<>();
     private Mode mMode = Mode.REPLICATE;
     private long mMatchIndex;
     private long mNextIndex;
+    private long mInflightBytes;
     private boolean mProbeSent;
     private boolean mHasAcknowledged;
     private long mAcknowledgedSentNanos;
@@ -34,6 +35,9 @@
         mNextHeartbeatNanos = nowNanos;
     }
 
+    /** A batch without an acknowledgement. */
+    private record InflightBatch(long lastIndex, long bytes) {}
+
     /** Replication mode, as in etcd. */
     enum Mode {
         /** Sends empty appends to find the last index at which the logs match. */
@@ -85,8 +89,10 @@
         mProbeSent = false;
     }
 
-    boolean canSendBatch(int maxInflightBatches) {
-        return mMode == Mode.REPLICATE && mInflightLastIndexes.size() < maxInflightBatches;
+    boolean canSendBatch(int maxBatches, long maxBytes) {
+        return mMode == Mode.REPLICATE
+                && mInflight.size() < maxBatches
+                && mInflightBytes < maxBytes;
     }
 
     boolean canProbe() {
@@ -99,21 +105,23 @@
 
     void onBatchSent(List<LogEntry> entries) {
         mNextIndex = entries.getLast().index() + 1;
-        mInflightLastIndexes.addLast(entries.getLast().index());
+        long bytes = entries.stream().mapToLong(RaftLog::bytes).sum();
+        mInflight.addLast(new InflightBatch(entries.getLast().index(), bytes));
+        mInflightBytes += bytes;
     }
 
     /** Handles an accepted append; returns whether the match index advanced. */
     boolean onAccepted(long durableIndex, long followerNextIndex) {
         boolean advanced = durableIndex > mMatchIndex;
         mMatchIndex = Math.max(mMatchIndex, durableIndex);
-        while (!mInflightLastIndexes.isEmpty() && mInflightLastIndexes.getFirst() <= mMatchIndex) {
-            mInflightLastIndexes.removeFirst();
+        while (!mInflight.isEmpty() && mInflight.getFirst().lastIndex() <= mMatchIndex) {
+            mInflightBytes -= mInflight.removeFirst().bytes();
         }
         boolean installed = mSnapshot != null && followerNextIndex > mSnapshot.index();
         if (mMode == Mode.PROBE || (mMode == Mode.SNAPSHOT && installed)) {
             mMode = Mode.REPLICATE;
             mSnapshot = null;
-            mInflightLastIndexes.clear();
+            forgetInflight();
             mNextIndex = Math.max(mMatchIndex + 1, followerNextIndex);
         }
         mNextIndex = Math.max(mNextIndex, mMatchIndex + 1);
@@ -137,7 +145,7 @@
         }
         mMode = Mode.PROBE;
         mProbeSent = false;
-        mInflightLastIndexes.clear();
+        forgetInflight();
         mNextIndex = Math.max(mMatchIndex + 1, Math.min(nextIndexHint, rejectedIndex));
     }
 
@@ -145,7 +153,7 @@
         mMode = Mode.SNAPSHOT;
         mSnapshot = snapshot;
         mSnapshotOffset = 0;
-        mInflightLastIndexes.clear();
+        forgetInflight();
     }
 
     /** Returns whether the entries after the snapshot in transfer are gone from the log. */
@@ -189,4 +197,9 @@
         mSnapshotOffset = nextOffset;
         return true;
     }
+
+    private void forgetInflight() {
+        mInflight.clear();
+        mInflightBytes = 0;
+    }
 }
--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftSettings.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftSettings.java
@@ -75,6 +75,15 @@
         return mValues.mMaxInflightBatches;
     }
 
+    /**
+     * Returns the payload bytes in flight to one member beyond which no further batch is sent. A
+     * batch holds at least one entry, so their number alone doesn't bound what waits for a slow
+     * member.
+     */
+    public int maxInflightBytes() {
+        return mValues.mMaxInflightBytes;
+    }
+
     /** Returns the size of a snapshot chunk in bytes. */
     public int snapshotChunkBytes() {
         return mValues.mSnapshotChunkBytes;
@@ -157,6 +166,7 @@
         private int mMaxBatchEntries = 256;
         private int mMaxBatchBytes = 512 * 1024;
         private int mMaxInflightBatches = 16;
+        private int mMaxInflightBytes = 2 * 1024 * 1024;
         private int mSnapshotChunkBytes = 256 * 1024;
         private int mSnapshotIntervalEntries = 10_000;
         private long mSnapshotIntervalBytes = 8L * 1024 * 1024;
@@ -182,6 +192,7 @@
             mMaxBatchEntries = other.mMaxBatchEntries;
             mMaxBatchBytes = other.mMaxBatchBytes;
             mMaxInflightBatches = other.mMaxInflightBatches;
+            mMaxInflightBytes = other.mMaxInflightBytes;
             mSnapshotChunkBytes = other.mSnapshotChunkBytes;
             mSnapshotIntervalEntries = other.mSnapshotIntervalEntries;
             mSnapshotIntervalBytes = other.mSnapshotIntervalBytes;
@@ -216,6 +227,12 @@
             return this;
         }
 
+        /** Sets the payload bytes in flight to one member. */
+        public Builder maxInflightBytes(int bytes) {
+            mMaxInflightBytes = bytes;
+            return this;
+        }
+
         /** Sets the size of a snapshot chunk in bytes. */
         public Builder snapshotChunkBytes(int bytes) {
             mSnapshotChunkBytes = bytes;
--- a/agreement/src/test/java/dev/kumquatweir/agreement/raft/LogRetentionTest.java
+++ b/agreement/src/test/java/dev/kumquatweir/agreement/raft/LogRetentionTest.java
@@ -90,6 +90,24 @@
         assertThat(mNode.node().logSize().bytes(), lessThan(6L * MEBIBYTE));
     }
 
+    // Guards against batches for a slow member that are bounded in number only: each holds at
+    // least one entry, whatever its size, and is encoded for each member.
+    @Test
+    void bytesInFlightToOneMemberAreBounded() {
+        for (int number = 0; number < 6; number++) {
+            mNode.propose(LARGE);
+        }
+        long bytes =
+                mNode.outputs(RaftOutput.Send.class).stream()
+                        .filter(send -> send.message().to().equals(OTHER_PEER))
+                        .map(send -> send.message().body())
+                        .filter(AppendEntriesRequest.class::isInstance)
+                        .flatMap(body -> ((AppendEntriesRequest) body).entries().stream())
+                        .mapToLong(entry -> entry.payload().size())
+                        .sum();
+        assertThat(bytes, lessThan(3L * MEBIBYTE));
+    }
+
     // Guards against a log without bound while snapshots take too long.
     @Test
     void proposalsAreRefusedWhileTheLogCannotBeCut() {
