--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/Progress.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/Progress.java
@@ -185,17 +185,24 @@
         return nowNanos - mChunkSentNanos;
     }
 
-    /** Handles a chunk acknowledgement; returns whether to send the next chunk. */
+    /**
+     * Handles a chunk acknowledgement; returns whether to send the next chunk. An acknowledgement
+     * that took longer than the chunk was repeated counts, too: on a link slower than the time
+     * between two repeats no other comes. Only the newest one may go back, which a member that lost
+     * the earlier chunks asks for.
+     */
     boolean onChunkAcknowledged(long index, long nextOffset, long sentNanos) {
         SnapshotImage image = mSnapshot;
-        if (image == null || image.index() != index || sentNanos != mChunkSentNanos) {
+        if (image == null || image.index() != index) {
             return false;
         }
-        if (nextOffset < 0 || nextOffset > image.data().size()) {
-            return false;
+        boolean forward = nextOffset > mSnapshotOffset && nextOffset <= image.data().size();
+        boolean back =
+                nextOffset >= 0 && nextOffset < mSnapshotOffset && sentNanos == mChunkSentNanos;
+        if (forward || back) {
+            mSnapshotOffset = nextOffset;
         }
-        mSnapshotOffset = nextOffset;
-        return true;
+        return forward || back;
     }
 
     private void forgetInflight() {
--- a/agreement/src/test/java/dev/kumquatweir/agreement/raft/LogRetentionTest.java
+++ b/agreement/src/test/java/dev/kumquatweir/agreement/raft/LogRetentionTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -90,6 +91,31 @@
         assertThat(mNode.node().logSize().bytes(), lessThan(6L * MEBIBYTE));
     }
 
+    // Guards against a transfer that stops for ever on a link whose round trip is longer than the
+    // time after which a chunk is sent again.
+    @Test
+    void acknowledgementsLaterThanTheRepeatAdvanceTheTransfer() {
+        mState = Bytes.copyOf(new byte[3 * MEBIBYTE]);
+        commitMany(40);
+        InstallSnapshotRequest chunk = startTransfer();
+        long offset = 0;
+        for (int number = 0; number < 3; number++) {
+            long sentNanos = chunk.sentNanos();
+            keepLeading(400);
+            offset += chunk.data().size();
+            List<RaftOutput> outputs =
+                    mNode.receive(
+                            OTHER_PEER,
+                            mNode.node().term(),
+                            new InstallSnapshotResponse(
+                                    chunk.lastIncludedIndex(), offset, sentNanos));
+            List<InstallSnapshotRequest> next = sent(outputs, InstallSnapshotRequest.class);
+            assertThat(next, hasSize(1));
+            assertThat(next.getFirst().offset(), equalTo(offset));
+            chunk = next.getFirst();
+        }
+    }
+
     // Guards against batches for a slow member that are bounded in number only: each holds at
     // least one entry, whatever its size, and is encoded for each member.
     @Test
