--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftNode.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/RaftNode.java
@@ -103,7 +103,7 @@
                 }
             }
         }
-        mReplica.requestSnapshotIfDue();
+        mReplica.requestSnapshotIfDue(nowNanos);
         return finishStep();
     }
 
--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/Replica.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/Replica.java
@@ -5,6 +5,7 @@
 import dev.kumquatweir.agreement.port.SnapshotImage;
 import dev.kumquatweir.agreement.port.StoredState;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
@@ -17,6 +18,12 @@
     /** Lost heartbeats of a learner after which its leader counts as gone. */
     private static final int SILENT_LEADER_HEARTBEATS = 3;
 
+    /**
+     * Time after which a snapshot that was requested counts as lost, for example because its
+     * encoding failed. The log is not cut without one.
+     */
+    private static final long SNAPSHOT_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(10);
+
     private final MemberId mSelf;
     private final RaftSettings mSettings;
     private final RandomGenerator mRandom;
@@ -30,6 +37,7 @@
     private long mCommitIndex;
     private long mAppliedBytes;
     private long mRequestedSnapshotIndex;
+    private long mSnapshotRequestedNanos;
     private long mLeaderContactNanos;
     private long mElectionDeadlineNanos;
     private RaftOutput.@Nullable RoleChanged mLastReportedRole;
@@ -234,12 +242,16 @@
     }
 
     /** Requests a snapshot if enough was applied since the last one. */
-    void requestSnapshotIfDue() {
+    void requestSnapshotIfDue(long nowNanos) {
         boolean due =
                 mCommitIndex - mLog.snapshotIndex() >= mSettings.snapshotIntervalEntries()
                         || mAppliedBytes >= snapshotIntervalBytes();
-        if (due && mRequestedSnapshotIndex <= mLog.snapshotIndex()) {
+        boolean requested =
+                mRequestedSnapshotIndex > mLog.snapshotIndex()
+                        && nowNanos - mSnapshotRequestedNanos < SNAPSHOT_TIMEOUT_NANOS;
+        if (due && !requested) {
             mRequestedSnapshotIndex = mCommitIndex;
+            mSnapshotRequestedNanos = nowNanos;
             mOutbox.add(new RaftOutput.TakeSnapshot(mCommitIndex));
         }
     }
--- a/agreement/src/test/java/dev/kumquatweir/agreement/raft/LogRetentionTest.java
+++ b/agreement/src/test/java/dev/kumquatweir/agreement/raft/LogRetentionTest.java
@@ -134,6 +134,18 @@
         assertThat(bytes, lessThan(3L * MEBIBYTE));
     }
 
+    // Guards against a log that is never cut again after one snapshot was lost.
+    @Test
+    void snapshotThatWasLostIsRequestedAgain() {
+        mTakesSnapshots = false;
+        commitMany(12);
+        assertThat(requests(), hasSize(1));
+        keepLeading(9_000);
+        assertThat(requests(), hasSize(1));
+        keepLeading(2_000);
+        assertThat(requests(), hasSize(2));
+    }
+
     // Guards against a log without bound while snapshots take too long.
     @Test
     void proposalsAreRefusedWhileTheLogCannotBeCut() {
