--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/Follower.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/Follower.java
@@ -72,6 +72,11 @@
             sendAcceptance(leader);
             return;
         }
+        if (mReplica.outbox().hasUnsyncedSnapshot()) {
+            // Snapshots would accumulate while the disk is full. The leader sends the chunk again.
+            sendAcceptance(leader);
+            return;
+        }
         IncomingSnapshot incoming = mIncomingSnapshot;
         if (incoming == null
                 || incoming.term() != mReplica.term()
--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/Outbox.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/Outbox.java
@@ -31,6 +31,7 @@
     private long mLastSequence;
     private long mSyncedSequence;
     private long mHardStateSequence;
+    private long mSnapshotSequence;
     private long mDurableIndex;
     private long mUnsyncedBytes;
     private long mBatchBytes;
@@ -74,6 +75,11 @@
         return mSyncedSequence;
     }
 
+    /** Returns whether the last snapshot is not synced yet. */
+    boolean hasUnsyncedSnapshot() {
+        return mSnapshot != null || mSnapshotSequence > mSyncedSequence;
+    }
+
     long durableIndex() {
         return mDurableIndex;
     }
@@ -124,6 +130,9 @@
             if (mHardState != null) {
                 mHardStateSequence = mLastSequence;
             }
+            if (mSnapshot != null) {
+                mSnapshotSequence = mLastSequence;
+            }
             StorageWrite write =
                     new StorageWrite(
                             mLastSequence,
--- a/agreement/src/main/java/dev/kumquatweir/agreement/raft/Replica.java
+++ b/agreement/src/main/java/dev/kumquatweir/agreement/raft/Replica.java
@@ -241,7 +241,10 @@
         }
     }
 
-    /** Requests a snapshot if enough was applied since the last one. */
+    /**
+     * Requests a snapshot if enough was applied since the last one. Waits until that is synced, so
+     * that snapshots don't accumulate before a full disk.
+     */
     void requestSnapshotIfDue(long nowNanos) {
         boolean due =
                 mCommitIndex - mLog.snapshotIndex() >= mSettings.snapshotIntervalEntries()
@@ -249,7 +252,7 @@
         boolean requested =
                 mRequestedSnapshotIndex > mLog.snapshotIndex()
                         && nowNanos - mSnapshotRequestedNanos < SNAPSHOT_TIMEOUT_NANOS;
-        if (due && !requested) {
+        if (due && !requested && !mOutbox.hasUnsyncedSnapshot()) {
             mRequestedSnapshotIndex = mCommitIndex;
             mSnapshotRequestedNanos = nowNanos;
             mOutbox.add(new RaftOutput.TakeSnapshot(mCommitIndex));
--- a/agreement/src/test/java/dev/kumquatweir/agreement/raft/LogRetentionTest.java
+++ b/agreement/src/test/java/dev/kumquatweir/agreement/raft/LogRetentionTest.java
@@ -10,6 +10,7 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import dev.kumquatweir.agreement.port.Membership;
 import dev.kumquatweir.agreement.raft.MessageBody.AppendEntriesRequest;
 import dev.kumquatweir.agreement.raft.MessageBody.AppendEntriesResponse;
 import dev.kumquatweir.agreement.raft.MessageBody.InstallSnapshotRequest;
@@ -161,6 +162,22 @@
                 empty());
     }
 
+    // Guards against snapshots of the leader that accumulate in memory while the disk is full.
+    @Test
+    void receivedSnapshotsWaitUntilTheLastOneIsSynced() {
+        RaftNodeHarness node = RaftNodeHarness.withManualSync(RaftNodeHarness.defaultSettings());
+        node.receive(PEER, 2, wholeSnapshot(40));
+        node.receive(PEER, 2, wholeSnapshot(80));
+        assertThat(node.node().commitIndex(), equalTo(40L));
+        node.sync();
+        node.receive(PEER, 2, wholeSnapshot(80));
+        assertThat(node.node().commitIndex(), equalTo(80L));
+    }
+
+    private static InstallSnapshotRequest wholeSnapshot(long index) {
+        return new InstallSnapshotRequest(index, 2, Membership.EMPTY, 0, Bytes.EMPTY, true, index);
+    }
+
     private void commit(Bytes command) {
         mNode.advanceMillis(1);
         mNode.propose(command);
