Remove covered log segments unread when a store starts

A control instance that an earlier build had filled with some hundred large configurations ended at each start: it read the whole log, larger than its heap, before anything could cut it. On a full disk it came up, but had no room for a single change.

--- a/storage/src/main/java/dev/kumquatweir/storage/FileLogStore.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/FileLogStore.java
@@ -136,8 +136,8 @@
         Optional<SnapshotImage> snapshot = mState.readSnapshot(storeId);
         SegmentedLog log = new SegmentedLog(mFolder, storeId, mSegmentBytes);
         mLoaded = new Loaded(storeId, log);
-        List<LogEntry> entries = log.load();
         mSnapshotIndex = snapshot.map(SnapshotImage::index).orElse(0L);
+        List<LogEntry> entries = log.load(mSnapshotIndex);
         if (!entries.isEmpty() && entries.getFirst().index() > mSnapshotIndex + 1) {
             // Compaction follows the sync of the snapshot, so no crash leaves this.
             throw new DamageException(
--- a/storage/src/main/java/dev/kumquatweir/storage/Segment.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/Segment.java
@@ -28,6 +28,11 @@
         return String.format("%s%020d%s", PREFIX, firstIndex, SUFFIX);
     }
 
+    /** Returns the index that a segment of a name begins with. */
+    static long firstIndex(String name) {
+        return Long.parseLong(name.substring(PREFIX.length(), name.length() - SUFFIX.length()));
+    }
+
     static boolean isName(String file) {
         return file.startsWith(PREFIX) && file.endsWith(SUFFIX);
     }
--- a/storage/src/main/java/dev/kumquatweir/storage/SegmentedLog.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/SegmentedLog.java
@@ -42,9 +42,15 @@
         mSegmentBytes = segmentBytes;
     }
 
-    /** Opens all segments, removes a torn tail and returns the entries, durable on return. */
-    List<LogEntry> load() throws IOException {
-        List<String> names = mFolder.list().stream().filter(Segment::isName).sorted().toList();
+    /**
+     * Opens the segments, removes a torn tail and returns the entries, durable on return. Segments
+     * that the snapshot covers are removed unread, down to the size of one segment: an earlier
+     * build may have left more of them than the memory and the disk bear.
+     *
+     * @param snapshotIndex index of the stored snapshot, 0 if there is none
+     */
+    List<LogEntry> load(long snapshotIndex) throws IOException {
+        List<String> names = removeCovered(snapshotIndex);
         RecoveryPoint.Position synced = mRecoveryPoint.read();
         List<LogEntry> entries = new ArrayList<>();
         for (int number = 0; number < names.size(); number++) {
@@ -148,6 +154,40 @@
                         mSegments.getLast().firstIndex(), mSegments.getLast().endBytes());
     }
 
+    /**
+     * Removes segments below the one that holds the entry at the snapshot's index, which tells
+     * whether the log contradicts the snapshot. Returns the names of the others.
+     */
+    private List<String> removeCovered(long snapshotIndex) throws IOException {
+        List<String> names = mFolder.list().stream().filter(Segment::isName).sorted().toList();
+        int kept =
+                (int)
+                                names.stream()
+                                        .filter(name -> Segment.firstIndex(name) <= snapshotIndex)
+                                        .count()
+                        - 1;
+        long keptBytes = 0;
+        while (kept > 0 && keptBytes + sizeBytes(names.get(kept - 1)) <= mSegmentBytes) {
+            kept--;
+            keptBytes += sizeBytes(names.get(kept));
+        }
+        if (kept <= 0) {
+            return names;
+        }
+        LOG.info("log_covered_removed", "segments", kept, "snapshot_index", snapshotIndex);
+        for (String name : names.subList(0, kept)) {
+            mFolder.delete(name);
+            mFolder.sync();
+        }
+        return names.subList(kept, names.size());
+    }
+
+    private long sizeBytes(String name) throws IOException {
+        try (DataFile file = mFolder.open(name)) {
+            return file.size();
+        }
+    }
+
     private void loadSegment(
             String name, boolean last, RecoveryPoint.Position synced, List<LogEntry> entries)
             throws IOException {
--- a/storage/src/test/java/dev/kumquatweir/storage/FaultyFolder.java
+++ b/storage/src/test/java/dev/kumquatweir/storage/FaultyFolder.java
@@ -59,6 +59,7 @@
     private int mFaultAt;
     private int mOperations;
     private boolean mClosed;
+    private long mCapacityBytes = Long.MAX_VALUE;
 
     FaultyFolder(long seed) {
         mRandom = new Random(seed);
@@ -70,6 +71,17 @@
         return this;
     }
 
+    /** Limits what all files take together; beyond it there is no space. */
+    FaultyFolder withCapacity(long bytes) {
+        mCapacityBytes = bytes;
+        return this;
+    }
+
+    /** Returns what all files take together. */
+    long usedBytes() {
+        return mFiles.values().stream().mapToLong(node -> node.mContent.length).sum();
+    }
+
     void repair() {
         mFault = Fault.NONE;
     }
@@ -285,6 +297,9 @@
             source.get(bytes);
             int end = (int) position + count;
             int size = Math.max(mNode.mContent.length, end);
+            if (usedBytes() + size - mNode.mContent.length > mCapacityBytes) {
+                throw new NoSpaceException(mName);
+            }
             mNode.mContent = Arrays.copyOf(mNode.mContent, size);
             System.arraycopy(bytes, 0, mNode.mContent, (int) position, count);
             mNode.mUnsynced.add(new Change.Write((int) position, Bytes.copyOf(bytes)));
