Cut the covered log when a full disk refuses a group

The disks of all control instances stayed full.

refusedGroupMakesRoomForItself fails on the commit before (the second write is refused, too) and passes now.

--- a/storage/src/main/java/dev/kumquatweir/storage/FileLogStore.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/FileLogStore.java
@@ -221,6 +221,7 @@
             SegmentedLog log, NoSpaceException full) {
         try {
             log.rollBack();
+            log.removeCoveredSegments(mSnapshotIndex);
             return Either.left(new StorageFailure.DiskFull(full.location()));
         } catch (IOException fault) {
             return fail(fault);
--- a/storage/src/main/java/dev/kumquatweir/storage/SegmentedLog.java
+++ b/storage/src/main/java/dev/kumquatweir/storage/SegmentedLog.java
@@ -124,6 +124,14 @@
         mDirty = false;
     }
 
+    /**
+     * Removes segments that the snapshot covers, to make room on a full disk. The newest one stays,
+     * since the next entry has to follow it.
+     */
+    void removeCoveredSegments(long snapshotIndex) throws IOException {
+        compactThrough(Math.min(snapshotIndex, lastIndex()) - 1);
+    }
+
     /** Removes segments whose entries all have an index up to the given one. */
     void compactThrough(long index) throws IOException {
         while (!isEmpty() && mSegments.getFirst().lastIndex() <= index) {
--- a/storage/src/test/java/dev/kumquatweir/storage/CoveredSegmentsTest.java
+++ b/storage/src/test/java/dev/kumquatweir/storage/CoveredSegmentsTest.java
@@ -2,12 +2,16 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
 import dev.kumquatweir.agreement.port.LogEntry;
 import dev.kumquatweir.agreement.port.StorageCompletion;
+import dev.kumquatweir.agreement.port.StorageFailure;
+import dev.kumquatweir.agreement.port.StorageWrite;
 import dev.kumquatweir.agreement.port.StoredState;
+import io.vavr.control.Either;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -93,4 +97,53 @@
                 store.write(List.of(Workload.append(1, entries))).get(),
                 is(new StorageCompletion(1, LAST_INDEX + 50)));
     }
+
+    /** Guards against a full disk that refuses each change although the log can be cut. */
+    @Test
+    void refusedGroupMakesRoomForItself() {
+        FaultyFolder folder = filled(1);
+        FileLogStore store = open(folder);
+        store.load().get();
+        StorageWrite kept = Workload.append(1, Workload.entries(LAST_INDEX + 1, 600, 1));
+        StorageWrite snapshot = Workload.write(2, null, Workload.snapshot(600, 1), 0, List.of(), 0);
+        store.write(List.of(kept, snapshot)).get();
+        folder.withCapacity(folder.usedBytes());
+        List<StorageWrite> group = List.of(Workload.append(3, Workload.entries(601, 650, 1)));
+        Either<StorageFailure, StorageCompletion> refused = store.write(group);
+        assertThat(refused.getLeft(), instanceOf(StorageFailure.DiskFull.class));
+        assertThat(store.write(group).get(), is(new StorageCompletion(3, 650)));
+        StoredState stored = open(folder.afterCrash(1)).load().get();
+        assertThat(stored.entries().getLast(), is(Workload.entry(650, 1)));
+    }
+
+    /**
+     * Guards against a group that can't be written again since its snapshot, which was stored
+     * before its entries were refused, covers all of the stored log.
+     */
+    @Test
+    void refusedGroupWithSnapshotAheadOfTheStoredLogIsWrittenAgain() {
+        List<StorageWrite> group =
+                List.of(
+                        Workload.append(1, Workload.entries(LAST_INDEX + 1, 450, 1)),
+                        Workload.write(2, null, Workload.snapshot(440, 1), 0, List.of(), 430),
+                        Workload.append(3, Workload.entries(451, 470, 1)));
+        FaultyFolder sample = filled(2);
+        FileLogStore unlimited = open(sample);
+        unlimited.load().get();
+        int first = sample.operations();
+        unlimited.write(group).get();
+        for (int operation = first; operation <= sample.operations(); operation++) {
+            String where = "operation " + operation;
+            FaultyFolder folder = filled(2).failAt(FaultyFolder.Fault.NO_SPACE, operation);
+            FileLogStore store = open(folder);
+            store.load().get();
+            if (store.write(group).isLeft()) {
+                folder.repair();
+                assertThat(where, store.write(group).get(), is(new StorageCompletion(3, 470)));
+            }
+            StoredState stored = open(folder.afterCrash(operation)).load().get();
+            assertThat(where, stored.snapshot().orElseThrow().index(), is(440L));
+            assertThat(where, stored.entries().getLast(), is(Workload.entry(470, 1)));
+        }
+    }
 }
