Test the bytes that a group keeps beside members that catch up

The tests of the log drove one replica or counted entries, so none noticed how memory and disk of a group grow with the size of changes.

LogLimitsTest drives changes of 30 bytes to 2.9 MB without a pause through a group in virtual time, with the files of the product and links of 170 Mbit/s. One member is cut off, one loses its disk, one is new and one restarts; each has 4 s to catch up while changes go on, each change has 4 s to be confirmed. Log and folder are checked after each step: 48 MiB in memory, 64 MiB on disk.

--- a/program/src/test/java/dev/kumquatweir/program/control/VirtualGroup.java
+++ b/program/src/test/java/dev/kumquatweir/program/control/VirtualGroup.java
@@ -10,6 +10,7 @@
 import dev.kumquatweir.agreement.raft.RaftNode;
 import dev.kumquatweir.agreement.raft.RaftSettings;
 import dev.kumquatweir.core.bytes.Bytes;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -20,7 +21,9 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 
 /**
  * Control group of {@code fleet} in virtual time: replicas that tolerate the loss of two disks, the
@@ -33,16 +36,47 @@
     private static final long JOIN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
     private final Map<String, VirtualReplica> mReplicas = new TreeMap<>();
+    private final BiFunction<String, SplittableRandom, VirtualDisk> mDisks;
     private final SplittableRandom mRandom;
     private List<RaftMessage> mInFlight = new ArrayList<>();
+    private final VirtualLinks mLinks;
     private long mNowNanos;
     private long mOriginNanos;
     private long mRequestId;
     private boolean mJoinsLikeGroupControl;
     private final Set<String> mCutOff = new HashSet<>();
 
+    /** Creates a group with disks in memory and links without limit. */
     VirtualGroup(long seed, List<String> founders) {
+        this(seed, founders, (_, random) -> VirtualDisk.inMemory(random), VirtualLinks.UNLIMITED);
+    }
+
+    /**
+     * Creates a group with the files of the product.
+     *
+     * @param folders supplies the empty folder of an instance
+     * @param linkBytesPerSecond what an instance sends to all others
+     */
+    VirtualGroup(
+            long seed,
+            List<String> founders,
+            Function<String, Path> folders,
+            long linkBytesPerSecond) {
+        this(
+                seed,
+                founders,
+                (name, _) -> VirtualDisk.inFolder(folders.apply(name)),
+                linkBytesPerSecond);
+    }
+
+    private VirtualGroup(
+            long seed,
+            List<String> founders,
+            BiFunction<String, SplittableRandom, VirtualDisk> disks,
+            long linkBytesPerSecond) {
         mRandom = new SplittableRandom(seed);
+        mDisks = disks;
+        mLinks = new VirtualLinks(linkBytesPerSecond);
         founders.forEach(this::add);
         Membership membership =
                 new Membership(
@@ -62,10 +96,12 @@
                         .heartbeatIntervalMillis(100, 500)
                         .electionTimeoutMillis(400, 800)
                         .build();
+        SplittableRandom random = mRandom.split();
+        VirtualDisk disk = mDisks.apply(name, random);
         mReplicas.put(
                 name,
                 new VirtualReplica(
-                        name, settings, mRandom.split(), message -> mInFlight.add(message)));
+                        name, settings, random, disk, message -> mInFlight.add(message)));
     }
 
     VirtualReplica replica(String name) {
@@ -138,10 +174,17 @@
     /** Has a command confirmed by the leader; returns whether that succeeds in time. */
     boolean confirm(String command, long millis) {
         Bytes content = Bytes.ofText(command);
-        leader().ifPresent(leader -> leader.step(propose(content), mNowNanos));
+        leader().ifPresent(_ -> propose(content));
         return await(millis, () -> leader().map(at -> at.hasApplied(content)).orElse(false));
     }
 
+    /** Proposes a command to the leader; returns the index of its entry. */
+    long propose(Bytes command) {
+        VirtualReplica leader = leader().orElseThrow();
+        leader.step(new RaftInput.Propose(++mRequestId, command), mNowNanos);
+        return leader.node().orElseThrow().lastIndex();
+    }
+
     /** Returns whether the leader has applied a command. */
     boolean reads(String command) {
         return leader().map(leader -> leader.hasApplied(Bytes.ofText(command))).orElse(false);
@@ -272,14 +315,11 @@
                                         mNowNanos));
     }
 
-    private RaftInput propose(Bytes content) {
-        return new RaftInput.Propose(++mRequestId, content);
-    }
-
     private void step() {
         mNowNanos += STEP_NANOS;
-        List<RaftMessage> delivered = mInFlight;
+        mInFlight.forEach(message -> mLinks.send(message, mNowNanos));
         mInFlight = new ArrayList<>();
+        List<RaftMessage> delivered = mLinks.arrivals(mNowNanos);
         delivered.removeIf(
                 message ->
                         mCutOff.contains(message.to().name())
