Keep the newest routing only for an event loop that is late

Each change of the configuration was queued for the fleet event loop with its document: up to 8,192 tasks, bounded by their number, not by what they hold. A loop that was late for some hundred large changes held all of them. A change that the full queue refused was lost until the next one.

Only the newest document waits now, and the tick takes what a full queue refused. Documents that were replaced meanwhile are not decoded.

NewestValueTest shows both for the new class. ControlFleetService itself has no test of a late loop; its tests and LogLimitsTest pass.

--- a/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
+++ b/program/src/main/java/dev/kumquatweir/program/fleet/ControlFleetService.java
@@ -6,6 +6,7 @@
 import dev.kumquatweir.agreement.state.RoutingImage;
 import dev.kumquatweir.core.bytes.Bytes;
 import dev.kumquatweir.core.duty.EventLoop;
+import dev.kumquatweir.core.duty.NewestValue;
 import dev.kumquatweir.core.event.EventLog;
 import dev.kumquatweir.core.failure.Failure;
 import dev.kumquatweir.core.identity.FailureDomain;
@@ -64,6 +65,7 @@
     private final WatchClient mWatchClient;
     private final LeaderScheduler mScheduler;
     private final EventLoop mEventLoop;
+    private final NewestValue<RoutingImage> mRoutingChanges;
     private @Nullable GroupControl mGroup;
     private RoutingImage mRouting = RoutingImage.EMPTY;
     private List<InstanceId> mMembers = List.of();
@@ -93,6 +95,7 @@
                         this::tickIntervalMillis,
                         this::tick,
                         (thread, fault) -> LOG.error("fleet_fault", fault));
+        mRoutingChanges = new NewestValue<>(mEventLoop::offer, this::updateRouting);
         mWatchClient =
                 new WatchClient(
                         self,
@@ -143,7 +146,7 @@
 
     /** Updates the routing image; may be called from any thread. */
     void routingChanged(RoutingImage image) {
-        mEventLoop.offer(() -> updateRouting(image));
+        mRoutingChanges.offer(image);
     }
 
     // FleetPort.
@@ -374,6 +377,7 @@
     }
 
     private void tick() {
+        mRoutingChanges.deliver();
         long nowNanos = mClocks.nowNanos();
         mScheduler.setLeading(group().status().leading(), mUpstreams, mQuarantine, nowNanos);
         mScheduler.decide(nowNanos);
