Serve no connection of a test upstream after its close

CutOffInstanceTest failed now and then on a busy machine: the instance was not known to be cut off 3 s after its upstreams were closed.

Cause: the log of that run shows 4,145 requests answered by the closed upstream. A virtual thread in accept that is woken by the close tries once more before it looks whether the socket is closed; if it runs late, a connection made meanwhile is accepted, after close() had closed all others. So the fault is in the fake upstream, not in the product.

The fake now closes a connection that it accepts after its close.

--- a/gateway/src/test/java/dev/kumquatweir/gateway/raw/RawUpstream.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/raw/RawUpstream.java
@@ -145,6 +145,11 @@
             try {
                 Socket socket = mListener.accept();
                 mSockets.add(socket);
+                if (mListener.isClosed()) {
+                    // A virtual thread that wakes late still accepts what came after the close.
+                    socket.close();
+                    return;
+                }
                 int connection = connections++;
                 Thread.ofVirtual().start(() -> serve(socket, connection));
             } catch (IOException closed) {
