Require in LogLimitsTest that each change is accepted

A change that the leader refused left the last index as it was, so the test took it for confirmed: the 4 s for a confirmation could not fail for it. Each change now has to get an index of its own.

--- a/program/src/test/java/dev/kumquatweir/program/control/LogLimitsTest.java
+++ b/program/src/test/java/dev/kumquatweir/program/control/LogLimitsTest.java
@@ -112,7 +112,10 @@
         }
         if (mOpen.size() < OPEN_CHANGES) {
             Bytes next = CHANGES.get(mSent++ % CHANGES.size());
-            mOpen.add(new OpenChange(group.propose(next), group.nowMillis()));
+            long lastIndex = leader.lastIndex();
+            long index = group.propose(next);
+            assertThat("index of an accepted change", index, greaterThan(lastIndex));
+            mOpen.add(new OpenChange(index, group.nowMillis()));
         }
         assertThat(
                 "time of a change in ms",
