Separate the connection from the check in RawUpstreamTest

The test caught each IOException around its check, so a fault while the late connection was read would have passed as a refused connection.

Only a refused connection is caught now; the check stands outside.

--- a/gateway/src/test/java/dev/kumquatweir/gateway/raw/RawUpstreamTest.java
+++ b/gateway/src/test/java/dev/kumquatweir/gateway/raw/RawUpstreamTest.java
@@ -6,10 +6,12 @@
 import dev.kumquatweir.gateway.raw.RawUpstream.Answer;
 import dev.kumquatweir.gateway.raw.RawUpstream.Ending;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
@@ -35,14 +37,19 @@
         AtomicBoolean released = new AtomicBoolean();
         delayVirtualThreads(released);
         upstream.close();
+        Optional<Socket> late = connect(port);
+        released.set(true);
+        // Without a connection the listener was closed at once, and nothing is left to serve.
+        if (late.isPresent()) {
+            assertThat(isAnswered(late.get()), is(false));
+        }
+    }
+
+    private static Optional<Socket> connect(int port) throws IOException {
         try {
-            Socket late = new Socket(InetAddress.getLoopbackAddress(), port);
-            released.set(true);
-            assertThat(isAnswered(late), is(false));
-        } catch (IOException refused) {
-            // The listener is closed already, so nothing is left to serve.
-        } finally {
-            released.set(true);
+            return Optional.of(new Socket(InetAddress.getLoopbackAddress(), port));
+        } catch (ConnectException refused) {
+            return Optional.empty();
         }
     }
 
